core: types, messages, ledger and directory state machines, process plumbing

Cause: the parts of the system need one set of types and messages before they can be built side by side. Ruled out: a log for idempotency keys, because a claim through a primary in another data centre takes two round trips in sequence; each key is its own register instead (docs/design.md). Change: the workspace, shallothill-core, -wire, -runtime, -ledger and -directory, and the design page. Before/after: no measurement; nothing runs end to end yet.

--- /dev/null
+++ b/crates/shallothill-bench/src/lib.rs
@@ -0,0 +1,1 @@
+//! Benchmarks of the decisions and the log, with regression bounds.
--- /dev/null
+++ b/crates/shallothill-bench/src/main.rs
@@ -0,0 +1,3 @@
+//! Benchmarks of the decisions and the log, with regression bounds.
+
+fn main() {}
--- /dev/null
+++ b/crates/shallothill-cli/src/lib.rs
@@ -0,0 +1,1 @@
+//! The operators' command line.
--- /dev/null
+++ b/crates/shallothill-cli/src/main.rs
@@ -0,0 +1,3 @@
+//! The operators' command line.
+
+fn main() {}
--- /dev/null
+++ b/crates/shallothill-config/src/lib.rs
@@ -0,0 +1,1 @@
+//! Reads, checks, compares and splits the configuration text.
--- /dev/null
+++ b/crates/shallothill-core/src/headers.rs
@@ -0,0 +1,30 @@
+//! Names of the HTTP headers that shallothill reads and adds, in lower case.
+
+/// `CALLER` names the caller, as listed in the configuration.
+pub const CALLER: &str = "x-shallothill-caller";
+/// `OUTCOME` tells the outcome of the request; see [`crate::outcome::Outcome::as_str`].
+pub const OUTCOME: &str = "x-shallothill-outcome";
+/// `DEADLINE_MS` is the time that is left for the request, in milliseconds.
+pub const DEADLINE_MS: &str = "x-shallothill-deadline-ms";
+/// `CLASS` is the class of the request on hops between nodes and on internal calls.
+pub const CLASS: &str = "x-shallothill-class";
+/// `ATTEMPT` numbers the attempt, from 1, on hops between nodes.
+pub const ATTEMPT: &str = "x-shallothill-attempt";
+/// `CONFIG_VERSION` is the configuration version that the sender acts on.
+pub const CONFIG_VERSION: &str = "x-shallothill-config-version";
+/// `LOAD` is the gate's load, `in_flight/slots/queued/state`.
+pub const LOAD: &str = "x-shallothill-load";
+/// `ROUTE` names the route that the entry node matched, on hops between nodes.
+pub const ROUTE: &str = "x-shallothill-route";
+/// `SERVICE` names the service of the request, on hops between nodes.
+pub const SERVICE: &str = "x-shallothill-service";
+/// `ENDPOINT` names the backend server that the entry node picked, on hops between nodes.
+pub const ENDPOINT: &str = "x-shallothill-endpoint";
+/// `REASON` is a short machine-readable reason for a refusal or a failure.
+pub const REASON: &str = "x-shallothill-reason";
+/// `TRIAL` marks a trial request for an ejected backend server, on hops between nodes.
+pub const TRIAL: &str = "x-shallothill-trial";
+/// `IDEMPOTENCY_KEY` identifies a non-idempotent request across resends.
+pub const IDEMPOTENCY_KEY: &str = "idempotency-key";
+/// `OWN_PREFIX` starts every header that belongs to shallothill.
+pub const OWN_PREFIX: &str = "x-shallothill-";
--- /dev/null
+++ b/crates/shallothill-core/src/lib.rs
@@ -0,0 +1,17 @@
+//! Identifiers, the configuration model and the errors that every other crate shares.
+
+pub mod class;
+pub mod config;
+pub mod errors;
+pub mod hash;
+pub mod headers;
+pub mod health;
+pub mod idempotency;
+pub mod ids;
+pub mod incarnation;
+pub mod outcome;
+pub mod sections;
+pub mod time;
+pub mod version;
+
+pub use errors::{Error, Result};
--- /dev/null
+++ b/crates/shallothill-core/src/sections.rs
@@ -0,0 +1,125 @@
+//! Splits a configuration into sections, so that a change sends only what it touches.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+use crate::config::{Caller, Config, Route, Service};
+use crate::hash;
+use crate::hash::ContentHash;
+use crate::ids::{CallerName, Region, RouteName, ServiceName};
+
+/// `SectionId` names a section. Routes and callers fall into 256 buckets each by a hash of their
+/// name, so that one change of 61,000 callers sends about 240 of them.
+#[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+pub enum SectionId {
+    /// The list of regions.
+    Regions,
+    /// One service.
+    Service(ServiceName),
+    /// One bucket of routes.
+    Routes(u8),
+    /// One bucket of callers.
+    Callers(u8),
+}
+
+/// `Section` is the content of a section.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum Section {
+    /// The list of regions.
+    Regions(Vec<Region>),
+    /// One service.
+    Service(ServiceName, Box<Service>),
+    /// One bucket of routes.
+    Routes(u8, BTreeMap<RouteName, Route>),
+    /// One bucket of callers.
+    Callers(u8, BTreeMap<CallerName, Caller>),
+}
+
+impl Section {
+    /// `id` returns the section's name.
+    pub fn id(&self) -> SectionId {
+        match self {
+            Self::Regions(_) => SectionId::Regions,
+            Self::Service(name, _) => SectionId::Service(name.clone()),
+            Self::Routes(bucket, _) => SectionId::Routes(*bucket),
+            Self::Callers(bucket, _) => SectionId::Callers(*bucket),
+        }
+    }
+
+    /// `content_hash` hashes the MessagePack form of the section.
+    pub fn content_hash(&self) -> ContentHash {
+        // Serialization into memory of types with string keys and numbers cannot fail.
+        ContentHash::of(&rmp_serde::to_vec(self).unwrap_or_default())
+    }
+}
+
+/// `Manifest` lists the hash of each section of a configuration.
+pub type Manifest = BTreeMap<SectionId, ContentHash>;
+
+/// `root` hashes a manifest; equal roots mean equal configurations.
+pub fn root(manifest: &Manifest) -> ContentHash {
+    ContentHash::of(&rmp_serde::to_vec(manifest).unwrap_or_default())
+}
+
+/// `split` divides a configuration into its sections, without empty buckets.
+pub fn split(cfg: &Config) -> Vec<Section> {
+    let mut routes: BTreeMap<u8, BTreeMap<RouteName, Route>> = BTreeMap::new();
+    for (name, route) in &cfg.routes {
+        let bucket = routes.entry(bucket(name.as_str())).or_default();
+        bucket.insert(name.clone(), route.clone());
+    }
+    let mut callers: BTreeMap<u8, BTreeMap<CallerName, Caller>> = BTreeMap::new();
+    for (name, caller) in &cfg.callers {
+        let bucket = callers.entry(bucket(name.as_str())).or_default();
+        bucket.insert(name.clone(), caller.clone());
+    }
+    let mut sections = vec![Section::Regions(cfg.regions.clone())];
+    let services = cfg.services.iter();
+    sections.extend(services.map(|(n, s)| Section::Service(n.clone(), Box::new(s.clone()))));
+    sections.extend(
+        routes
+            .into_iter()
+            .map(|(b, items)| Section::Routes(b, items)),
+    );
+    sections.extend(
+        callers
+            .into_iter()
+            .map(|(b, items)| Section::Callers(b, items)),
+    );
+    sections
+}
+
+/// `manifest` lists the hashes of `sections`.
+pub fn manifest<'a>(sections: impl IntoIterator<Item = &'a Section>) -> Manifest {
+    sections
+        .into_iter()
+        .map(|s| (s.id(), s.content_hash()))
+        .collect()
+}
+
+/// `join` builds the configuration from its sections.
+pub fn join<'a>(sections: impl IntoIterator<Item = &'a Section>) -> Config {
+    let mut cfg = Config::default();
+    for section in sections {
+        match section {
+            Section::Regions(regions) => cfg.regions.clone_from(regions),
+            Section::Service(name, service) => {
+                cfg.services.insert(name.clone(), service.as_ref().clone());
+            }
+            Section::Routes(_, items) => {
+                cfg.routes
+                    .extend(items.iter().map(|(n, r)| (n.clone(), r.clone())));
+            }
+            Section::Callers(_, items) => {
+                cfg.callers
+                    .extend(items.iter().map(|(n, c)| (n.clone(), c.clone())));
+            }
+        }
+    }
+    cfg
+}
+
+fn bucket(name: &str) -> u8 {
+    (hash::short(name.as_bytes()) % 256) as u8
+}
--- /dev/null
+++ b/crates/shallothill-directory/src/entry.rs
@@ -0,0 +1,34 @@
+//! A node as one keeper knows it.
+
+use serde::{Deserialize, Serialize};
+use shallothill_core::ids::KeeperId;
+use shallothill_core::time::Millis;
+
+use crate::report::NodeReport;
+
+/// `Contact` tells whether a node's reports still arrive.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Contact {
+    /// Reports arrive.
+    Heard,
+    /// No report has arrived lately; entry nodes pick the node's backend servers last.
+    Unheard,
+}
+
+/// `NodeEntry` is a node's latest report with where and when it was heard.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct NodeEntry {
+    /// The latest report.
+    pub report: NodeReport,
+    /// The keeper that heard it from the node itself.
+    pub via: KeeperId,
+    /// Whether reports still arrive.
+    pub contact: Contact,
+    /// When this keeper heard of the node last, by its own clock.
+    #[serde(skip)]
+    pub heard: Millis,
+    /// This keeper's number of the entry's last change.
+    #[serde(skip)]
+    pub change: u64,
+}
--- /dev/null
+++ b/crates/shallothill-directory/src/lease_member.rs
@@ -0,0 +1,91 @@
+//! The keeper's side of ejection leases.
+
+use std::collections::BTreeMap;
+
+use shallothill_core::ids::{EndpointId, KeeperId};
+use shallothill_core::time::Millis;
+
+use crate::lease_messages::{LeaseAnswer, LeaseReply, LeaseRequest, ReleaseRequest, Token};
+use crate::options::LeaseOptions;
+
+#[derive(Clone, Debug)]
+struct Grant {
+    endpoint: EndpointId,
+    until: Millis,
+}
+
+/// `LeaseMember` reserves tokens at one keeper. Its state is in memory only: after a start it
+/// grants nothing until every grant of its former life has ended.
+#[derive(Clone, Debug)]
+pub struct LeaseMember {
+    me: KeeperId,
+    started: Millis,
+    options: LeaseOptions,
+    grants: BTreeMap<Token, Grant>,
+}
+
+impl LeaseMember {
+    /// `new` starts the keeper's grants at `now`.
+    pub fn new(me: KeeperId, now: Millis, options: LeaseOptions) -> Self {
+        Self {
+            me,
+            started: now,
+            options,
+            grants: BTreeMap::new(),
+        }
+    }
+
+    /// `request` decides on a request, given the budget: the healthy or ejected backend servers of
+    /// the service in the region less the region's floor.
+    pub fn request(&mut self, now: Millis, req: &LeaseRequest, budget: u32) -> LeaseReply {
+        let answer = self.decide(now, req, budget);
+        if answer == LeaseAnswer::Granted {
+            let until = now + self.options.grant_for;
+            let grant = Grant {
+                endpoint: req.endpoint.clone(),
+                until,
+            };
+            self.grants.insert(req.token.clone(), grant);
+        }
+        LeaseReply {
+            keeper: self.me,
+            round: req.round,
+            answer,
+            budget,
+        }
+    }
+
+    /// `release` frees a token that its holder gives back.
+    pub fn release(&mut self, req: &ReleaseRequest) {
+        if self
+            .grants
+            .get(&req.token)
+            .is_some_and(|g| g.endpoint == req.endpoint)
+        {
+            self.grants.remove(&req.token);
+        }
+    }
+
+    /// `expire` drops grants that have ended.
+    pub fn expire(&mut self, now: Millis) {
+        self.grants.retain(|_, g| g.until > now);
+    }
+
+    /// `grants` iterates over the reserved tokens and their holders.
+    pub fn grants(&self) -> impl Iterator<Item = (&Token, &EndpointId)> {
+        self.grants.iter().map(|(t, g)| (t, &g.endpoint))
+    }
+
+    fn decide(&self, now: Millis, req: &LeaseRequest, budget: u32) -> LeaseAnswer {
+        if now.saturating_since(self.started) < self.options.quiet_after_start {
+            return LeaseAnswer::Quiet;
+        }
+        if req.token.number >= budget {
+            return LeaseAnswer::OverBudget;
+        }
+        match self.grants.get(&req.token) {
+            Some(g) if g.until > now && g.endpoint != req.endpoint => LeaseAnswer::Taken,
+            _ => LeaseAnswer::Granted,
+        }
+    }
+}
--- /dev/null
+++ b/crates/shallothill-directory/src/lease_messages.rs
@@ -0,0 +1,61 @@
+//! Messages for ejection leases.
+
+use serde::{Deserialize, Serialize};
+use shallothill_core::ids::{EndpointId, KeeperId, Region, ServiceName};
+
+/// `Token` is one of the ejections that a service can bear in a region; numbers start at 0.
+#[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct Token {
+    /// The service.
+    pub service: ServiceName,
+    /// The region.
+    pub region: Region,
+    /// The number; it is valid while it is below the budget.
+    pub number: u32,
+}
+
+/// `LeaseRequest` asks a keeper to reserve a token for a backend server, or to renew it.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct LeaseRequest {
+    /// The token.
+    pub token: Token,
+    /// The backend server to eject.
+    pub endpoint: EndpointId,
+    /// Numbers the requests of one holder, so that a late answer is not taken for a newer one.
+    pub round: u64,
+}
+
+/// `LeaseAnswer` is a keeper's decision.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum LeaseAnswer {
+    /// The token is reserved.
+    Granted,
+    /// Another backend server holds the token.
+    Taken,
+    /// The token's number is not below the budget: the service's floor would be broken.
+    OverBudget,
+    /// The keeper started a moment ago and may have granted the token before.
+    Quiet,
+}
+
+/// `LeaseReply` is a keeper's answer to a lease request.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct LeaseReply {
+    /// The keeper.
+    pub keeper: KeeperId,
+    /// The round of the request.
+    pub round: u64,
+    /// The decision.
+    pub answer: LeaseAnswer,
+    /// Ejections that the service can bear in the region now.
+    pub budget: u32,
+}
+
+/// `ReleaseRequest` gives a token back.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ReleaseRequest {
+    /// The token.
+    pub token: Token,
+    /// Its holder.
+    pub endpoint: EndpointId,
+}
--- /dev/null
+++ b/crates/shallothill-keeper/src/main.rs
@@ -0,0 +1,3 @@
+//! The keeper: replicated configuration, the ledger, the directory and ejection leases.
+
+fn main() {}
--- /dev/null
+++ b/crates/shallothill-ledger/src/lib.rs
@@ -0,0 +1,32 @@
+//! Claims on idempotency keys, granted by a quorum of keepers at most once.
+//!
+//! Each key is an independent register that the keepers of its home region hold. A gate sends its
+//! claim to all of them at once and runs the request only when a majority holds that claim. There
+//! is no primary: claims on different keys need no common order.
+
+mod claim;
+mod claimant;
+mod completion;
+mod entry;
+mod errors;
+mod member;
+mod messages;
+mod options;
+mod record;
+mod recovery;
+mod verdict;
+
+pub use claim::{Claim, ClaimId};
+pub use claimant::Claimant;
+pub use completion::Completion;
+pub use entry::{Entry, Holding};
+pub use errors::{Error, Result};
+pub use member::{Member, MemberStatus};
+pub use messages::{
+    Answer, ClaimReply, ClaimRequest, CompleteRequest, RecoveryReply, RecoveryRequest, Refusal,
+    WithdrawRequest,
+};
+pub use options::LedgerOptions;
+pub use record::Record;
+pub use recovery::Recovery;
+pub use verdict::Verdict;
--- /dev/null
+++ b/crates/shallothill-ledger/src/messages.rs
@@ -0,0 +1,110 @@
+//! Messages between gates and members, and between members.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+use shallothill_core::idempotency::IdempotencyKey;
+use shallothill_core::ids::KeeperId;
+use shallothill_core::incarnation::Incarnation;
+use shallothill_core::time::UnixMillis;
+
+use crate::claim::{Claim, ClaimId};
+use crate::completion::Completion;
+use crate::entry::Entry;
+
+/// `ClaimRequest` asks a member to support `claim` for `key`.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ClaimRequest {
+    /// The key.
+    pub key: IdempotencyKey,
+    /// The claim.
+    pub claim: Claim,
+}
+
+/// `Refusal` is why a member supports no claim at all for a key.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum Refusal {
+    /// The key is older than the retention.
+    TooOld,
+    /// The key was created too far in the future.
+    TooNew,
+    /// The claim was withdrawn before.
+    Withdrawn,
+    /// The member restores its state and supports no claims yet.
+    Recovering,
+}
+
+/// `Answer` is what a member holds for a key.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum Answer {
+    /// The member supports this claim, which may be another gate's.
+    Holds {
+        /// The supported claim.
+        claim: Claim,
+        /// How the request ended, when known.
+        completion: Option<Completion>,
+    },
+    /// The member supports no claim; only queries get this answer.
+    Free,
+    /// The member cannot tell which claim it supported before it lost its disk.
+    Contested,
+    /// The member supports no claim.
+    Refused(Refusal),
+}
+
+/// `ClaimReply` is a member's answer to a claim or query.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ClaimReply {
+    /// The member.
+    pub member: KeeperId,
+    /// The life of the member's data folder.
+    pub incarnation: Incarnation,
+    /// The incarnations of other members that this member has recorded.
+    pub known: BTreeMap<KeeperId, Incarnation>,
+    /// What the member holds.
+    pub answer: Answer,
+}
+
+/// `WithdrawRequest` frees a key from a claim that was never dispatched and never will be.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct WithdrawRequest {
+    /// The key.
+    pub key: IdempotencyKey,
+    /// The withdrawn claim.
+    pub claim: ClaimId,
+}
+
+/// `CompleteRequest` stores how a granted request ended.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct CompleteRequest {
+    /// The key.
+    pub key: IdempotencyKey,
+    /// The granted claim.
+    pub claim: Claim,
+    /// How the request ended.
+    pub completion: Completion,
+}
+
+/// `RecoveryRequest` asks a member for all its entries on behalf of one that lost its disk.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct RecoveryRequest {
+    /// The member that lost its disk.
+    pub from: KeeperId,
+    /// The new life of its data folder.
+    pub incarnation: Incarnation,
+}
+
+/// `RecoveryReply` holds all entries of a member; sent only once the new incarnation is durable.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct RecoveryReply {
+    /// The answering member.
+    pub member: KeeperId,
+    /// The incarnation that this answers.
+    pub for_incarnation: Incarnation,
+    /// The incarnations that the answering member has recorded, its own included.
+    pub known: BTreeMap<KeeperId, Incarnation>,
+    /// Keys created at or before this time were dropped and stay refused.
+    pub forgotten_through: UnixMillis,
+    /// All entries.
+    pub entries: Vec<(IdempotencyKey, Entry)>,
+}
--- /dev/null
+++ b/crates/shallothill-ledger/src/options.rs
@@ -0,0 +1,27 @@
+//! Choices of the ledger.
+
+use std::time::Duration;
+
+/// `LedgerOptions` holds how long keys are kept and what is accepted.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct LedgerOptions {
+    /// Age from which a key is refused.
+    pub retention: Duration,
+    /// Time past the retention after which a member drops a key.
+    pub drop_margin: Duration,
+    /// How far in the future a key may be created, to allow for clock differences.
+    pub future_limit: Duration,
+    /// The largest answer body that is kept, in bytes.
+    pub max_answer_bytes: usize,
+}
+
+impl Default for LedgerOptions {
+    fn default() -> Self {
+        Self {
+            retention: Duration::from_secs(24 * 3600),
+            drop_margin: Duration::from_secs(600),
+            future_limit: Duration::from_secs(300),
+            max_answer_bytes: 16 * 1024,
+        }
+    }
+}
--- /dev/null
+++ b/crates/shallothill-node/src/lib.rs
@@ -0,0 +1,1 @@
+//! The node: takes callers' requests and guards the backend servers on its host.
--- /dev/null
+++ b/crates/shallothill-replica/src/lib.rs
@@ -0,0 +1,1 @@
+//! A replicated log as a pure state machine.
--- /dev/null
+++ b/crates/shallothill-runtime/src/admin.rs
@@ -0,0 +1,166 @@
+//! The admin endpoint: health, version, state dump and the process's own requests.
+
+use std::convert::Infallible;
+use std::future::Future;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::service;
+use hyper::{Method, Request, Response, StatusCode, header};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use log::debug;
+use tokio::net::TcpListener;
+use tokio::sync::Semaphore;
+use tokio_util::sync::CancellationToken;
+
+/// `BODY_MAX_BYTES` bounds the body of an admin request, which may hold a configuration text.
+pub const BODY_MAX_BYTES: usize = 32 * 1024 * 1024;
+
+/// `CONNECTIONS_MAX` bounds the open admin connections.
+pub const CONNECTIONS_MAX: usize = 64;
+
+/// `HEADER_TIMEOUT` bounds the time in which a request's headers must arrive.
+const HEADER_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// `AdminRequest` is a request for the process's own part of the admin endpoint.
+#[derive(Clone, Debug)]
+pub struct AdminRequest {
+    /// The method.
+    pub method: Method,
+    /// The path, such as `/config/submit`.
+    pub path: String,
+    /// The query without `?`, or an empty text.
+    pub query: String,
+    /// The whole body.
+    pub body: Bytes,
+}
+
+impl AdminRequest {
+    /// `query_value` returns the value of `name` in the query.
+    pub fn query_value(&self, name: &str) -> Option<&str> {
+        let pairs = self.query.split('&').filter_map(|p| p.split_once('='));
+        pairs.into_iter().find(|(n, _)| *n == name).map(|(_, v)| v)
+    }
+}
+
+/// `AdminHandler` is a process's part of the admin endpoint.
+pub trait AdminHandler: Send + Sync + 'static {
+    /// `dump` returns the state of every part of the process.
+    fn dump(&self) -> impl Future<Output = serde_json::Value> + Send;
+
+    /// `handle` answers a request other than `/dump`, `/health` and `/version`, or returns `None`
+    /// for an unknown path.
+    fn handle(
+        &self,
+        req: AdminRequest,
+    ) -> impl Future<Output = Option<Response<Full<Bytes>>>> + Send;
+}
+
+/// `serve` answers admin requests on `listener` until `stop` is cancelled.
+pub async fn serve<H: AdminHandler>(
+    listener: TcpListener,
+    handler: Arc<H>,
+    stop: CancellationToken,
+) {
+    let permits = Arc::new(Semaphore::new(CONNECTIONS_MAX));
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = stop.cancelled() => return,
+        };
+        let Ok((stream, _)) = accepted else { continue };
+        let Ok(permit) = Arc::clone(&permits).try_acquire_owned() else {
+            continue;
+        };
+        let handler = Arc::clone(&handler);
+        let stop = stop.clone();
+        tokio::spawn(async move {
+            let answer = service::service_fn(move |req| {
+                let handler = Arc::clone(&handler);
+                async move { Ok::<_, Infallible>(answer(handler.as_ref(), req).await) }
+            });
+            let connection = hyper::server::conn::http1::Builder::new()
+                .timer(TokioTimer::new())
+                .header_read_timeout(HEADER_TIMEOUT)
+                .serve_connection(TokioIo::new(stream), answer);
+            tokio::pin!(connection);
+            let result = tokio::select! {
+                result = connection.as_mut() => result,
+                () = stop.cancelled() => {
+                    connection.as_mut().graceful_shutdown();
+                    connection.await
+                }
+            };
+            if let Err(e) = result {
+                debug!("admin: a connection ended early: {e}");
+            }
+            drop(permit);
+        });
+    }
+}
+
+async fn answer<H: AdminHandler>(handler: &H, req: Request<Incoming>) -> Response<Full<Bytes>> {
+    let (parts, body) = req.into_parts();
+    let Ok(body) = Limited::new(body, BODY_MAX_BYTES).collect().await else {
+        return text(
+            StatusCode::PAYLOAD_TOO_LARGE,
+            "the body is too large or incomplete\n",
+        );
+    };
+    match (&parts.method, parts.uri.path()) {
+        (&Method::GET, "/health") => text(StatusCode::OK, "ok\n"),
+        (&Method::GET, "/version") => {
+            text(StatusCode::OK, concat!(env!("CARGO_PKG_VERSION"), "\n"))
+        }
+        (&Method::GET, "/dump") => json(&handler.dump().await),
+        _ => {
+            let req = AdminRequest {
+                method: parts.method.clone(),
+                path: parts.uri.path().to_owned(),
+                query: parts.uri.query().unwrap_or_default().to_owned(),
+                body: body.to_bytes(),
+            };
+            let unknown = || {
+                text(
+                    StatusCode::NOT_FOUND,
+                    "no such admin path; see operators.md\n",
+                )
+            };
+            handler.handle(req).await.unwrap_or_else(unknown)
+        }
+    }
+}
+
+/// `text` builds a plain text response.
+pub fn text(status: StatusCode, body: &'static str) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(Bytes::from_static(body.as_bytes())));
+    *response.status_mut() = status;
+    response
+}
+
+/// `json` builds a JSON response with status 200.
+pub fn json(value: &serde_json::Value) -> Response<Full<Bytes>> {
+    let body = serde_json::to_vec_pretty(value).unwrap_or_default();
+    with_type(body, "application/json")
+}
+
+/// `msgpack` builds a MessagePack response with status 200.
+pub fn msgpack<T: serde::Serialize>(value: &T) -> Response<Full<Bytes>> {
+    match rmp_serde::to_vec_named(value) {
+        Ok(body) => with_type(body, "application/msgpack"),
+        Err(_) => text(
+            StatusCode::INTERNAL_SERVER_ERROR,
+            "the response cannot be encoded\n",
+        ),
+    }
+}
+
+fn with_type(body: Vec<u8>, content_type: &'static str) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(Bytes::from(body)));
+    let value = header::HeaderValue::from_static(content_type);
+    response.headers_mut().insert(header::CONTENT_TYPE, value);
+    response
+}
--- /dev/null
+++ b/crates/shallothill-runtime/src/settings.rs
@@ -0,0 +1,66 @@
+//! Reads a process's settings file.
+
+use std::fs;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde::de::DeserializeOwned;
+use snafu::ResultExt;
+use tokio::net::TcpListener;
+
+use crate::errors;
+
+/// `Common` holds the settings that every process has, under the key `process`.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct Common {
+    /// The least severe level that is logged: `error`, `warn`, `info`, `debug` or `trace`.
+    #[serde(default = "default_log_level")]
+    pub log_level: log::LevelFilter,
+    /// The address of the admin endpoint.
+    pub admin_address: SocketAddr,
+    /// The statsd server, if metrics are sent.
+    #[serde(default)]
+    pub metrics_address: Option<SocketAddr>,
+    /// Seconds between two sendings of metrics.
+    #[serde(default = "default_metrics_every")]
+    pub metrics_every: u32,
+}
+
+impl Common {
+    /// `metrics_period` returns the time between two sendings of metrics, at least 1 s.
+    pub fn metrics_period(&self) -> Duration {
+        Duration::from_secs(u64::from(self.metrics_every.max(1)))
+    }
+}
+
+fn default_log_level() -> log::LevelFilter {
+    log::LevelFilter::Info
+}
+
+fn default_metrics_every() -> u32 {
+    10
+}
+
+/// `load` reads the settings file `path` as YAML.
+///
+/// Fails with `ReadSettings` or `InvalidSettings`; the message holds line and column.
+pub fn load<T: DeserializeOwned>(path: &Path) -> errors::Result<T> {
+    let text = fs::read_to_string(path).context(errors::ReadSettingsSnafu { path })?;
+    serde_saphyr::from_str(&text).map_err(|e| {
+        errors::InvalidSettingsSnafu {
+            path,
+            message: e.to_string(),
+        }
+        .build()
+    })
+}
+
+/// `bind` listens on `address` for `purpose`, and names both when that fails.
+pub async fn bind(address: SocketAddr, purpose: &'static str) -> errors::Result<TcpListener> {
+    TcpListener::bind(address)
+        .await
+        .context(errors::BindSnafu { address, purpose })
+}
--- /dev/null
+++ b/crates/shallothill-runtime/src/shutdown.rs
@@ -0,0 +1,28 @@
+//! Stops a process gracefully at SIGTERM or SIGINT.
+
+use log::info;
+use snafu::ResultExt;
+use tokio::signal::unix;
+use tokio::signal::unix::SignalKind;
+use tokio_util::sync::CancellationToken;
+
+use crate::errors;
+
+/// `on_signal` returns a token that is cancelled at the first SIGTERM or SIGINT.
+///
+/// Fails with `Signals` when the handlers cannot be installed.
+pub fn on_signal() -> errors::Result<CancellationToken> {
+    let mut term = unix::signal(SignalKind::terminate()).context(errors::SignalsSnafu)?;
+    let mut int = unix::signal(SignalKind::interrupt()).context(errors::SignalsSnafu)?;
+    let stop = CancellationToken::new();
+    let token = stop.clone();
+    tokio::spawn(async move {
+        tokio::select! {
+            _ = term.recv() => {}
+            _ = int.recv() => {}
+        }
+        info!("shutdown: stopping");
+        token.cancel();
+    });
+    Ok(stop)
+}
--- /dev/null
+++ b/crates/shallothill-runtime/src/timer.rs
@@ -0,0 +1,145 @@
+//! One timer service for each process, which its parts subscribe to.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::time::Duration;
+
+use shallothill_core::time::Millis;
+use tokio::sync::{mpsc, oneshot};
+use tokio::time;
+use tokio::time::Instant;
+
+/// `Timer` subscribes to the timer service; clones share the service and its start.
+///
+/// The service ends when the last `Timer` is dropped.
+#[derive(Clone, Debug)]
+pub struct Timer {
+    start: Instant,
+    tx: mpsc::UnboundedSender<Subscription>,
+}
+
+#[derive(Debug)]
+enum Wake {
+    Once(oneshot::Sender<Millis>),
+    Every(mpsc::Sender<Millis>, Duration),
+}
+
+#[derive(Debug)]
+struct Subscription {
+    at: Millis,
+    wake: Wake,
+}
+
+#[derive(Debug)]
+struct Pending {
+    at: Millis,
+    number: u64,
+    wake: Wake,
+}
+
+impl PartialEq for Pending {
+    fn eq(&self, other: &Self) -> bool {
+        (self.at, self.number) == (other.at, other.number)
+    }
+}
+
+impl Eq for Pending {}
+
+impl PartialOrd for Pending {
+    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for Pending {
+    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
+        (self.at, self.number).cmp(&(other.at, other.number))
+    }
+}
+
+impl Timer {
+    /// `start` starts the service on the current tokio runtime; its time starts at 0.
+    pub fn start() -> Self {
+        let (tx, rx) = mpsc::unbounded_channel();
+        let start = Instant::now();
+        tokio::spawn(run(start, rx));
+        Self { start, tx }
+    }
+
+    /// `now` returns the time since the service started.
+    pub fn now(&self) -> Millis {
+        now(self.start)
+    }
+
+    /// `after` returns a receiver that is woken once, after `d`. Drop it to cancel.
+    pub fn after(&self, d: Duration) -> oneshot::Receiver<Millis> {
+        let (tx, rx) = oneshot::channel();
+        self.subscribe(self.now() + d, Wake::Once(tx));
+        rx
+    }
+
+    /// `every` returns a receiver that is woken every `period`. A subscriber that is late is woken
+    /// once, not once for each period that it missed. Drop it to cancel.
+    pub fn every(&self, period: Duration) -> mpsc::Receiver<Millis> {
+        let (tx, rx) = mpsc::channel(1);
+        let period = period.max(Duration::from_millis(1));
+        self.subscribe(self.now() + period, Wake::Every(tx, period));
+        rx
+    }
+
+    fn subscribe(&self, at: Millis, wake: Wake) {
+        // The service runs as long as a `Timer` exists, unless the runtime is shutting down.
+        let _ = self.tx.send(Subscription { at, wake });
+    }
+}
+
+fn now(start: Instant) -> Millis {
+    Millis(0) + start.elapsed()
+}
+
+async fn run(start: Instant, mut rx: mpsc::UnboundedReceiver<Subscription>) {
+    let mut pending: BinaryHeap<Reverse<Pending>> = BinaryHeap::new();
+    let mut number = 0;
+    loop {
+        let next = pending.peek().map(|Reverse(p)| p.at);
+        let due = async {
+            match next {
+                Some(at) => time::sleep_until(start + Duration::from_millis(at.0)).await,
+                None => std::future::pending().await,
+            }
+        };
+        tokio::select! {
+            () = due => wake_due(start, &mut pending),
+            subscription = rx.recv() => {
+                let Some(Subscription { at, wake }) = subscription else { return };
+                number += 1;
+                pending.push(Reverse(Pending { at, number, wake }));
+            }
+        }
+    }
+}
+
+fn wake_due(start: Instant, pending: &mut BinaryHeap<Reverse<Pending>>) {
+    let now = now(start);
+    while pending.peek().is_some_and(|Reverse(p)| p.at <= now) {
+        let Some(Reverse(Pending { number, wake, .. })) = pending.pop() else {
+            return;
+        };
+        match wake {
+            Wake::Once(tx) => {
+                let _ = tx.send(now);
+            }
+            Wake::Every(tx, period) => {
+                if matches!(tx.try_send(now), Err(mpsc::error::TrySendError::Closed(_))) {
+                    continue;
+                }
+                let wake = Wake::Every(tx, period);
+                pending.push(Reverse(Pending {
+                    at: now + period,
+                    number,
+                    wake,
+                }));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/shallothill-storage/src/lib.rs
@@ -0,0 +1,1 @@
+//! The data folder: lock, checksummed log files and snapshots.
--- /dev/null
+++ b/crates/shallothill-testing/src/lib.rs
@@ -0,0 +1,1 @@
+//! Development only: a stand-in backend server, a fault relay and fixtures.
--- /dev/null
+++ b/crates/shallothill-wire/src/lib.rs
@@ -0,0 +1,12 @@
+//! Messages between processes and the RPC services that carry them.
+
+pub mod channel;
+pub mod control;
+pub mod crash;
+pub mod errors;
+pub mod operator;
+pub mod report;
+pub mod transport;
+pub mod watch;
+
+pub use errors::{Error, Result};
