core: share the configuration fault type between the checker and the wire

Cause: the checker and the operators' messages both need it. Ruled out: a copy in each crate. Conclusion: one type.

--- a/crates/shallothill-core/src/config/mod.rs
+++ b/crates/shallothill-core/src/config/mod.rs
@@ -2,6 +2,7 @@
 
 mod caller;
 mod disposition;
+mod fault;
 mod floor;
 mod route;
 mod service;
@@ -14,6 +15,7 @@
 
 pub use caller::Caller;
 pub use disposition::Disposition;
+pub use fault::Fault;
 pub use floor::Floor;
 pub use route::Route;
 pub use service::Service;
--- a/crates/shallothill-wire/src/operator.rs
+++ b/crates/shallothill-wire/src/operator.rs
@@ -9,6 +9,7 @@
 //! | `GET /ledger/KEY` | none | [`KeyReply`] |
 
 use serde::{Deserialize, Serialize};
+use shallothill_core::config::Fault;
 use shallothill_core::ids::{KeeperId, NodeName, Zone};
 use shallothill_core::time::UnixMillis;
 use shallothill_core::version::ConfigVersion;
@@ -58,19 +59,6 @@
     },
 }
 
-/// `Fault` is one fault of a configuration text.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct Fault {
-    /// The line, from 1, or 0 when it is not known.
-    pub line: u32,
-    /// The column, from 1, or 0 when it is not known.
-    pub column: u32,
-    /// The field, such as `services.courier.floor`.
-    pub field: String,
-    /// What is wrong and what to do.
-    pub message: String,
-}
-
 /// `ShowReply` holds a configuration text.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct ShowReply {
