--- /dev/null
+++ b/crates/shallothill-config/src/checks.rs
@@ -0,0 +1,132 @@
+//! Checks between the items of a configuration.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use shallothill_core::config::{Config, Floor};
+use shallothill_core::ids::RouteName;
+
+use crate::cycles;
+use crate::faults::Faults;
+use crate::fields::{Fields, join};
+use crate::node::{Entry, Position, Value};
+
+/// `check` reports faults between items. Items with faults of their own are missing in `cfg`, so
+/// existence is judged by the names of the text and no fault follows from another.
+pub(crate) fn check(fields: &Fields<'_>, cfg: &Config, faults: &mut Faults) {
+    let services = entries(fields, "services");
+    let names: BTreeSet<&str> = services.iter().map(|e| e.key.as_str()).collect();
+    for (name, service) in &cfg.services {
+        let path = join("services", name.as_str());
+        for other in &service.depends_on {
+            if !names.contains(other.as_str()) {
+                let at = position(services, name.as_str(), "depends_on", Some(other.as_str()));
+                faults.push(
+                    at,
+                    join(&path, "depends_on"),
+                    unknown_service(other.as_str()),
+                );
+            }
+        }
+        if let Floor::PerRegion(by_region) = &service.floor {
+            let at = position(services, name.as_str(), "floor", None);
+            // Without a valid list of regions there is nothing to compare with.
+            let listed = |r| cfg.regions.is_empty() || cfg.regions.contains(r);
+            for region in by_region.keys().filter(|r| !listed(r)) {
+                let field = join(&join(&path, "floor"), region.as_str());
+                let message = "the region is not listed; add it to `regions` or remove it here";
+                faults.push(at, field, message);
+            }
+        }
+    }
+    report_cycles(services, cfg, faults);
+    let routes = entries(fields, "routes");
+    for (name, route) in &cfg.routes {
+        if !names.contains(route.service.as_str()) {
+            let at = position(routes, name.as_str(), "service", None);
+            let field = join(&join("routes", name.as_str()), "service");
+            faults.push(at, field, unknown_service(route.service.as_str()));
+        }
+    }
+    report_same_routes(routes, cfg, faults);
+}
+
+fn unknown_service(name: &str) -> String {
+    format!("there is no service `{name}`; add it to `services` or correct the name")
+}
+
+fn report_cycles(services: &[Entry], cfg: &Config, faults: &mut Faults) {
+    let graph: BTreeMap<&str, Vec<&str>> = cfg
+        .services
+        .iter()
+        .map(|(name, s)| {
+            let targets = s.depends_on.iter().map(|d| d.as_str()).collect();
+            (name.as_str(), targets)
+        })
+        .collect();
+    for cycle in cycles::find(&graph) {
+        let name = cycle.first().copied().unwrap_or_default();
+        let at = position(services, name, "depends_on", cycle.get(1).copied());
+        let field = join(&join("services", name), "depends_on");
+        let message = format!(
+            "the dependencies form a cycle: {}; remove one of them",
+            cycle.join(" -> ")
+        );
+        faults.push(at, field, message);
+    }
+}
+
+fn report_same_routes(routes: &[Entry], cfg: &Config, faults: &mut Faults) {
+    let mut seen: BTreeMap<(&str, &str), &str> = BTreeMap::new();
+    for entry in routes {
+        // The order of the text decides which of two routes is the first.
+        let name = RouteName::try_new(&entry.key).ok();
+        let found = name.and_then(|n| cfg.routes.get_key_value(&n));
+        let Some((name, route)) = found else { continue };
+        for method in &route.methods {
+            let key = (route.path.as_str(), method.as_str());
+            match seen.get(&key) {
+                Some(first) if *first != name.as_str() => {
+                    let at = position(routes, name.as_str(), "path", None);
+                    let message = format!(
+                        "the route `{first}` has the same path and method {method}; \
+                         change or remove one of them"
+                    );
+                    faults.push(at, join(&join("routes", name.as_str()), "path"), message);
+                }
+                Some(_) => {}
+                None => {
+                    seen.insert(key, name.as_str());
+                }
+            }
+        }
+    }
+}
+
+fn entries<'a>(fields: &Fields<'a>, name: &str) -> &'a [Entry] {
+    match fields.get(name).map(|e| &e.node.value) {
+        Some(Value::Mapping(entries)) => entries,
+        _ => &[],
+    }
+}
+
+/// `position` finds the field of an item, or the value `inner` in the field's list.
+fn position(items: &[Entry], item: &str, field: &str, inner: Option<&str>) -> Position {
+    let Some(entry) = items.iter().find(|e| e.key == item) else {
+        return Position::default();
+    };
+    let Value::Mapping(fields) = &entry.node.value else {
+        return entry.at;
+    };
+    let Some(field) = fields.iter().find(|e| e.key == field) else {
+        return entry.at;
+    };
+    let values = match &field.node.value {
+        Value::List(values) => values.as_slice(),
+        _ => &[],
+    };
+    let same = |v: &Value| matches!(v, Value::Text(text) if Some(text.as_str()) == inner);
+    values
+        .iter()
+        .find(|n| same(&n.value))
+        .map_or(field.node.at, |n| n.at)
+}
--- /dev/null
+++ b/crates/shallothill-config/src/diff.rs
@@ -0,0 +1,164 @@
+//! Compares two configurations for people.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
+use std::fmt::Display;
+use std::time::Duration;
+
+use shallothill_core::config::{Caller, Config, Floor, Route, Service};
+
+/// `Change` is one difference between two configurations.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Change {
+    /// The field or item, such as `services.courier.floor`.
+    pub field: String,
+    /// The old value, or `None` for a new field or item.
+    pub old: Option<String>,
+    /// The new value, or `None` for a removed field or item.
+    pub new: Option<String>,
+}
+
+impl Display for Change {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match (&self.old, &self.new) {
+            (Some(old), Some(new)) => write!(f, "~ {}: {old} -> {new}", self.field),
+            (None, Some(new)) => write!(f, "+ {}: {new}", self.field),
+            (Some(old), None) => write!(f, "- {}: {old}", self.field),
+            (None, None) => write!(f, "  {}", self.field),
+        }
+    }
+}
+
+type Values = Vec<(&'static str, Option<String>)>;
+
+/// `diff` lists the changes from `old` to `new`: regions, services, routes, callers, each in the
+/// order of the names.
+pub fn diff(old: &Config, new: &Config) -> Vec<Change> {
+    let mut changes = Vec::new();
+    let regions = |cfg: &Config| Some(format!("[{}]", joined(&cfg.regions)));
+    push(
+        &mut changes,
+        String::from("regions"),
+        regions(old),
+        regions(new),
+    );
+    items(
+        &mut changes,
+        "services",
+        &old.services,
+        &new.services,
+        service,
+    );
+    items(&mut changes, "routes", &old.routes, &new.routes, route);
+    items(&mut changes, "callers", &old.callers, &new.callers, caller);
+    changes
+}
+
+fn items<N: Display + Ord, T: PartialEq>(
+    changes: &mut Vec<Change>,
+    kind: &str,
+    old: &BTreeMap<N, T>,
+    new: &BTreeMap<N, T>,
+    values: fn(&T) -> Values,
+) {
+    let names: BTreeSet<&N> = old.keys().chain(new.keys()).collect();
+    for name in names {
+        let path = format!("{kind}.{name}");
+        match (old.get(name), new.get(name)) {
+            (Some(a), Some(b)) if a != b => {
+                for ((field, a), (_, b)) in values(a).into_iter().zip(values(b)) {
+                    push(changes, format!("{path}.{field}"), a, b);
+                }
+            }
+            (Some(_), Some(_)) | (None, None) => {}
+            (a, b) => push(
+                changes,
+                path,
+                a.map(|a| whole(values(a))),
+                b.map(|b| whole(values(b))),
+            ),
+        }
+    }
+}
+
+fn push(changes: &mut Vec<Change>, field: String, old: Option<String>, new: Option<String>) {
+    if old != new {
+        changes.push(Change { field, old, new });
+    }
+}
+
+fn whole(values: Values) -> String {
+    let present = values.into_iter().filter_map(|(n, v)| Some((n, v?)));
+    let parts: Vec<String> = present.map(|(n, v)| format!("{n}: {v}")).collect();
+    format!("{{{}}}", parts.join(", "))
+}
+
+fn service(s: &Service) -> Values {
+    let disposition = s.disposition.between(0.0, 1.0);
+    vec![
+        ("depends_on", Some(format!("[{}]", joined(&s.depends_on)))),
+        ("slots", Some(s.slots.to_string())),
+        ("connections", Some(s.connections.to_string())),
+        ("queue", Some(s.queue.to_string())),
+        ("floor", Some(floor(&s.floor))),
+        ("disposition", Some(disposition.to_string())),
+        ("expected_latency", Some(duration(s.expected_latency))),
+        (
+            "cold_start_requests",
+            Some(s.cold_start_requests.to_string()),
+        ),
+        (
+            "retry_budget_percent",
+            Some(s.retry_budget_percent.to_string()),
+        ),
+        ("max_attempts", Some(s.max_attempts.to_string())),
+        ("hedge_after", s.hedge_after.map(duration)),
+        (
+            "cross_region_bytes_per_s",
+            s.cross_region_bytes_per_s.map(|n| n.to_string()),
+        ),
+    ]
+}
+
+fn route(r: &Route) -> Values {
+    vec![
+        ("service", Some(r.service.to_string())),
+        ("methods", Some(format!("[{}]", joined(&r.methods)))),
+        ("path", Some(r.path.clone())),
+        ("idempotent", Some(r.idempotent.to_string())),
+        ("class", Some(r.class.to_string())),
+        ("deadline", Some(duration(r.deadline))),
+        ("max_body_bytes", Some(r.max_body_bytes.to_string())),
+    ]
+}
+
+fn caller(c: &Caller) -> Values {
+    vec![
+        ("class", Some(c.class.to_string())),
+        ("requests_per_s", c.requests_per_s.map(|n| n.to_string())),
+        ("concurrent", c.concurrent.map(|n| n.to_string())),
+    ]
+}
+
+fn floor(floor: &Floor) -> String {
+    match floor {
+        Floor::Total(n) => n.to_string(),
+        Floor::PerRegion(by_region) => {
+            let parts: Vec<String> = by_region.iter().map(|(r, n)| format!("{r}: {n}")).collect();
+            format!("{{{}}}", parts.join(", "))
+        }
+    }
+}
+
+fn duration(d: Duration) -> String {
+    match d.as_millis() {
+        ms if ms % 60_000 == 0 => format!("{}m", ms / 60_000),
+        ms if ms % 1_000 == 0 => format!("{}s", ms / 1_000),
+        ms => format!("{ms}ms"),
+    }
+}
+
+fn joined<T: Display>(items: &[T]) -> String {
+    let texts: Vec<String> = items.iter().map(T::to_string).collect();
+    texts.join(", ")
+}
--- /dev/null
+++ b/crates/shallothill-config/src/read.rs
@@ -0,0 +1,140 @@
+//! Reads a configuration text.
+
+use std::collections::BTreeMap;
+
+use shallothill_core::config::{Config, Fault};
+use shallothill_core::ids::{CallerName, Region, RouteName, ServiceName};
+
+use crate::checks;
+use crate::faults::Faults;
+use crate::fields;
+use crate::fields::Fields;
+use crate::limits;
+use crate::node;
+use crate::node::{Entry, Position};
+use crate::scalars;
+use crate::{caller, route, service};
+
+const FIELDS: [&str; 4] = ["regions", "services", "routes", "callers"];
+
+/// `read` reads and checks `text`.
+///
+/// Fails with all faults that were found, in the order of the text, at most
+/// [`limits::FAULTS_MAX`] of them; a text that is not YAML or is too large has one.
+pub fn read(text: &str) -> Result<Config, Vec<Fault>> {
+    let mut faults = Faults::default();
+    if text.len() > limits::TEXT_MAX_BYTES {
+        let message = format!(
+            "the text has {} bytes; shorten it to {} bytes",
+            text.len(),
+            limits::TEXT_MAX_BYTES
+        );
+        faults.push(Position::default(), "text", message);
+        return Err(faults.into_sorted());
+    }
+    let document = node::parse(text).map_err(|fault| vec![fault])?;
+    let start = Position { line: 1, column: 1 };
+    let fields = Fields::read(&document, start, String::new(), &FIELDS, &mut faults);
+    let cfg = fields.and_then(|fields| document_of(&fields, &mut faults));
+    match cfg {
+        Some(cfg) if faults.count() == 0 => Ok(cfg),
+        _ => Err(faults.into_sorted()),
+    }
+}
+
+fn document_of(fields: &Fields<'_>, faults: &mut Faults) -> Option<Config> {
+    let regions = regions(fields, faults);
+    let services = Items {
+        field: "services",
+        max: limits::SERVICES_MAX,
+        try_new: ServiceName::try_new,
+        read: service::read,
+    };
+    let routes = Items {
+        field: "routes",
+        max: limits::ROUTES_MAX,
+        try_new: RouteName::try_new,
+        read: route::read,
+    };
+    let callers = Items {
+        field: "callers",
+        max: limits::CALLERS_MAX,
+        try_new: CallerName::try_new,
+        read: caller::read,
+    };
+    let cfg = Config {
+        regions: regions.clone().unwrap_or_default(),
+        services: services.collect(fields, faults),
+        routes: routes.collect(fields, faults),
+        callers: callers.collect(fields, faults),
+    };
+    checks::check(fields, &cfg, faults);
+    regions.map(|_| cfg)
+}
+
+fn regions(fields: &Fields<'_>, faults: &mut Faults) -> Option<Vec<Region>> {
+    let entry = fields.require("regions", faults)?;
+    let items = fields::list(&entry.node, "regions", faults)?;
+    let before = faults.count();
+    let mut regions = Vec::new();
+    for item in items {
+        match scalars::name(Region::try_new)(&item.value) {
+            Ok(region) if regions.contains(&region) => {
+                let message = format!("`{region}` stands twice; remove one");
+                faults.push(item.at, "regions", message);
+            }
+            Ok(region) => regions.push(region),
+            Err(message) => faults.push(item.at, "regions", message),
+        }
+    }
+    let max = limits::REGIONS_MAX;
+    if items.is_empty() || items.len() > max {
+        let message = format!("{} regions; list 1 to {max} regions", items.len());
+        faults.push(entry.node.at, "regions", message);
+    }
+    (faults.count() == before).then_some(regions)
+}
+
+/// `Items` reads one mapping from names to items of a kind.
+struct Items<N, T> {
+    field: &'static str,
+    max: usize,
+    try_new: fn(&str) -> shallothill_core::Result<N>,
+    read: fn(&Entry, String, &mut Faults) -> Option<T>,
+}
+
+impl<N: Ord, T> Items<N, T> {
+    /// `collect` returns the items without faults of their own; an absent mapping is empty.
+    fn collect(&self, fields: &Fields<'_>, faults: &mut Faults) -> BTreeMap<N, T> {
+        let mut items = BTreeMap::new();
+        let Some(entry) = fields.get(self.field) else {
+            return items;
+        };
+        let Some(entries) = fields::mapping(&entry.node, self.field, faults) else {
+            return items;
+        };
+        if entries.len() > self.max {
+            let (n, max, field) = (entries.len(), self.max, self.field);
+            let message = format!("{n} {field} are above the limit; list at most {max}");
+            faults.push(entry.at, field, message);
+        }
+        let mut first_at: BTreeMap<&str, Position> = BTreeMap::new();
+        for entry in entries {
+            let path = fields::join(self.field, &entry.key);
+            if let Some(first) = first_at.get(entry.key.as_str()) {
+                faults.push(entry.at, path, fields::repeated(*first));
+                continue;
+            }
+            first_at.insert(&entry.key, entry.at);
+            let name = (self.try_new)(&entry.key);
+            if let Err(e) = &name {
+                faults.push(entry.at, path.clone(), e.to_string());
+            }
+            let item = (self.read)(entry, path, faults);
+            if let (Ok(name), Some(item)) = (name, item) {
+                items.insert(name, item);
+            }
+        }
+        items
+    }
+}
--- /dev/null
+++ b/crates/shallothill-config/tests/read.rs
@@ -0,0 +1,312 @@
+//! Reading of configuration texts: positions, remedies and completeness of the reported faults.
+
+use std::time::Duration;
+
+use shallothill_config::{diff, limits, read};
+use shallothill_core::config::{Disposition, Fault, Floor};
+
+const VALID: &str = "\
+regions: [marmara, ege]
+services:
+  inventory: {slots: 7, connections: 350, floor: 6, disposition: 0.25, expected_latency: 10ms}
+  courier:
+    depends_on: [inventory]
+    slots: 7
+    connections: 350
+    floor: {marmara: 2, ege: 1}
+    disposition: cautious
+    expected_latency: 40ms
+    hedge_after: 2m
+routes:
+  book-pickup:
+    service: courier
+    methods: [POST]
+    path: /courier/pickups
+    idempotent: false
+    class: shop
+    deadline: 10s
+callers:
+  shop-izmir-1: {class: shop, requests_per_s: 50}
+";
+
+fn faults(text: &str) -> Vec<Fault> {
+    read(text).err().unwrap_or_default()
+}
+
+/// Guards against an accepted text that yields other values than it states.
+#[test]
+fn valid_text_is_read_with_defaults() {
+    let cfg = read(VALID).unwrap();
+    let courier = cfg
+        .services
+        .iter()
+        .find(|(n, _)| n.as_str() == "courier")
+        .unwrap()
+        .1;
+    assert_eq!(
+        (courier.slots, courier.queue, courier.max_attempts),
+        (7, 14, 3)
+    );
+    assert_eq!(courier.hedge_after, Some(Duration::from_secs(120)));
+    assert_eq!(courier.floor.total(), 3);
+    let inventory = cfg
+        .services
+        .iter()
+        .find(|(n, _)| n.as_str() == "inventory")
+        .unwrap()
+        .1;
+    assert_eq!(inventory.disposition, Disposition::from_thousandths(250));
+    assert_eq!(inventory.floor, Floor::Total(6));
+    assert_eq!(
+        cfg.routes.values().next().unwrap().max_body_bytes,
+        1024 * 1024
+    );
+}
+
+/// Guards against a fault that is missed, misplaced or reported without a remedy.
+#[test]
+fn every_kind_of_fault_is_reported_at_its_place() {
+    // (text to replace, replacement, line, column, field, part of the message)
+    let cases = [
+        (
+            "slots: 7\n",
+            "slots: 0\n",
+            6,
+            12,
+            "services.courier.slots",
+            "from 1 to",
+        ),
+        (
+            "slots: 7\n",
+            "slots: '7'\n",
+            6,
+            12,
+            "services.courier.slots",
+            "found text",
+        ),
+        (
+            "hedge_after: 2m",
+            "hedge: 2m",
+            11,
+            5,
+            "services.courier.hedge",
+            "unknown field",
+        ),
+        (
+            "slots: 7\n",
+            "slots: 7\n    slots: 8\n",
+            7,
+            5,
+            "services.courier.slots",
+            "repeated",
+        ),
+        (
+            "    slots: 7\n",
+            "",
+            4,
+            3,
+            "services.courier.slots",
+            "missing",
+        ),
+        (
+            "40ms",
+            "40",
+            10,
+            23,
+            "services.courier.expected_latency",
+            "`10s`",
+        ),
+        (
+            "40ms",
+            "1.5s",
+            10,
+            23,
+            "services.courier.expected_latency",
+            "not a duration",
+        ),
+        (
+            "[inventory]",
+            "[stock]",
+            5,
+            18,
+            "services.courier.depends_on",
+            "no service `stock`",
+        ),
+        (
+            "service: courier",
+            "service: x",
+            14,
+            14,
+            "routes.book-pickup.service",
+            "no service `x`",
+        ),
+        (
+            "{marmara: 2, ege: 1}",
+            "24001",
+            8,
+            12,
+            "services.courier.floor",
+            "24000",
+        ),
+        (
+            "ege: 1}",
+            "izmir: 1}",
+            8,
+            12,
+            "services.courier.floor.izmir",
+            "not listed",
+        ),
+        (
+            "cautious",
+            "1.1",
+            9,
+            18,
+            "services.courier.disposition",
+            "0.0 to 1.0",
+        ),
+        (
+            "hedge_after: 2m",
+            "max_attempts: 0",
+            11,
+            19,
+            "services.courier.max_attempts",
+            "1 to 10",
+        ),
+        (
+            "class: shop\n",
+            "class: clerk\n",
+            18,
+            12,
+            "routes.book-pickup.class",
+            "one of",
+        ),
+        (
+            "[POST]",
+            "[post]",
+            15,
+            15,
+            "routes.book-pickup.methods",
+            "POST",
+        ),
+        (
+            "/courier/pickups",
+            "/courier/",
+            16,
+            11,
+            "routes.book-pickup.path",
+            "write `/courier`",
+        ),
+        (
+            "callers:",
+            "customers:",
+            20,
+            1,
+            "customers",
+            "unknown field",
+        ),
+        (
+            "[marmara, ege]",
+            "[marmara, ege, ege]",
+            1,
+            25,
+            "regions",
+            "twice",
+        ),
+        (
+            "connections: 350\n",
+            "connections: 6\n",
+            7,
+            18,
+            "services.courier.connections",
+            "fill",
+        ),
+    ];
+    for (old, new, line, column, field, message) in cases {
+        let text = VALID.replacen(old, new, 1);
+        assert_ne!(text, VALID, "{old} does not occur");
+        let found = faults(&text);
+        assert_eq!(found.len(), 1, "{new}: {found:?}");
+        let place = (found[0].line, found[0].column, found[0].field.as_str());
+        assert_eq!(place, (line, column, field), "{new}: {found:?}");
+        assert!(found[0].message.contains(message), "{new}: {found:?}");
+    }
+}
+
+/// Guards against a cycle that is accepted, or reported without its members.
+#[test]
+fn cycles_are_named() {
+    let text = VALID.replacen("{slots", "{depends_on: [courier], slots", 1);
+    let found = faults(&text);
+    assert_eq!(found.len(), 1, "{found:?}");
+    assert!(
+        found[0].message.contains("courier -> inventory -> courier"),
+        "{found:?}"
+    );
+}
+
+/// Guards against two routes of which a request could match either.
+#[test]
+fn same_method_and_path_are_refused() {
+    let second = "  again: {service: courier, methods: [GET, POST], path: /courier/pickups, \
+                  idempotent: true, class: shop, deadline: 1s}\ncallers:";
+    let found = faults(&VALID.replacen("callers:", second, 1));
+    assert_eq!(found.len(), 1, "{found:?}");
+    assert!(
+        found[0]
+            .message
+            .contains("`book-pickup` has the same path and method POST")
+    );
+}
+
+/// Guards against a run that stops at the first fault.
+#[test]
+fn all_faults_are_found_in_one_run() {
+    let text = VALID
+        .replace("slots: 7", "slots: 0")
+        .replace("deadline: 10s", "deadline: soon")
+        .replace("class: shop", "class: clerk")
+        .replace("[POST]", "[]");
+    let fields: Vec<String> = faults(&text).into_iter().map(|f| f.field).collect();
+    let expected = [
+        "services.inventory.slots",
+        "services.courier.slots",
+        "routes.book-pickup.methods",
+        "routes.book-pickup.class",
+        "routes.book-pickup.deadline",
+        "callers.shop-izmir-1.class",
+    ];
+    assert_eq!(fields, expected);
+}
+
+/// Guards against limits that do not hold or do not say which one was passed.
+#[test]
+fn limits_are_named() {
+    let long = "#".repeat(limits::TEXT_MAX_BYTES + 1);
+    assert!(faults(&long)[0].message.contains("8000000 bytes"));
+    let callers: String = (0..=limits::CALLERS_MAX)
+        .map(|n| format!("  c{n}: {{class: shop}}\n"))
+        .collect();
+    let found = faults(&VALID.replacen("callers:\n", &format!("callers:\n{callers}"), 1));
+    assert_eq!(found.len(), 1, "{found:?}");
+    assert_eq!((found[0].line, found[0].field.as_str()), (20, "callers"));
+    assert!(found[0].message.contains("100000"), "{found:?}");
+}
+
+/// Guards against a comparison that hides a change from the operator.
+#[test]
+fn changes_are_listed() {
+    let new = VALID
+        .replacen("slots: 7\n", "slots: 8\n", 1)
+        .replacen("    hedge_after: 2m\n", "", 1)
+        .replacen("shop-izmir-1", "shop-izmir-2", 1);
+    let changes = diff(&read(VALID).unwrap(), &read(&new).unwrap());
+    let lines: Vec<String> = changes.iter().map(ToString::to_string).collect();
+    let expected = [
+        "~ services.courier.slots: 7 -> 8",
+        "~ services.courier.queue: 14 -> 16",
+        "- services.courier.hedge_after: 2m",
+        "- callers.shop-izmir-1: {class: shop, requests_per_s: 50}",
+        "+ callers.shop-izmir-2: {class: shop, requests_per_s: 50}",
+    ];
+    assert_eq!(lines, expected);
+}
