testing: add the stand-in backend server, the relay and process fixtures

Cause: process tests and the demo need backend servers whose faults can be set at run time and whose own record tells what really ran. Ruled out: judging doubled work by the proxy's counters, which share the proxy's faults; killing children at the end of a test, which a panic skips. Change: shallothill-standin with behaviours and record over HTTP, the same in-process, a relay that holds back one direction, children that are killed on drop, and builders for the texts. Conclusion: ready for process tests of keeper and node.

--- a/crates/shallothill-testing/src/lib.rs
+++ b/crates/shallothill-testing/src/lib.rs
@@ -1,1 +1,16 @@
-//! Development only: a stand-in backend server, a fault relay and fixtures.
+//! Development only: a stand-in backend server, a TCP relay that can be cut, and fixtures.
+
+mod announcer;
+pub mod behaviour;
+pub mod builders;
+pub mod errors;
+pub mod http;
+pub mod options;
+pub mod ports;
+pub mod process;
+pub mod record;
+pub mod relay;
+mod server;
+pub mod standin;
+
+pub use errors::{Error, Result};
--- /dev/null
+++ b/crates/shallothill-testing/src/ports.rs
@@ -0,0 +1,23 @@
+//! Free ports for processes that need a fixed address in their settings.
+
+use std::net::{IpAddr, SocketAddr, TcpListener};
+
+use snafu::ResultExt;
+
+use crate::errors;
+
+/// `free` returns `n` different addresses on `ip` that were free at the moment of the call.
+///
+/// Fails with `Listen` when no port is free.
+pub fn free(ip: IpAddr, n: usize) -> errors::Result<Vec<SocketAddr>> {
+    let address = SocketAddr::new(ip, 0);
+    // All listeners stay open until the end, so that no port is returned twice.
+    let listeners = (0..n).map(|_| TcpListener::bind(address));
+    let listeners: Vec<TcpListener> = listeners
+        .collect::<Result<_, _>>()
+        .context(errors::ListenSnafu { address })?;
+    let addresses = listeners.iter().map(TcpListener::local_addr);
+    addresses
+        .collect::<Result<_, _>>()
+        .context(errors::ListenSnafu { address })
+}
--- /dev/null
+++ b/crates/shallothill-testing/src/process.rs
@@ -0,0 +1,174 @@
+//! Child processes that are ended in every case, and conditions that are waited for.
+
+use std::collections::BTreeMap;
+use std::fs::File;
+use std::future::Future;
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
+use std::path::Path;
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::mpsc;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use snafu::ResultExt;
+
+use crate::errors;
+
+/// `POLL` is the time between two looks at a condition.
+const POLL: Duration = Duration::from_millis(20);
+
+/// `Process` is a child process; dropping it kills it and waits for its end.
+#[derive(Debug)]
+pub struct Process {
+    program: String,
+    child: Child,
+    ready: mpsc::Receiver<String>,
+    addresses: BTreeMap<String, SocketAddr>,
+}
+
+impl Process {
+    /// `spawn` starts `command` and appends its standard error to the file `log`.
+    ///
+    /// Fails with `Spawn` or `File`.
+    pub fn spawn(mut command: Command, log: &Path) -> errors::Result<Self> {
+        let program = command.get_program().to_string_lossy().into_owned();
+        let path = log.to_string_lossy();
+        let log = File::options().create(true).append(true).open(log);
+        let log = log.context(errors::FileSnafu { path })?;
+        command
+            .stdin(Stdio::null())
+            .stdout(Stdio::piped())
+            .stderr(log);
+        let spawned = command.spawn();
+        let mut child = spawned.context(errors::SpawnSnafu { program: &program })?;
+        let (tx, ready) = mpsc::channel();
+        if let Some(stdout) = child.stdout.take() {
+            // The thread reads to the end, so that the child never blocks on a full pipe.
+            thread::spawn(move || {
+                for line in BufReader::new(stdout).lines().map_while(Result::ok) {
+                    if line.starts_with("ready") {
+                        let _ = tx.send(line);
+                    }
+                }
+            });
+        }
+        Ok(Self {
+            program,
+            child,
+            ready,
+            addresses: BTreeMap::new(),
+        })
+    }
+
+    /// `start` spawns `command` and waits for its `ready` line.
+    ///
+    /// Fails with `Spawn`, `File` or `NotReady`.
+    pub fn start(command: Command, log: &Path, deadline: Duration) -> errors::Result<Self> {
+        let mut process = Self::spawn(command, log)?;
+        process.wait_ready(deadline)?;
+        Ok(process)
+    }
+
+    /// `wait_ready` waits for the `ready` line and keeps the addresses that it names.
+    ///
+    /// Fails with `NotReady` after `deadline` or when the process ends.
+    pub fn wait_ready(&mut self, deadline: Duration) -> errors::Result<()> {
+        let line = self.ready.recv_timeout(deadline).map_err(|_| {
+            let program = self.program.clone();
+            errors::Error::NotReady {
+                program,
+                waited: deadline,
+            }
+        })?;
+        let pairs = line.split_whitespace().filter_map(|p| p.split_once('='));
+        let addresses = pairs.filter_map(|(name, a)| Some((name.to_owned(), a.parse().ok()?)));
+        self.addresses = addresses.collect();
+        Ok(())
+    }
+
+    /// `address` returns the address `name` of the `ready` line.
+    pub fn address(&self, name: &str) -> Option<SocketAddr> {
+        self.addresses.get(name).copied()
+    }
+
+    /// `id` returns the process id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// `has_ended` tells whether the process has ended.
+    pub fn has_ended(&mut self) -> bool {
+        !matches!(self.child.try_wait(), Ok(None))
+    }
+
+    /// `kill` ends the process at once, as a crash of the host does.
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// `signal` sends a signal such as `TERM` or `STOP`.
+    ///
+    /// Fails with `Spawn` when the `kill` tool cannot be run.
+    pub fn signal(&self, name: &str) -> errors::Result<()> {
+        let mut kill = Command::new("kill");
+        kill.arg(format!("-{name}")).arg(self.id().to_string());
+        let status = kill.stderr(Stdio::null()).status();
+        status.context(errors::SpawnSnafu { program: "kill" })?;
+        Ok(())
+    }
+
+    /// `terminate` sends SIGTERM and waits for the end; the process is killed after `deadline`.
+    ///
+    /// Fails with `NotEnded` after `deadline`.
+    pub fn terminate(mut self, deadline: Duration) -> errors::Result<ExitStatus> {
+        self.signal("TERM")?;
+        let end = Instant::now() + deadline;
+        while Instant::now() < end {
+            if let Ok(Some(status)) = self.child.try_wait() {
+                return Ok(status);
+            }
+            thread::sleep(POLL);
+        }
+        let program = self.program.clone();
+        Err(errors::Error::NotEnded {
+            program,
+            waited: deadline,
+        })
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// `wait_until` waits until `condition` holds.
+///
+/// Fails with `Condition`, which names `what`, after `deadline`.
+pub async fn wait_until<F, Fut>(
+    what: &str,
+    deadline: Duration,
+    mut condition: F,
+) -> errors::Result<()>
+where
+    F: FnMut() -> Fut,
+    Fut: Future<Output = bool>,
+{
+    let end = tokio::time::Instant::now() + deadline;
+    loop {
+        if condition().await {
+            return Ok(());
+        }
+        if tokio::time::Instant::now() >= end {
+            let what = what.to_owned();
+            return Err(errors::Error::Condition {
+                what,
+                waited: deadline,
+            });
+        }
+        tokio::time::sleep(POLL).await;
+    }
+}
