--- a/crates/shallothill-config/tests/read.rs
+++ b/crates/shallothill-config/tests/read.rs
@@ -310,3 +310,14 @@
     ];
     assert_eq!(lines, expected);
 }
+
+/// Guards against examples that the checker of this version refuses.
+#[test]
+fn examples_are_valid() {
+    for text in [
+        include_str!("../../../examples/texas.yaml"),
+        include_str!("../../../examples/kopukcu.yaml"),
+    ] {
+        assert_eq!(faults(text), []);
+    }
+}
