--- a/crates/shallothill-testing/src/lib.rs
+++ b/crates/shallothill-testing/src/lib.rs
@@ -10,7 +10,9 @@
 pub mod process;
 pub mod record;
 pub mod relay;
+pub mod request;
 mod server;
 pub mod standin;
+pub mod tally;
 
 pub use errors::{Error, Result};
--- a/crates/shallothill-testing/src/main.rs
+++ b/crates/shallothill-testing/src/main.rs
@@ -3,6 +3,7 @@
 use std::io;
 use std::io::Write;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::process::ExitCode;
 
 use clap::{Arg, ArgMatches, Command, value_parser};
@@ -66,6 +67,11 @@
                 .long("seed")
                 .value_parser(value_parser!(u64)),
         )
+        .arg(
+            Arg::new("record")
+                .long("record")
+                .value_parser(value_parser!(PathBuf)),
+        )
         .arg(
             Arg::new("behaviour")
                 .long("behaviour")
@@ -84,6 +90,7 @@
         slots: given.get_one("slots").copied().unwrap_or(d.slots),
         seed: given.get_one("seed").copied().unwrap_or(d.seed),
         behaviour: given.get_one("behaviour").cloned().unwrap_or_default(),
+        record_file: given.get_one("record").cloned(),
         announce_every: d.announce_every,
     }
 }
--- a/crates/shallothill-testing/src/options.rs
+++ b/crates/shallothill-testing/src/options.rs
@@ -1,6 +1,7 @@
 //! Options of a stand-in backend server.
 
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::path::PathBuf;
 use std::time::Duration;
 
 use crate::behaviour::Behaviour;
@@ -22,6 +23,8 @@
     pub announce_every: Duration,
     /// How it treats requests at first.
     pub behaviour: Behaviour,
+    /// The file that receives its record as well, if given.
+    pub record_file: Option<PathBuf>,
     /// Seeds the choice of the requests that fail.
     pub seed: u64,
 }
@@ -36,6 +39,7 @@
             slots: 5,
             announce_every: Duration::from_secs(3),
             behaviour: Behaviour::default(),
+            record_file: None,
             seed: 1,
         }
     }
--- a/crates/shallothill-testing/src/record.rs
+++ b/crates/shallothill-testing/src/record.rs
@@ -1,9 +1,17 @@
 //! The stand-in's own record of the requests that it ran.
 
+use std::collections::BTreeMap;
+use std::fs;
+use std::fs::File;
+use std::io::Write;
+use std::path::Path;
 use std::sync::{Mutex, PoisonError};
 use std::time::Instant;
 
 use serde::{Deserialize, Serialize};
+use snafu::ResultExt;
+
+use crate::errors;
 
 /// `REQUEST_ID` is the header by which a test recognizes its request.
 pub const REQUEST_ID: &str = "x-request-id";
@@ -32,22 +40,48 @@
 }
 
 /// `Record` holds the requests in the order of their start.
+///
+/// With a file, it appends a line at each start and each end, so that the record of a killed
+/// process can still be read.
 #[derive(Debug)]
 pub struct Record {
     started: Instant,
     requests: Mutex<Vec<RecordedRequest>>,
+    file: Option<File>,
 }
 
-impl Default for Record {
-    fn default() -> Self {
-        Self {
+impl Record {
+    /// `try_new` starts an empty record, which `path` receives as well if given.
+    ///
+    /// Fails with `File` when the file cannot be created.
+    pub fn try_new(path: Option<&Path>) -> errors::Result<Self> {
+        let file = path.map(|path| {
+            let created = File::options().create(true).append(true).open(path);
+            created.context(errors::FileSnafu {
+                path: path.to_string_lossy(),
+            })
+        });
+        Ok(Self {
             started: Instant::now(),
             requests: Mutex::default(),
-        }
+            file: file.transpose()?,
+        })
+    }
+
+    /// `read_file` reads the requests of a record's file.
+    ///
+    /// Fails with `File` when the file cannot be read; a line that a kill cut off is skipped.
+    pub fn read_file(path: &Path) -> errors::Result<Vec<RecordedRequest>> {
+        let text = fs::read_to_string(path);
+        let text = text.context(errors::FileSnafu {
+            path: path.to_string_lossy(),
+        })?;
+        let lines = text.lines().filter_map(|l| serde_json::from_str(l).ok());
+        // The line of an end replaces that of its start.
+        let by_number: BTreeMap<usize, RecordedRequest> = lines.collect();
+        Ok(by_number.into_values().collect())
     }
-}
 
-impl Record {
     /// `now_ms` returns the milliseconds since the stand-in started.
     pub fn now_ms(&self) -> u64 {
         u64::try_from(self.started.elapsed().as_millis()).unwrap_or(u64::MAX)
@@ -57,6 +91,7 @@
     pub fn start(&self, mut req: RecordedRequest) -> usize {
         req.start_ms = self.now_ms();
         let mut requests = self.lock();
+        self.write(requests.len(), &req);
         requests.push(req);
         requests.len() - 1
     }
@@ -68,6 +103,18 @@
             req.end_ms = Some(now);
             req.status = status;
             req.cancelled = status.is_none();
+            self.write(n, req);
+        }
+    }
+
+    fn write(&self, n: usize, req: &RecordedRequest) {
+        if let Some(mut file) = self.file.as_ref() {
+            let mut line = serde_json::to_string(&(n, req)).unwrap_or_default();
+            line.push('\n');
+            // One call writes the whole line, so a kill never mixes two.
+            if let Err(e) = file.write_all(line.as_bytes()) {
+                log::error!("record: cannot write the file: {e}");
+            }
         }
     }
 
--- a/crates/shallothill-testing/src/server.rs
+++ b/crates/shallothill-testing/src/server.rs
@@ -23,6 +23,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::behaviour::Behaviour;
+use crate::errors;
 use crate::options::StandinOptions;
 use crate::record::{REQUEST_ID, Record, RecordedRequest};
 
@@ -50,10 +51,10 @@
 }
 
 impl Shared {
-    pub(crate) fn new(options: StandinOptions, address: SocketAddr) -> Self {
-        Self {
+    pub(crate) fn try_new(options: StandinOptions, address: SocketAddr) -> errors::Result<Self> {
+        Ok(Self {
             address,
-            record: Record::default(),
+            record: Record::try_new(options.record_file.as_deref())?,
             changed: Notify::new(),
             crash: CancellationToken::new(),
             running: AtomicUsize::new(0),
@@ -61,7 +62,7 @@
             behaviour: Mutex::new((options.behaviour.clone(), 0)),
             rng: Mutex::new(StdRng::seed_from_u64(options.seed)),
             options,
-        }
+        })
     }
 
     pub(crate) fn behaviour(&self) -> (Behaviour, u64) {
--- a/crates/shallothill-testing/src/standin.rs
+++ b/crates/shallothill-testing/src/standin.rs
@@ -43,7 +43,7 @@
 impl Standin {
     /// `start` listens, answers requests and announces itself.
     ///
-    /// Fails with `Listen` when the address cannot be used.
+    /// Fails with `Listen` when the address cannot be used, or `File` for the record's file.
     pub async fn start(options: StandinOptions) -> errors::Result<Self> {
         let address = options.listen;
         let listener = TcpListener::bind(address).await;
@@ -51,7 +51,7 @@
         let address = listener
             .local_addr()
             .context(errors::ListenSnafu { address })?;
-        let shared = Arc::new(Shared::new(options, address));
+        let shared = Arc::new(Shared::try_new(options, address)?);
         // A crash closes the listener and every connection, as the end of a process does.
         let stop = shared.crash.child_token();
         let acceptor = Acceptor {
