--- a/crates/shallothill-core/src/headers.rs
+++ b/crates/shallothill-core/src/headers.rs
@@ -24,6 +24,13 @@
 pub const REASON: &str = "x-shallothill-reason";
 /// `TRIAL` marks a trial request for an ejected backend server, on hops between nodes.
 pub const TRIAL: &str = "x-shallothill-trial";
+/// `IDEMPOTENT` is `false` on hops between nodes when the entry node's route is not idempotent.
+pub const IDEMPOTENT: &str = "x-shallothill-idempotent";
+/// `FINGERPRINT` is the request's fingerprint, on hops between nodes.
+pub const FINGERPRINT: &str = "x-shallothill-fingerprint";
+/// `CRASH` numbers the crash of a backend server that the attempt was in flight at, on responses
+/// between nodes.
+pub const CRASH: &str = "x-shallothill-crash";
 /// `IDEMPOTENCY_KEY` identifies a non-idempotent request across resends.
 pub const IDEMPOTENCY_KEY: &str = "idempotency-key";
 /// `OWN_PREFIX` starts every header that belongs to shallothill.
--- a/crates/shallothill-core/src/sections.rs
+++ b/crates/shallothill-core/src/sections.rs
@@ -120,6 +120,7 @@
     cfg
 }
 
-fn bucket(name: &str) -> u8 {
+/// `bucket` returns the bucket of a route or caller by its name.
+pub fn bucket(name: &str) -> u8 {
     (hash::short(name.as_bytes()) % 256) as u8
 }
--- /dev/null
+++ b/crates/shallothill-node/src/attempt.rs
@@ -0,0 +1,128 @@
+//! One attempt of a request and its result, as entry nodes and gates exchange them.
+
+use std::sync::Arc;
+
+use hyper::header::{HeaderMap, HeaderValue};
+use hyper::http::uri::PathAndQuery;
+use hyper::{Method, Response};
+use shallothill_core::class::Class;
+use shallothill_core::hash::Fingerprint;
+use shallothill_core::health::ServingState;
+use shallothill_core::idempotency::IdempotencyKey;
+use shallothill_core::ids::{EndpointId, RouteName, ServiceName};
+use shallothill_core::outcome::Outcome;
+use tokio::time::Instant;
+
+use crate::body::Body;
+
+/// `Head` is what all attempts of a request have in common.
+#[derive(Debug)]
+pub struct Head {
+    /// The method.
+    pub method: Method,
+    /// The path with query.
+    pub path: PathAndQuery,
+    /// The host that the caller asked for.
+    pub host: Option<HeaderValue>,
+    /// The headers for the backend server.
+    pub headers: HeaderMap,
+    /// The service.
+    pub service: ServiceName,
+    /// The route.
+    pub route: RouteName,
+    /// The class.
+    pub class: Class,
+    /// Whether running the request twice does no harm.
+    pub idempotent: bool,
+    /// The key of a non-idempotent request.
+    pub key: Option<IdempotencyKey>,
+    /// When the answer is no longer of use.
+    pub deadline: Instant,
+    /// Identifies the request across resends.
+    pub fingerprint: Fingerprint,
+    /// The largest body in bytes.
+    pub max_body: u64,
+}
+
+/// `Attempt` is one sending of a request to one backend server.
+#[derive(Debug)]
+pub struct Attempt {
+    /// What all attempts have in common.
+    pub head: Arc<Head>,
+    /// The backend server.
+    pub endpoint: EndpointId,
+    /// The number of the attempt, from 1.
+    pub number: u8,
+    /// Whether the attempt tests an ejected backend server.
+    pub trial: bool,
+    /// The body.
+    pub body: Body,
+}
+
+/// `Load` is what a gate tells about a backend server with each response.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Load {
+    /// Requests in flight.
+    pub in_flight: u16,
+    /// Requests that the backend server runs at a time.
+    pub slots: u16,
+    /// Requests that wait.
+    pub queued: u16,
+    /// The state.
+    pub state: ServingState,
+}
+
+impl Load {
+    /// `to_header` returns the text for the load header.
+    pub fn to_header(self) -> String {
+        let state = self.state.as_str();
+        format!("{}/{}/{}/{state}", self.in_flight, self.slots, self.queued)
+    }
+
+    /// `parse` reads the load header.
+    pub fn parse(text: &str) -> Option<Self> {
+        let mut parts = text.split('/');
+        let in_flight = parts.next()?.parse().ok()?;
+        let slots = parts.next()?.parse().ok()?;
+        let queued = parts.next()?.parse().ok()?;
+        let state = match parts.next()? {
+            "ready" => ServingState::Ready,
+            "cold" => ServingState::Cold,
+            "demoted" => ServingState::Demoted,
+            "ejected" => ServingState::Ejected,
+            "draining" => ServingState::Draining,
+            _ => return None,
+        };
+        Some(Self {
+            in_flight,
+            slots,
+            queued,
+            state,
+        })
+    }
+}
+
+/// `Reply` is the result of an attempt.
+#[derive(Debug)]
+pub struct Reply {
+    /// How the attempt ended.
+    pub outcome: Outcome,
+    /// What the caller receives unless another attempt is made.
+    pub response: Response<Body>,
+    /// The load of the backend server, if the gate told it.
+    pub load: Option<Load>,
+    /// The number of the crash that the attempt was in flight at.
+    pub crash: Option<u64>,
+    /// Whether the gate itself produced the reply, rather than the path to it.
+    pub from_gate: bool,
+}
+
+impl Reply {
+    /// `allows_retry` tells whether another attempt may be sent.
+    ///
+    /// A refusal that another backend server would repeat, such as a wrong key, is final.
+    pub fn allows_retry(&self, idempotent: bool) -> bool {
+        let status = self.response.status().as_u16();
+        matches!(status, 502..=504) && self.outcome.allows_retry(idempotent)
+    }
+}
--- /dev/null
+++ b/crates/shallothill-node/src/header_filter.rs
@@ -0,0 +1,56 @@
+//! Removes headers that must not be passed on.
+
+use hyper::header::{self, HeaderMap, HeaderName};
+use shallothill_core::headers;
+
+const HOP_BY_HOP: [HeaderName; 8] = [
+    header::CONNECTION,
+    header::PROXY_AUTHENTICATE,
+    header::PROXY_AUTHORIZATION,
+    header::TE,
+    header::TRAILER,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+    HeaderName::from_static("keep-alive"),
+];
+
+/// `strip_hop_by_hop` removes the headers that belong to one connection.
+pub fn strip_hop_by_hop(map: &mut HeaderMap) {
+    let named: Vec<HeaderName> = map
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|v| v.to_str().ok())
+        .flat_map(|v| v.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect();
+    for name in named.iter().chain(&HOP_BY_HOP) {
+        map.remove(name);
+    }
+    map.remove("proxy-connection");
+}
+
+/// `strip_own` removes all headers of shallothill.
+pub fn strip_own(map: &mut HeaderMap) {
+    let own: Vec<HeaderName> = map
+        .keys()
+        .filter(|name| name.as_str().starts_with(headers::OWN_PREFIX))
+        .cloned()
+        .collect();
+    for name in own {
+        map.remove(name);
+    }
+}
+
+/// `size` returns the bytes of the headers as HTTP/1.1 writes them.
+pub fn size(map: &HeaderMap) -> usize {
+    map.iter()
+        .map(|(name, value)| name.as_str().len() + value.len() + 4)
+        .sum()
+}
+
+/// `text` returns the value of a header if it is there once and is plain text.
+pub fn text<'a>(map: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    let mut values = map.get_all(name).iter();
+    let first = values.next()?.to_str().ok()?;
+    values.next().is_none().then_some(first)
+}
--- /dev/null
+++ b/crates/shallothill-node/src/peer/codec.rs
@@ -0,0 +1,171 @@
+//! Attempts and replies as HTTP messages between nodes.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use hyper::body::Incoming;
+use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
+use hyper::http::uri::PathAndQuery;
+use hyper::{Request, Response, Uri, Version};
+use shallothill_core::class::Class;
+use shallothill_core::hash::Fingerprint;
+use shallothill_core::headers;
+use shallothill_core::idempotency::IdempotencyKey;
+use shallothill_core::ids::{EndpointId, EndpointName, NodeName, RouteName, ServiceName};
+use shallothill_core::outcome::Outcome;
+use shallothill_core::version::ConfigVersion;
+use tokio::time::Instant;
+
+use crate::attempt::{Attempt, Head, Load, Reply};
+use crate::body::Body;
+use crate::header_filter;
+
+/// `AUTHORITY` stands in for the host in requests between nodes; the caller's host is a header.
+const AUTHORITY: &str = "peer";
+
+fn put(map: &mut HeaderMap, name: &'static str, value: &str) {
+    if let Ok(value) = HeaderValue::from_str(value) {
+        map.insert(HeaderName::from_static(name), value);
+    }
+}
+
+/// `write_attempt` builds the request of an attempt for the peer.
+pub fn write_attempt(attempt: Attempt, version: ConfigVersion) -> Request<Body> {
+    let head = &attempt.head;
+    let mut req = Request::new(attempt.body);
+    *req.method_mut() = head.method.clone();
+    *req.version_mut() = Version::HTTP_2;
+    let uri = Uri::builder()
+        .scheme("http")
+        .authority(AUTHORITY)
+        .path_and_query(head.path.clone())
+        .build();
+    *req.uri_mut() = uri.unwrap_or_default();
+    let map = req.headers_mut();
+    *map = head.headers.clone();
+    if let Some(host) = &head.host {
+        map.insert(header::HOST, host.clone());
+    }
+    let left = head.deadline.saturating_duration_since(Instant::now());
+    put(map, headers::DEADLINE_MS, &left.as_millis().to_string());
+    put(map, headers::CLASS, head.class.as_str());
+    put(map, headers::SERVICE, head.service.as_str());
+    put(map, headers::ROUTE, head.route.as_str());
+    put(map, headers::ENDPOINT, attempt.endpoint.name.as_str());
+    put(map, headers::ATTEMPT, &attempt.number.to_string());
+    put(map, headers::CONFIG_VERSION, &version.to_string());
+    put(map, headers::FINGERPRINT, &head.fingerprint.0.to_string());
+    if attempt.trial {
+        put(map, headers::TRIAL, "true");
+    }
+    if !head.idempotent {
+        put(map, headers::IDEMPOTENT, "false");
+    }
+    if let Some(key) = &head.key {
+        put(map, headers::IDEMPOTENCY_KEY, &key.to_string());
+    }
+    req
+}
+
+/// `read_attempt` reads the attempt that a peer sends to `node`; `None` when it is ill-formed.
+pub fn read_attempt(
+    req: Request<Incoming>,
+    node: &NodeName,
+    max_body: impl FnOnce(&RouteName) -> (u64, bool),
+) -> Option<(Attempt, ConfigVersion)> {
+    let (parts, incoming) = req.into_parts();
+    let map = &parts.headers;
+    let text = |name| header_filter::text(map, name);
+    let number = |name| text(name).and_then(|v| v.parse::<u64>().ok());
+    let service = ServiceName::try_new(text(headers::SERVICE)?).ok()?;
+    let route = RouteName::try_new(text(headers::ROUTE)?).ok()?;
+    let name = EndpointName::try_new(text(headers::ENDPOINT)?).ok()?;
+    let class: Class = text(headers::CLASS)?.parse().ok()?;
+    let left = Duration::from_millis(number(headers::DEADLINE_MS)?);
+    let attempt_number = u8::try_from(number(headers::ATTEMPT)?).ok()?;
+    let version = ConfigVersion(number(headers::CONFIG_VERSION)?);
+    let fingerprint = Fingerprint(number(headers::FINGERPRINT)?);
+    let trial = text(headers::TRIAL).is_some();
+    let (max_body, idempotent_here) = max_body(&route);
+    let idempotent = idempotent_here && text(headers::IDEMPOTENT) != Some("false");
+    let key = text(headers::IDEMPOTENCY_KEY)
+        .filter(|_| !idempotent)
+        .and_then(|k| IdempotencyKey::try_parse(k).ok());
+    let host = map.get(header::HOST).cloned();
+    let mut kept = parts.headers.clone();
+    header_filter::strip_own(&mut kept);
+    kept.remove(header::HOST);
+    let root = || PathAndQuery::from_static("/");
+    let deadline = Instant::now() + left;
+    let head = Head {
+        method: parts.method,
+        path: parts.uri.path_and_query().cloned().unwrap_or_else(root),
+        host,
+        headers: kept,
+        service: service.clone(),
+        route,
+        class,
+        idempotent,
+        key,
+        deadline,
+        fingerprint,
+        max_body,
+    };
+    let endpoint = EndpointId {
+        service,
+        node: node.clone(),
+        name,
+    };
+    let attempt = Attempt {
+        head: Arc::new(head),
+        endpoint,
+        number: attempt_number,
+        trial,
+        body: Body::stream(Bytes::new(), incoming, max_body).until(deadline),
+    };
+    Some((attempt, version))
+}
+
+/// `write_reply` builds the response that a gate sends to an entry node.
+pub fn write_reply(reply: Reply, version: ConfigVersion) -> Response<Body> {
+    let mut response = reply.response;
+    let map = response.headers_mut();
+    put(map, headers::OUTCOME, reply.outcome.as_str());
+    put(map, headers::CONFIG_VERSION, &version.to_string());
+    if let Some(load) = reply.load {
+        put(map, headers::LOAD, &load.to_header());
+    }
+    if let Some(crash) = reply.crash {
+        put(map, headers::CRASH, &crash.to_string());
+    }
+    response
+}
+
+/// `read_reply` reads the response of a gate and the version that the gate acts on; `None` when
+/// it is ill-formed.
+pub fn read_reply(
+    response: Response<Incoming>,
+    deadline: Instant,
+) -> Option<(Reply, ConfigVersion)> {
+    let (mut parts, incoming) = response.into_parts();
+    let text = |name| header_filter::text(&parts.headers, name);
+    let outcome: Outcome = text(headers::OUTCOME)?.parse().ok()?;
+    let version = text(headers::CONFIG_VERSION).and_then(|v| v.parse().ok());
+    let load = text(headers::LOAD).and_then(Load::parse);
+    let crash = text(headers::CRASH).and_then(|v| v.parse().ok());
+    let reason = parts.headers.get(headers::REASON).cloned();
+    header_filter::strip_own(&mut parts.headers);
+    if let Some(reason) = reason {
+        parts.headers.insert(headers::REASON, reason);
+    }
+    let body = Body::stream(Bytes::new(), incoming, u64::MAX).until(deadline);
+    let reply = Reply {
+        outcome,
+        response: Response::from_parts(parts, body),
+        load,
+        crash,
+        from_gate: true,
+    };
+    Some((reply, ConfigVersion(version.unwrap_or(0))))
+}
--- /dev/null
+++ b/crates/shallothill-node/src/peer/mod.rs
@@ -0,0 +1,11 @@
+//! The hop between nodes: one shared HTTP/2 connection to each peer.
+
+mod codec;
+mod link;
+mod links;
+mod server;
+
+pub use codec::{read_attempt, read_reply, write_attempt, write_reply};
+pub use link::Link;
+pub use links::Links;
+pub use server::PeerServer;
--- /dev/null
+++ b/crates/shallothill-node/src/refusal.rs
@@ -0,0 +1,113 @@
+//! Responses that the node produces itself.
+
+use bytes::Bytes;
+use hyper::header::{self, HeaderName, HeaderValue};
+use hyper::{Response, StatusCode};
+use shallothill_core::headers;
+use shallothill_core::outcome::Outcome;
+
+use crate::attempt::Reply;
+use crate::body::Body;
+
+/// `Refusal` describes a response that the node produces itself.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Refusal {
+    /// The status code.
+    pub status: u16,
+    /// Whether the request ran.
+    pub outcome: Outcome,
+    /// The machine-readable reason.
+    pub reason: &'static str,
+    /// Seconds after which the caller may send the request again.
+    pub retry_after: Option<u32>,
+    /// What is wrong and what to do.
+    pub message: &'static str,
+}
+
+impl Refusal {
+    /// `not_run` refuses a request that another attempt or a resend may get served.
+    pub const fn not_run(reason: &'static str, message: &'static str) -> Self {
+        Self {
+            status: 503,
+            outcome: Outcome::RefusedNotRun,
+            reason,
+            retry_after: Some(1),
+            message,
+        }
+    }
+
+    /// `invalid` refuses a request that must be changed before it is sent again.
+    pub const fn invalid(status: u16, reason: &'static str, message: &'static str) -> Self {
+        Self {
+            status,
+            outcome: Outcome::RefusedNotRun,
+            reason,
+            retry_after: None,
+            message,
+        }
+    }
+
+    /// `failed` tells that a backend server received the request and failed.
+    pub const fn failed(reason: &'static str, message: &'static str) -> Self {
+        Self {
+            status: 502,
+            outcome: Outcome::RanAndFailed,
+            reason,
+            retry_after: None,
+            message,
+        }
+    }
+
+    /// `unknown` tells that the request may have run.
+    pub const fn unknown(reason: &'static str, message: &'static str) -> Self {
+        Self {
+            status: 504,
+            outcome: Outcome::Unknown,
+            reason,
+            retry_after: None,
+            message,
+        }
+    }
+
+    /// `response` builds the response.
+    pub fn response(&self) -> Response<Body> {
+        let text = format!("{}\n", self.message);
+        let mut response = Response::new(Body::full(Bytes::from(text)));
+        *response.status_mut() =
+            StatusCode::from_u16(self.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+        let map = response.headers_mut();
+        let plain = HeaderValue::from_static("text/plain; charset=utf-8");
+        map.insert(header::CONTENT_TYPE, plain);
+        map.insert(
+            HeaderName::from_static(headers::OUTCOME),
+            HeaderValue::from_static(self.outcome.as_str()),
+        );
+        map.insert(
+            HeaderName::from_static(headers::REASON),
+            HeaderValue::from_static(self.reason),
+        );
+        if let Some(seconds) = self.retry_after {
+            map.insert(header::RETRY_AFTER, HeaderValue::from(seconds));
+        }
+        response
+    }
+
+    /// `reply` builds the result of an attempt that the gate refuses.
+    pub fn reply(&self) -> Reply {
+        Reply {
+            outcome: self.outcome,
+            response: self.response(),
+            load: None,
+            crash: None,
+            from_gate: true,
+        }
+    }
+
+    /// `on_path` builds the result of an attempt that did not reach the gate or got no answer.
+    pub fn on_path(&self) -> Reply {
+        Reply {
+            from_gate: false,
+            ..self.reply()
+        }
+    }
+}
--- /dev/null
+++ b/crates/shallothill-node/src/settings.rs
@@ -0,0 +1,190 @@
+//! The settings of a node.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+
+use serde::Deserialize;
+use shallothill_core::ids::{DataCentre, KeeperId, NodeName, Region, Zone};
+use shallothill_runtime::settings;
+
+use crate::errors;
+
+/// `Settings` is the content of the settings file.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// The name of the node.
+    pub node: NodeName,
+    /// The region that the node stands in.
+    pub region: Region,
+    /// The data centre that the node stands in.
+    pub data_centre: DataCentre,
+    /// Where callers connect.
+    pub caller_address: SocketAddr,
+    /// Where other nodes connect; they use this address as it is, so it names the host.
+    pub peer_address: SocketAddr,
+    /// Where backend servers of this host announce themselves.
+    pub announce_address: SocketAddr,
+    /// The settings that all processes have.
+    pub process: settings::Common,
+    /// The regions over which idempotency keys are hashed; the same in all processes.
+    pub regions: Vec<Region>,
+    /// All keepers.
+    pub keepers: Vec<KeeperAddress>,
+    /// Bounds on connections, memory and times.
+    #[serde(default)]
+    pub bounds: Bounds,
+}
+
+/// `KeeperAddress` is one keeper as nodes know it.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct KeeperAddress {
+    /// The number of the keeper.
+    pub id: KeeperId,
+    /// The region whose ledger group and ejection leases the keeper serves.
+    pub region: Region,
+    /// The data centre that the keeper stands in.
+    pub data_centre: DataCentre,
+    /// Where the keeper serves nodes.
+    pub control_address: SocketAddr,
+}
+
+/// `Bounds` holds limits on connections, memory and times.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq)]
+#[serde(default, deny_unknown_fields)]
+pub struct Bounds {
+    /// Connections of callers.
+    pub caller_connections: usize,
+    /// Connections of other nodes.
+    pub peer_connections: usize,
+    /// Connections of backend servers that announce themselves.
+    pub announce_connections: usize,
+    /// Streams of one HTTP/2 connection.
+    pub streams: u32,
+    /// Bytes of the headers of one request.
+    pub header_bytes: usize,
+    /// Bytes of a request body that are kept for a second attempt.
+    pub buffered_body_bytes: usize,
+    /// Bytes of all request bodies that are kept at a time.
+    pub buffered_total_bytes: usize,
+    /// Milliseconds in which the headers of a request must arrive.
+    pub header_timeout_ms: u64,
+    /// Milliseconds after which an idle connection is closed.
+    pub idle_timeout_ms: u64,
+    /// Milliseconds in which a connection to another node or a backend server must open.
+    pub connect_timeout_ms: u64,
+    /// Milliseconds for which a gate waits for the answers to a claim.
+    pub claim_timeout_ms: u64,
+    /// Milliseconds for which an announcement holds.
+    pub announce_lease_ms: u64,
+    /// Milliseconds for which a stopping node waits for requests in flight.
+    pub stop_timeout_ms: u64,
+}
+
+impl Default for Bounds {
+    fn default() -> Self {
+        Self {
+            caller_connections: 4096,
+            peer_connections: 4096,
+            announce_connections: 256,
+            streams: 1024,
+            header_bytes: 16 * 1024,
+            buffered_body_bytes: 256 * 1024,
+            buffered_total_bytes: 16 * 1024 * 1024,
+            header_timeout_ms: 10_000,
+            idle_timeout_ms: 60_000,
+            connect_timeout_ms: 500,
+            claim_timeout_ms: 1000,
+            announce_lease_ms: 10_000,
+            stop_timeout_ms: 30_000,
+        }
+    }
+}
+
+impl Bounds {
+    /// `header_timeout` returns the time in which headers must arrive.
+    pub fn header_timeout(&self) -> Duration {
+        Duration::from_millis(self.header_timeout_ms)
+    }
+
+    /// `idle_timeout` returns the time after which an idle connection is closed.
+    pub fn idle_timeout(&self) -> Duration {
+        Duration::from_millis(self.idle_timeout_ms)
+    }
+
+    /// `connect_timeout` returns the time in which a connection must open.
+    pub fn connect_timeout(&self) -> Duration {
+        Duration::from_millis(self.connect_timeout_ms)
+    }
+
+    /// `claim_timeout` returns the time for which answers to a claim are awaited.
+    pub fn claim_timeout(&self) -> Duration {
+        Duration::from_millis(self.claim_timeout_ms)
+    }
+
+    /// `announce_lease` returns the time for which an announcement holds.
+    pub fn announce_lease(&self) -> Duration {
+        Duration::from_millis(self.announce_lease_ms)
+    }
+
+    /// `stop_timeout` returns the time for which a stopping node waits.
+    pub fn stop_timeout(&self) -> Duration {
+        Duration::from_millis(self.stop_timeout_ms)
+    }
+}
+
+impl Settings {
+    /// `try_load` reads and checks a settings file.
+    ///
+    /// Fails with `Runtime` for an unreadable or ill-formed file, and with `Settings` for values
+    /// that do not fit together.
+    pub fn try_load(path: &Path) -> errors::Result<Self> {
+        let settings: Self = settings::load(path)?;
+        settings.check()?;
+        Ok(settings)
+    }
+
+    /// `check` fails with `Settings` when values do not fit together.
+    pub fn check(&self) -> errors::Result<()> {
+        let fail = |message: String| errors::SettingsSnafu { message }.fail();
+        if !self.regions.contains(&self.region) {
+            return fail(format!(
+                "`region` {} is not in `regions`; add it",
+                self.region
+            ));
+        }
+        if self.peer_address.ip().is_unspecified() {
+            return fail("`peer_address` has no host; give the address of this host".to_owned());
+        }
+        if self.keepers.is_empty() {
+            return fail("`keepers` is empty; list all keepers".to_owned());
+        }
+        let mut ids = BTreeSet::new();
+        for keeper in &self.keepers {
+            if !ids.insert(keeper.id) {
+                return fail(format!(
+                    "`keepers` lists id {} twice; give each its own",
+                    keeper.id.0
+                ));
+            }
+            if !self.regions.contains(&keeper.region) {
+                return fail(format!(
+                    "the region {} of keeper {} is not in `regions`; add it",
+                    keeper.region, keeper.id.0
+                ));
+            }
+        }
+        Ok(())
+    }
+
+    /// `zone` returns the place of the node.
+    pub fn zone(&self) -> Zone {
+        Zone {
+            region: self.region.clone(),
+            data_centre: self.data_centre.clone(),
+        }
+    }
+}
