policy: public interface of pick, admit, detect, eject, retry, quarantine and limits

Cause: the node needs the types of the decisions to build its request path. Ruled out: traits per decision, since each has one implementation and the request path uses no dyn.

--- /dev/null
+++ b/crates/shallothill-policy/src/admit/gate.rs
@@ -0,0 +1,248 @@
+//! The state of one endpoint's gate.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use shallothill_core::health::ServingState;
+use shallothill_core::time::Millis;
+
+use crate::admit::options::GateOptions;
+use crate::admit::queue::{Queue, Waiting};
+use crate::admit::request::{Admission, GateRequest, Refusal, Start, Ticket};
+use crate::pick::ReportedLoad;
+
+/// `Gate` bounds what one endpoint runs: slots, a queue bounded by deadlines, class priority,
+/// connections, the cold-start ramp, drain and ejection.
+///
+/// After every event the owner calls [`Gate::poll`] until it returns `None`.
+#[derive(Clone, Debug)]
+pub struct Gate {
+    options: GateOptions,
+    state: ServingState,
+    cold: bool,
+    draining: bool,
+    trial_slots: u16,
+    running: Vec<Ticket>,
+    queue: Queue,
+    settled: VecDeque<Start>,
+    tickets: u64,
+    connections: u32,
+    served_since_start: u32,
+    latency_us: f64,
+}
+
+impl Gate {
+    /// `new` builds the gate of an endpoint that announced itself `cold` or ready.
+    pub fn new(options: GateOptions, cold: bool) -> Self {
+        Self {
+            latency_us: options.expected_latency.as_micros() as f64,
+            options,
+            state: ServingState::Ready,
+            cold,
+            draining: false,
+            trial_slots: 0,
+            running: Vec::new(),
+            queue: Queue::default(),
+            settled: VecDeque::new(),
+            tickets: 0,
+            connections: 0,
+            served_since_start: 0,
+        }
+    }
+
+    /// `offer` decides on an arriving request.
+    pub fn offer(&mut self, now: Millis, req: GateRequest) -> Admission {
+        if self.draining {
+            return self.refuse(Refusal::Draining);
+        }
+        if self.state == ServingState::Ejected {
+            let due = req.trial && self.running.len() < usize::from(self.trial_slots);
+            return if due {
+                self.run()
+            } else {
+                self.refuse(Refusal::Ejected)
+            };
+        }
+        if !self.can_finish(now, req.deadline, self.waves_ahead()) {
+            return self.refuse(Refusal::Deadline);
+        }
+        if self.has_room() && self.queue.len() == 0 {
+            return self.run();
+        }
+        self.enqueue(req)
+    }
+
+    /// `finish` frees the slot of `ticket` after its attempt has ended; `served` is the latency
+    /// of a successful answer. A ticket that holds no slot frees none.
+    pub fn finish(&mut self, ticket: Ticket, served: Option<Duration>) {
+        let Some(i) = self.running.iter().position(|t| *t == ticket) else {
+            return;
+        };
+        self.running.swap_remove(i);
+        if let Some(latency) = served {
+            // A weight of 1/16 follows a change of latency within some twenty answers.
+            self.latency_us += (latency.as_micros() as f64 - self.latency_us) / 16.0;
+            self.served_since_start = self.served_since_start.saturating_add(1);
+            if self.served_since_start >= self.options.cold_start_requests {
+                self.cold = false;
+            }
+        }
+    }
+
+    /// `cancel` withdraws a waiting request whose caller has left; returns whether it waited.
+    pub fn cancel(&mut self, ticket: Ticket) -> bool {
+        self.queue.remove(ticket)
+    }
+
+    /// `poll` returns what becomes of the next waiting request, if that is decided now.
+    pub fn poll(&mut self, now: Millis) -> Option<Start> {
+        if let Some(settled) = self.settled.pop_front() {
+            return Some(settled);
+        }
+        if self.draining || self.state == ServingState::Ejected {
+            let reason = if self.draining {
+                Refusal::Draining
+            } else {
+                Refusal::Ejected
+            };
+            return self
+                .queue
+                .pop_any()
+                .map(|w| Start::Refused(w.ticket, reason));
+        }
+        if !self.has_room() {
+            return None;
+        }
+        let next = self.queue.next(self.options.internal_every)?;
+        if !self.can_finish(now, next.deadline, 0.0) {
+            return Some(Start::Refused(next.ticket, Refusal::Deadline));
+        }
+        self.running.push(next.ticket);
+        Some(Start::Run(next.ticket))
+    }
+
+    /// `drain` refuses all new and waiting work from now on; running requests go on.
+    pub fn drain(&mut self) {
+        self.draining = true;
+    }
+
+    /// `set_state` takes over the decision on ejection; `trial_slots` trials may run at a time
+    /// while the endpoint is ejected.
+    pub fn set_state(&mut self, state: ServingState, trial_slots: u16) {
+        self.state = state;
+        self.trial_slots = trial_slots;
+    }
+
+    /// `set_options` takes over a changed configuration.
+    pub fn set_options(&mut self, options: GateOptions) {
+        self.options = options;
+    }
+
+    /// `open_connection` reserves a connection and returns whether the bound allows it.
+    pub fn open_connection(&mut self) -> bool {
+        let allowed = self.connections < self.options.connections;
+        self.connections += u32::from(allowed);
+        allowed
+    }
+
+    /// `close_connection` gives a reserved connection back.
+    pub fn close_connection(&mut self) {
+        self.connections = self.connections.saturating_sub(1);
+    }
+
+    /// `state` returns what the gate tells others.
+    pub fn state(&self) -> ServingState {
+        match self.state {
+            _ if self.draining => ServingState::Draining,
+            ServingState::Ready if self.cold => ServingState::Cold,
+            state => state,
+        }
+    }
+
+    /// `load` returns the load for the load header.
+    pub fn load(&self) -> ReportedLoad {
+        let short = |n: usize| u16::try_from(n).unwrap_or(u16::MAX);
+        ReportedLoad {
+            in_flight: short(self.running.len()),
+            slots: self.slots(),
+            queued: short(self.queue.len()),
+            state: self.state(),
+        }
+    }
+
+    /// `is_idle` tells whether nothing runs or waits.
+    pub fn is_idle(&self) -> bool {
+        self.running.is_empty() && self.queue.len() == 0
+    }
+
+    /// `slots` returns the requests that may run at a time now.
+    pub fn slots(&self) -> u16 {
+        if !self.cold {
+            return self.options.slots;
+        }
+        let total = self.options.cold_start_requests.max(1);
+        let grown = u32::from(self.options.slots) * self.served_since_start / total;
+        u16::try_from(grown)
+            .unwrap_or(u16::MAX)
+            .clamp(1, self.options.slots)
+    }
+
+    fn has_room(&self) -> bool {
+        self.running.len() < usize::from(self.slots())
+    }
+
+    fn run(&mut self) -> Admission {
+        let ticket = self.ticket();
+        self.running.push(ticket);
+        Admission::Run(ticket)
+    }
+
+    fn ticket(&mut self) -> Ticket {
+        self.tickets += 1;
+        Ticket(self.tickets)
+    }
+
+    fn enqueue(&mut self, req: GateRequest) -> Admission {
+        let internal = req.class.is_internal();
+        let kept = usize::from(self.options.internal_queue());
+        let full = self.queue.len() >= usize::from(self.options.queue);
+        if full {
+            let may_shed = !internal && self.queue.internal_len() > kept;
+            let shed = if may_shed {
+                self.queue.shed_internal()
+            } else {
+                None
+            };
+            let Some(shed) = shed else {
+                return self.refuse(Refusal::QueueFull);
+            };
+            self.settled.push_back(Start::Refused(shed, Refusal::Shed));
+        }
+        let ticket = self.ticket();
+        let deadline = req.deadline;
+        self.queue.push(internal, Waiting { ticket, deadline });
+        Admission::Queued(ticket)
+    }
+
+    // Rounds of the slots that pass before a new request starts.
+    fn waves_ahead(&self) -> f64 {
+        if self.has_room() && self.queue.len() == 0 {
+            return 0.0;
+        }
+        (self.queue.len() as f64 + 1.0) / f64::from(self.slots())
+    }
+
+    fn can_finish(&self, now: Millis, deadline: Millis, waves: f64) -> bool {
+        let left_us = deadline.saturating_since(now).as_micros() as f64;
+        left_us > (waves + 1.0) * self.latency_us
+    }
+
+    fn refuse(&self, reason: Refusal) -> Admission {
+        let waves = (self.queue.len() as f64 + 1.0) / f64::from(self.slots());
+        let wait = Duration::from_micros((waves * self.latency_us) as u64);
+        Admission::Refused {
+            reason,
+            retry_after: wait.max(Duration::from_millis(1)),
+        }
+    }
+}
--- /dev/null
+++ b/crates/shallothill-policy/src/admit/mod.rs
@@ -0,0 +1,10 @@
+//! The gate of one endpoint: which requests run, wait or are refused as not run.
+
+mod gate;
+mod options;
+mod queue;
+mod request;
+
+pub use gate::Gate;
+pub use options::GateOptions;
+pub use request::{Admission, GateRequest, Refusal, Start, Ticket};
--- /dev/null
+++ b/crates/shallothill-policy/src/admit/options.rs
@@ -0,0 +1,60 @@
+//! Bounds of a gate.
+
+use std::time::Duration;
+
+use shallothill_core::config::Service;
+
+/// `GateOptions` holds the bounds of one endpoint's gate.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct GateOptions {
+    /// Requests that the endpoint runs at a time.
+    pub slots: u16,
+    /// Requests that may wait.
+    pub queue: u16,
+    /// Connections that the gate may have open to the endpoint.
+    pub connections: u32,
+    /// Expected time of an answer, until completions tell better.
+    pub expected_latency: Duration,
+    /// Requests that a cold endpoint serves before it takes its full share.
+    pub cold_start_requests: u32,
+    /// Of this many starts, one goes to internal work while both kinds wait.
+    pub internal_every: u32,
+    /// Part of the queue (one in this many places, at least one) that internal work keeps.
+    pub internal_queue_part: u16,
+}
+
+impl Default for GateOptions {
+    fn default() -> Self {
+        Self {
+            slots: 5,
+            queue: 10,
+            connections: 300,
+            expected_latency: Duration::from_millis(40),
+            cold_start_requests: 50,
+            // A tenth keeps invoices moving and costs callers at most a tenth of the capacity.
+            internal_every: 10,
+            internal_queue_part: 8,
+        }
+    }
+}
+
+impl GateOptions {
+    /// `from_service` takes the bounds from the configuration and the announced `slots`.
+    pub fn from_service(service: &Service, slots: u16) -> Self {
+        Self {
+            slots: slots.min(service.slots).max(1),
+            queue: service.queue,
+            connections: service.connections,
+            expected_latency: service.expected_latency,
+            cold_start_requests: service.cold_start_requests,
+            ..Self::default()
+        }
+    }
+
+    /// `internal_queue` returns the places of the queue that service requests cannot take away.
+    pub fn internal_queue(&self) -> u16 {
+        (self.queue / self.internal_queue_part.max(1))
+            .max(1)
+            .min(self.queue)
+    }
+}
--- /dev/null
+++ b/crates/shallothill-policy/src/admit/request.rs
@@ -0,0 +1,74 @@
+//! What a gate is asked and what it answers.
+
+use std::time::Duration;
+
+use shallothill_core::class::Class;
+use shallothill_core::time::Millis;
+
+/// `Ticket` identifies one request at one gate; numbers are never used again.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct Ticket(pub u64);
+
+/// `GateRequest` describes a request that arrives at the gate.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct GateRequest {
+    /// The class, which decides who is shed first.
+    pub class: Class,
+    /// When the caller stops waiting.
+    pub deadline: Millis,
+    /// Whether the request may serve as a trial: marked as one and idempotent.
+    pub trial: bool,
+}
+
+/// `Refusal` tells why a request was refused; none of them ran.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Refusal {
+    /// The endpoint is leaving.
+    Draining,
+    /// The endpoint is ejected and the request is no trial, or no trial is due.
+    Ejected,
+    /// All slots are busy and the queue is full.
+    QueueFull,
+    /// The deadline cannot be met.
+    Deadline,
+    /// A request of a higher class took the place in the queue.
+    Shed,
+}
+
+impl Refusal {
+    /// `as_str` returns the reason used in headers.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Draining => "draining",
+            Self::Ejected => "ejected",
+            Self::QueueFull => "queue-full",
+            Self::Deadline => "deadline",
+            Self::Shed => "shed",
+        }
+    }
+}
+
+/// `Admission` is the answer to an arriving request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Admission {
+    /// The request holds a slot and may run.
+    Run(Ticket),
+    /// The request waits; [`Start`] tells later what becomes of it.
+    Queued(Ticket),
+    /// The request is refused as not run; resend after `retry_after`.
+    Refused {
+        /// Why.
+        reason: Refusal,
+        /// When a resend may succeed.
+        retry_after: Duration,
+    },
+}
+
+/// `Start` tells what becomes of a request that waited.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Start {
+    /// The request now holds a slot and may run.
+    Run(Ticket),
+    /// The request is refused as not run.
+    Refused(Ticket, Refusal),
+}
--- /dev/null
+++ b/crates/shallothill-policy/src/eject/ejector.rs
@@ -0,0 +1,173 @@
+//! The state of one endpoint between evidence, lease and trials.
+
+use std::time::Duration;
+
+use shallothill_core::health::ServingState;
+use shallothill_core::ids::{EndpointId, KeeperId, Region};
+use shallothill_core::time::Millis;
+use shallothill_directory::{
+    HolderState, LeaseHolder, LeaseOptions, LeaseReply, LeaseRequest, ReleaseRequest,
+};
+
+use crate::detect::Verdict;
+use crate::eject::options::EjectOptions;
+
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Phase {
+    Serving,
+    Suspect,
+    Sick {
+        step: usize,
+        passed: u16,
+        next: Millis,
+    },
+}
+
+/// `Ejector` turns verdicts into a serving state. It ejects only while it holds a lease, demotes
+/// otherwise, and returns the endpoint after served trials in growing steps.
+#[derive(Clone, Debug)]
+pub struct Ejector {
+    options: EjectOptions,
+    holder: LeaseHolder,
+    phase: Phase,
+    flaps: u32,
+    flap_at: Millis,
+}
+
+impl Ejector {
+    /// `new` builds the ejector of `endpoint` in `region`, whose leases `keepers` grant.
+    pub fn new(
+        endpoint: EndpointId,
+        region: Region,
+        keepers: &[KeeperId],
+        lease: LeaseOptions,
+        options: EjectOptions,
+    ) -> Self {
+        Self {
+            options,
+            holder: LeaseHolder::new(endpoint, region, keepers, lease),
+            phase: Phase::Serving,
+            flaps: 0,
+            flap_at: Millis(0),
+        }
+    }
+
+    /// `on_verdict` takes the detector's verdict; returns a release to send to every keeper, if
+    /// a lease ends.
+    pub fn on_verdict(&mut self, now: Millis, verdict: Verdict) -> Option<ReleaseRequest> {
+        match (self.phase, verdict) {
+            (Phase::Serving, Verdict::Suspect(_)) => self.phase = Phase::Suspect,
+            (Phase::Suspect, Verdict::Healthy) => self.phase = Phase::Serving,
+            (Phase::Serving | Phase::Suspect, Verdict::Sick(_)) => {
+                self.forget(now);
+                self.flaps += 1;
+                self.flap_at = now;
+                self.holder.want();
+                self.restart_trials(now);
+            }
+            _ => {}
+        }
+        None
+    }
+
+    /// `on_trial` takes the end of a request that ran while the endpoint was sick. Returns
+    /// whether the endpoint is cleared: the owner then calls `Detector::clear` and sends the
+    /// release of [`Ejector::take_release`].
+    pub fn on_trial(&mut self, now: Millis, served: bool) -> bool {
+        let Phase::Sick { step, passed, .. } = self.phase else {
+            return false;
+        };
+        if !served {
+            self.flaps += 1;
+            self.flap_at = now;
+            self.restart_trials(now);
+            return false;
+        }
+        let needed = self.options.steps.get(step).copied().unwrap_or(1);
+        if passed + 1 < needed {
+            self.phase = Phase::Sick {
+                step,
+                passed: passed + 1,
+                next: now,
+            };
+            return false;
+        }
+        if step + 1 < self.options.steps.len() {
+            self.phase = Phase::Sick {
+                step: step + 1,
+                passed: 0,
+                next: now,
+            };
+            return false;
+        }
+        self.phase = Phase::Serving;
+        self.flap_at = now;
+        true
+    }
+
+    /// `take_release` ends the lease and returns the release to send to every keeper, if any.
+    pub fn take_release(&mut self) -> Option<ReleaseRequest> {
+        self.holder.give_up()
+    }
+
+    /// `poll` returns the lease request to send to every keeper now, if any.
+    pub fn poll(&mut self, now: Millis) -> Option<LeaseRequest> {
+        self.holder.poll(now)
+    }
+
+    /// `on_reply` takes a keeper's reply; returns a release to send to every keeper, if any.
+    pub fn on_reply(&mut self, now: Millis, reply: &LeaseReply) -> Option<ReleaseRequest> {
+        self.holder.on_reply(now, reply)
+    }
+
+    /// `reset` starts over for an endpoint that announced a new life; flaps are remembered.
+    pub fn reset(&mut self) -> Option<ReleaseRequest> {
+        self.phase = Phase::Serving;
+        self.holder.give_up()
+    }
+
+    /// `state` returns the serving state at `now`: `Ready`, `Demoted` or `Ejected`.
+    pub fn state(&self, now: Millis) -> ServingState {
+        match self.phase {
+            Phase::Serving => ServingState::Ready,
+            Phase::Suspect => ServingState::Demoted,
+            Phase::Sick { .. } if self.holder.state(now) == HolderState::Holding => {
+                ServingState::Ejected
+            }
+            Phase::Sick { .. } => ServingState::Demoted,
+        }
+    }
+
+    /// `trial_slots` returns how many trials may run at a time at `now`.
+    pub fn trial_slots(&self, now: Millis) -> u16 {
+        match self.phase {
+            Phase::Sick { step, next, .. } if now >= next => {
+                self.options.steps.get(step).copied().unwrap_or(1)
+            }
+            _ => 0,
+        }
+    }
+
+    fn restart_trials(&mut self, now: Millis) {
+        let next = now + self.wait();
+        self.phase = Phase::Sick {
+            step: 0,
+            passed: 0,
+            next,
+        };
+    }
+
+    fn wait(&self) -> Duration {
+        let doublings = self.flaps.saturating_sub(1).min(16);
+        let wait = self.options.first_wait.saturating_mul(1 << doublings);
+        wait.min(self.options.longest_wait)
+    }
+
+    fn forget(&mut self, now: Millis) {
+        let healthy = now.saturating_since(self.flap_at).as_millis();
+        let forgotten = healthy / self.options.forget_after.as_millis().max(1);
+        self.flaps = self
+            .flaps
+            .saturating_sub(u32::try_from(forgotten).unwrap_or(u32::MAX));
+    }
+}
--- /dev/null
+++ b/crates/shallothill-policy/src/eject/mod.rs
@@ -0,0 +1,7 @@
+//! Ejection and return of a backend server: verdicts, leases and trials.
+
+mod ejector;
+mod options;
+
+pub use ejector::Ejector;
+pub use options::EjectOptions;
--- /dev/null
+++ b/crates/shallothill-policy/src/limits/callers.rs
@@ -0,0 +1,144 @@
+//! The callers that have used their limits lately.
+
+use std::collections::HashMap;
+use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use shallothill_core::config::Caller;
+use shallothill_core::hash;
+use shallothill_core::ids::CallerName;
+use shallothill_core::time::Millis;
+
+use crate::limits::options::LimitOptions;
+
+const SHARDS: usize = 64;
+const SECOND_US: u64 = 1_000_000;
+
+#[derive(Debug, Default)]
+struct Usage {
+    running: AtomicU32,
+    // The time in microseconds at which all accepted requests are within the rate.
+    paid_at_us: AtomicU64,
+}
+
+/// `Refused` tells that a caller is over its limit and when to resend.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Refused {
+    /// When a resend may be accepted.
+    pub retry_after: Duration,
+}
+
+/// `Permit` counts a running request of a caller until it is dropped.
+#[derive(Debug)]
+pub struct Permit(Option<Arc<Usage>>);
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        if let Some(usage) = &self.0 {
+            usage.running.fetch_sub(1, Ordering::Relaxed);
+        }
+    }
+}
+
+/// `CallerLimits` enforces the limits of callers in bounded memory.
+///
+/// Its locks are held for a map access only and never across an await.
+#[derive(Debug)]
+pub struct CallerLimits {
+    shards: Vec<Mutex<HashMap<CallerName, Arc<Usage>>>>,
+    most_per_shard: usize,
+}
+
+impl CallerLimits {
+    /// `new` builds limits that follow no caller yet.
+    pub fn new(options: &LimitOptions) -> Self {
+        Self {
+            shards: (0..SHARDS).map(|_| Mutex::default()).collect(),
+            most_per_shard: options.most_callers.div_ceil(SHARDS),
+        }
+    }
+
+    /// `try_start` accepts a request of `name` under the limits of `caller`, with a burst of one
+    /// second of the rate.
+    pub fn try_start(
+        &self,
+        now: Millis,
+        name: &CallerName,
+        caller: &Caller,
+    ) -> Result<Permit, Refused> {
+        if caller.requests_per_s.is_none() && caller.concurrent.is_none() {
+            return Ok(Permit(None));
+        }
+        let usage = self.usage(now, name)?;
+        let most = caller.concurrent.unwrap_or(u32::MAX);
+        let more = |n: u32| (n < most).then(|| n + 1);
+        let counted = usage
+            .running
+            .fetch_update(Ordering::Relaxed, Ordering::Relaxed, more);
+        if counted.is_err() {
+            // How long its other requests run is not known; a moment spares a tight loop.
+            let retry_after = Duration::from_millis(100);
+            return Err(Refused { retry_after });
+        }
+        let permit = Permit(Some(Arc::clone(&usage)));
+        if let Some(rate) = caller.requests_per_s {
+            pay(&usage, now, rate)?;
+        }
+        Ok(permit)
+    }
+
+    /// `len` returns the number of callers followed now.
+    pub fn len(&self) -> usize {
+        self.shards.iter().map(|s| lock(s).len()).sum()
+    }
+
+    /// `is_empty` tells whether no caller is followed.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    fn usage(&self, now: Millis, name: &CallerName) -> Result<Arc<Usage>, Refused> {
+        let shard = hash::short(name.as_str().as_bytes()) as usize % SHARDS;
+        let mut callers = lock(&self.shards[shard]);
+        if let Some(usage) = callers.get(name) {
+            return Ok(Arc::clone(usage));
+        }
+        if callers.len() >= self.most_per_shard {
+            // A caller without running requests whose rate is paid loses nothing.
+            callers.retain(|_, u| {
+                Arc::strong_count(u) > 1 || u.paid_at_us.load(Ordering::Relaxed) > now.0 * 1000
+            });
+        }
+        if callers.len() >= self.most_per_shard {
+            let retry_after = Duration::from_secs(1);
+            return Err(Refused { retry_after });
+        }
+        let usage = Arc::<Usage>::default();
+        callers.insert(name.clone(), Arc::clone(&usage));
+        Ok(usage)
+    }
+}
+
+fn pay(usage: &Usage, now: Millis, rate: u32) -> Result<(), Refused> {
+    let now_us = now.0.saturating_mul(1000);
+    let cost = SECOND_US / u64::from(rate.max(1));
+    let next = |at: u64| {
+        let next = at.max(now_us) + cost;
+        (next <= now_us + SECOND_US.max(cost)).then_some(next)
+    };
+    let paid = usage
+        .paid_at_us
+        .fetch_update(Ordering::Relaxed, Ordering::Relaxed, next);
+    paid.map(|_| ()).map_err(|at| {
+        let wait = (at + cost).saturating_sub(now_us + SECOND_US.max(cost));
+        Refused {
+            retry_after: Duration::from_micros(wait.max(1000)),
+        }
+    })
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    // A panic elsewhere leaves the map whole, since every change of it is a single call.
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/shallothill-policy/src/limits/options.rs
@@ -0,0 +1,16 @@
+//! Bounds of the callers' limits.
+
+/// `LimitOptions` bounds the memory of the callers' limits.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct LimitOptions {
+    /// Callers followed at a time; idle ones are dropped first.
+    pub most_callers: usize,
+}
+
+impl Default for LimitOptions {
+    fn default() -> Self {
+        Self {
+            most_callers: 20_000,
+        }
+    }
+}
--- /dev/null
+++ b/crates/shallothill-policy/src/pick/options.rs
@@ -0,0 +1,37 @@
+//! Choices of the pick.
+
+use std::time::Duration;
+
+/// `PickOptions` holds the thresholds of spill-over, the freshness of load and the path penalties.
+#[derive(Clone, Debug, PartialEq)]
+pub struct PickOptions {
+    /// Utilisation of a tier above which more picks go to the next one.
+    pub spill_above: f64,
+    /// Utilisation below which picks return; the gap to `spill_above` prevents oscillation.
+    pub return_below: f64,
+    /// Share of picks, in thousandths, that one refresh moves outward.
+    pub spill_step: u32,
+    /// Share of picks, in thousandths, that one refresh moves back.
+    pub return_step: u32,
+    /// Age after which a load returned by a gate is no longer used.
+    pub load_fresh_for: Duration,
+    /// Share of idempotent first attempts, in thousandths, that may serve as trials.
+    pub trial_share: u32,
+    /// Time between two trials that one entry node sends to one ejected endpoint.
+    pub trial_every: Duration,
+}
+
+impl Default for PickOptions {
+    fn default() -> Self {
+        Self {
+            spill_above: 0.9,
+            return_below: 0.7,
+            spill_step: 100,
+            return_step: 50,
+            load_fresh_for: Duration::from_secs(1),
+            // Half of the default retry budget: a refused trial costs one retry.
+            trial_share: 50,
+            trial_every: Duration::from_millis(200),
+        }
+    }
+}
--- /dev/null
+++ b/crates/shallothill-policy/src/pick/request.rs
@@ -0,0 +1,41 @@
+//! What an attempt asks of the pick, and the answer.
+
+use crate::pick::endpoint::{Endpoint, EndpointKey};
+
+/// `Tier` is the nearness of an endpoint to the entry node.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum Tier {
+    /// The own data centre.
+    DataCentre,
+    /// Another data centre of the own region.
+    Region,
+    /// Another region.
+    Other,
+}
+
+impl Tier {
+    /// `ALL` lists the tiers from near to far.
+    pub const ALL: [Self; 3] = [Self::DataCentre, Self::Region, Self::Other];
+}
+
+/// `PickRequest` describes the attempt that needs an endpoint.
+#[derive(Clone, Copy, Debug)]
+pub struct PickRequest<'a> {
+    /// Whether running the request twice does no harm; only then it may be a trial.
+    pub idempotent: bool,
+    /// The endpoints of earlier attempts of the request, which are avoided.
+    pub avoid: &'a [EndpointKey],
+    /// Bytes a second that this node may send to other regions for the service, if limited.
+    pub cross_region_bytes_per_s: Option<u64>,
+}
+
+/// `Picked` is the chosen endpoint.
+#[derive(Clone, Copy, Debug)]
+pub struct Picked<'a> {
+    /// The endpoint.
+    pub endpoint: &'a Endpoint,
+    /// Its nearness.
+    pub tier: Tier,
+    /// Whether the attempt is a trial of an ejected endpoint.
+    pub trial: bool,
+}
--- /dev/null
+++ b/crates/shallothill-policy/src/pick/service_table.rs
@@ -0,0 +1,281 @@
+//! The endpoints of one service, sorted for constant-time picks.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
+
+use rand::Rng;
+use shallothill_core::health::ServingState;
+use shallothill_core::ids::{NodeName, Zone};
+use shallothill_core::time::Millis;
+
+use crate::pick::byte_budget::ByteBudget;
+use crate::pick::endpoint::{Endpoint, EndpointInfo, EndpointKey};
+use crate::pick::options::PickOptions;
+use crate::pick::path_stats::PathStats;
+use crate::pick::request::{PickRequest, Picked, Tier};
+
+// Draws per list: enough to find two usable endpoints while most are usable, and constant work.
+const DRAWS: usize = 6;
+const ALL_PICKS: u32 = 1000;
+
+/// `ServiceTable` holds the endpoints of a service by nearness and state.
+///
+/// Ready and cold endpoints are picked first, demoted and unheard ones last, ejected ones only for
+/// trials and draining ones never. The work of a pick does not depend on the number of endpoints.
+#[derive(Debug)]
+pub struct ServiceTable {
+    endpoints: Vec<Endpoint>,
+    usual: [Vec<u32>; 3],
+    last: [Vec<u32>; 3],
+    ejected: Vec<u32>,
+    tiers: Vec<Tier>,
+    spill: Arc<[AtomicU32; 2]>,
+    bytes: Arc<ByteBudget>,
+    options: PickOptions,
+}
+
+impl ServiceTable {
+    /// `build` sorts `endpoints` for an entry node at `me`. Counters are taken over from
+    /// `previous` and from `paths`, which gets an entry for every new node.
+    pub fn build(
+        me: &Zone,
+        endpoints: Vec<EndpointInfo>,
+        previous: Option<&Self>,
+        paths: &mut HashMap<NodeName, Arc<PathStats>>,
+        options: PickOptions,
+    ) -> Self {
+        let known: HashMap<EndpointKey, &Endpoint> = previous
+            .iter()
+            .flat_map(|t| t.endpoints.iter().map(|e| (e.key, e)))
+            .collect();
+        let mut table = Self {
+            endpoints: Vec::with_capacity(endpoints.len()),
+            usual: Default::default(),
+            last: Default::default(),
+            ejected: Vec::new(),
+            tiers: Vec::with_capacity(endpoints.len()),
+            spill: previous.map_or_else(Arc::default, |t| Arc::clone(&t.spill)),
+            bytes: previous.map_or_else(Arc::default, |t| Arc::clone(&t.bytes)),
+            options,
+        };
+        for info in endpoints {
+            let key = EndpointKey::of(&info.id);
+            let path = paths.entry(info.id.node.clone()).or_default();
+            let endpoint = Endpoint {
+                key,
+                stats: known
+                    .get(&key)
+                    .map_or_else(Arc::default, |e| Arc::clone(&e.stats)),
+                path: Arc::clone(path),
+                info,
+            };
+            table.add(me, endpoint);
+        }
+        table
+    }
+
+    fn add(&mut self, me: &Zone, endpoint: Endpoint) {
+        let zone = &endpoint.info.zone;
+        let tier = if zone == me {
+            Tier::DataCentre
+        } else if zone.region == me.region {
+            Tier::Region
+        } else {
+            Tier::Other
+        };
+        let i = self.endpoints.len() as u32;
+        match endpoint.info.state {
+            ServingState::Draining => {}
+            ServingState::Ejected => self.ejected.push(i),
+            ServingState::Demoted => self.last[tier as usize].push(i),
+            _ if !endpoint.info.heard => self.last[tier as usize].push(i),
+            ServingState::Ready | ServingState::Cold => self.usual[tier as usize].push(i),
+        }
+        self.tiers.push(tier);
+        self.endpoints.push(endpoint);
+    }
+
+    /// `endpoints` returns all endpoints in the given order.
+    pub fn endpoints(&self) -> &[Endpoint] {
+        &self.endpoints
+    }
+
+    /// `bytes` returns the count and budget of bytes across regions.
+    pub fn bytes(&self) -> &ByteBudget {
+        &self.bytes
+    }
+
+    /// `pick` chooses an endpoint, or `None` when there is none that the request may use.
+    pub fn pick(
+        &self,
+        now: Millis,
+        rng: &mut impl Rng,
+        req: &PickRequest<'_>,
+    ) -> Option<Picked<'_>> {
+        if let Some(picked) = self.pick_trial(now, rng, req) {
+            return Some(picked);
+        }
+        let start = self.start_tier(rng, req);
+        // From the drawn tier outward first: the nearer ones are known to be loaded.
+        let order = (start..3).chain((0..start).rev());
+        for strict in [true, false] {
+            for lists in [&self.usual, &self.last] {
+                for t in order.clone() {
+                    if t == 2 && strict && !self.may_cross(now, req) {
+                        continue;
+                    }
+                    if let Some(i) = self.choose(&lists[t], now, rng, req.avoid, strict) {
+                        return Some(self.picked(i, false));
+                    }
+                }
+            }
+        }
+        None
+    }
+
+    fn may_cross(&self, now: Millis, req: &PickRequest<'_>) -> bool {
+        self.bytes.allows(now, req.cross_region_bytes_per_s)
+    }
+
+    fn picked(&self, i: u32, trial: bool) -> Picked<'_> {
+        Picked {
+            endpoint: &self.endpoints[i as usize],
+            tier: self.tiers[i as usize],
+            trial,
+        }
+    }
+
+    fn pick_trial(
+        &self,
+        now: Millis,
+        rng: &mut impl Rng,
+        req: &PickRequest<'_>,
+    ) -> Option<Picked<'_>> {
+        if !req.idempotent || !req.avoid.is_empty() || self.ejected.is_empty() {
+            return None;
+        }
+        if rng.random_range(0..ALL_PICKS) >= self.options.trial_share {
+            return None;
+        }
+        let i = self.ejected[rng.random_range(0..self.ejected.len())];
+        let endpoint = &self.endpoints[i as usize];
+        endpoint
+            .stats
+            .claim_trial(now, self.options.trial_every)
+            .then(|| self.picked(i, true))
+    }
+
+    fn start_tier(&self, rng: &mut impl Rng, req: &PickRequest<'_>) -> usize {
+        let mut tier = 0;
+        // A retry does not cross a region boundary while a nearer endpoint can serve it.
+        let outermost = if req.avoid.is_empty() { 2 } else { 1 };
+        while tier < outermost {
+            let share = self.spill[tier].load(Ordering::Relaxed);
+            let spills = share > 0 && rng.random_range(0..ALL_PICKS) < share;
+            if !spills && !self.usual[tier].is_empty() {
+                break;
+            }
+            tier += 1;
+        }
+        tier
+    }
+
+    fn choose(
+        &self,
+        list: &[u32],
+        now: Millis,
+        rng: &mut impl Rng,
+        avoid: &[EndpointKey],
+        strict: bool,
+    ) -> Option<u32> {
+        if list.is_empty() {
+            return None;
+        }
+        let mut best: Option<(u32, f64)> = None;
+        let mut found = 0;
+        let first = rng.random_range(0..list.len());
+        for draw in 0..DRAWS {
+            // Short lists are walked, so that every endpoint is seen.
+            let at = if list.len() <= DRAWS {
+                if draw == list.len() {
+                    break;
+                }
+                (first + draw) % list.len()
+            } else {
+                rng.random_range(0..list.len())
+            };
+            let i = list[at];
+            let e = &self.endpoints[i as usize];
+            let same = best.is_some_and(|(b, _)| b == i);
+            if same || avoid.contains(&e.key) || (strict && !self.usable(e, now)) {
+                continue;
+            }
+            found += 1;
+            let load = self.load(e, now);
+            if best.is_none_or(|(_, least)| load < least) {
+                best = Some((i, load));
+            }
+            if found == 2 {
+                break;
+            }
+        }
+        let (i, _) = best?;
+        let claimed = !strict || self.endpoints[i as usize].path.claim_probe(now);
+        claimed.then_some(i)
+    }
+
+    fn usable(&self, e: &Endpoint, now: Millis) -> bool {
+        if e.path.penalised(now) {
+            return false;
+        }
+        let fresh = self.options.load_fresh_for;
+        e.stats.reported(now, fresh).is_none_or(|l| {
+            let taking = !matches!(l.state, ServingState::Draining | ServingState::Ejected);
+            taking && (l.in_flight < l.slots || l.queued < l.slots)
+        })
+    }
+
+    fn load(&self, e: &Endpoint, now: Millis) -> f64 {
+        let own = e.stats.own_in_flight();
+        let reported = e.stats.reported(now, self.options.load_fresh_for);
+        let slots = reported.map_or(e.info.slots, |l| l.slots).max(1);
+        let told = reported.map_or(0, |l| u32::from(l.in_flight) + u32::from(l.queued));
+        // The own count reacts at once, the reported one knows of other entry nodes.
+        f64::from(own + told) / f64::from(slots)
+    }
+
+    /// `refresh` adjusts the spill-over between tiers; call it about every 250 ms. Its work grows
+    /// with the endpoints of the own region.
+    pub fn refresh(&self, now: Millis) {
+        for tier in 0..2 {
+            let share = self.spill[tier].load(Ordering::Relaxed);
+            let next = match self.utilisation(tier, now) {
+                Some(u) if u > self.options.spill_above => share + self.options.spill_step,
+                Some(u) if u >= self.options.return_below => share,
+                _ => share.saturating_sub(self.options.return_step),
+            };
+            self.spill[tier].store(next.min(ALL_PICKS), Ordering::Relaxed);
+        }
+    }
+
+    /// `spill` returns the shares of picks, in thousandths, that leave the own data centre and
+    /// the own region.
+    pub fn spill(&self) -> (u32, u32) {
+        let share = |tier: usize| self.spill[tier].load(Ordering::Relaxed);
+        (share(0), share(1))
+    }
+
+    fn utilisation(&self, tier: usize, now: Millis) -> Option<f64> {
+        let mut load = 0u32;
+        let mut slots = 0u32;
+        for i in &self.usual[tier] {
+            let stats = &self.endpoints[*i as usize].stats;
+            if let Some(l) = stats.reported(now, self.options.load_fresh_for) {
+                load += u32::from(l.in_flight) + u32::from(l.queued);
+                slots += u32::from(l.slots);
+            }
+        }
+        (slots > 0).then(|| f64::from(load) / f64::from(slots))
+    }
+}
--- /dev/null
+++ b/crates/shallothill-policy/src/pick/stats.rs
@@ -0,0 +1,99 @@
+//! An entry node's own counters of one endpoint.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
+use std::time::Duration;
+
+use shallothill_core::health::ServingState;
+use shallothill_core::time::Millis;
+
+/// `ReportedLoad` is the load that a gate returns with a response.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct ReportedLoad {
+    /// Requests that run.
+    pub in_flight: u16,
+    /// Requests that may run at a time now; lower than the announced slots while cold.
+    pub slots: u16,
+    /// Requests that wait at the gate.
+    pub queued: u16,
+    /// The state at the gate.
+    pub state: ServingState,
+}
+
+/// `EndpointStats` counts this entry node's requests to an endpoint and keeps its last load.
+#[derive(Debug, Default)]
+pub struct EndpointStats {
+    own: AtomicU32,
+    // in_flight << 48 | slots << 32 | queued << 16 | state, so that readers see one report.
+    load: AtomicU64,
+    load_at: AtomicU64,
+    next_trial: AtomicU64,
+}
+
+const STATES: [ServingState; 5] = [
+    ServingState::Ready,
+    ServingState::Cold,
+    ServingState::Demoted,
+    ServingState::Ejected,
+    ServingState::Draining,
+];
+
+impl EndpointStats {
+    /// `begin` counts a request to the endpoint until the returned guard is dropped.
+    pub fn begin(self: &Arc<Self>) -> InFlight {
+        self.own.fetch_add(1, Ordering::Relaxed);
+        InFlight(Arc::clone(self))
+    }
+
+    /// `own_in_flight` returns the number of this entry node's requests to the endpoint.
+    pub fn own_in_flight(&self) -> u32 {
+        self.own.load(Ordering::Relaxed)
+    }
+
+    /// `report` records the load that a gate returned at `now`.
+    pub fn report(&self, now: Millis, load: ReportedLoad) {
+        let state = STATES.iter().position(|s| *s == load.state).unwrap_or(0) as u64;
+        let packed = u64::from(load.in_flight) << 48
+            | u64::from(load.slots) << 32
+            | u64::from(load.queued) << 16
+            | state;
+        self.load.store(packed, Ordering::Relaxed);
+        // 0 means that nothing was reported yet.
+        self.load_at.store(now.0 + 1, Ordering::Release);
+    }
+
+    /// `reported` returns the last load unless it is older than `fresh_for`.
+    pub fn reported(&self, now: Millis, fresh_for: Duration) -> Option<ReportedLoad> {
+        let at = self.load_at.load(Ordering::Acquire).checked_sub(1)?;
+        if now.saturating_since(Millis(at)) > fresh_for {
+            return None;
+        }
+        let packed = self.load.load(Ordering::Relaxed);
+        Some(ReportedLoad {
+            in_flight: (packed >> 48) as u16,
+            slots: (packed >> 32) as u16,
+            queued: (packed >> 16) as u16,
+            state: STATES[(packed & 0xffff) as usize % STATES.len()],
+        })
+    }
+
+    /// `claim_trial` tells whether a trial may be sent now, and then none for `every`.
+    pub fn claim_trial(&self, now: Millis, every: Duration) -> bool {
+        let due = self.next_trial.load(Ordering::Relaxed);
+        now.0 >= due
+            && self
+                .next_trial
+                .compare_exchange(due, (now + every).0, Ordering::Relaxed, Ordering::Relaxed)
+                .is_ok()
+    }
+}
+
+/// `InFlight` counts one request to an endpoint until it is dropped.
+#[derive(Debug)]
+pub struct InFlight(Arc<EndpointStats>);
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.0.own.fetch_sub(1, Ordering::Relaxed);
+    }
+}
--- /dev/null
+++ b/crates/shallothill-policy/src/quarantine/mod.rs
@@ -0,0 +1,7 @@
+//! Requests that crash backend servers.
+
+mod options;
+mod store;
+
+pub use options::QuarantineOptions;
+pub use store::{CrashId, Entrance, Listed, Quarantine};
--- /dev/null
+++ b/crates/shallothill-policy/src/quarantine/options.rs
@@ -0,0 +1,28 @@
+//! Limits of the quarantine.
+
+use std::time::Duration;
+
+/// `QuarantineOptions` holds the limits of the quarantine.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct QuarantineOptions {
+    /// Crashes after which a fingerprint is refused.
+    pub crashes: u32,
+    /// Time after the last crash at which a fingerprint is released.
+    pub release_after: Duration,
+    /// Fingerprints kept at most; those with the oldest crash are dropped first.
+    pub most: usize,
+    /// Time for which an entry node withholds the failure of a request that crashed its backend
+    /// server, so that other nodes hear of the fingerprint before the caller resends.
+    pub hold_response: Duration,
+}
+
+impl Default for QuarantineOptions {
+    fn default() -> Self {
+        Self {
+            crashes: 2,
+            release_after: Duration::from_secs(600),
+            most: 10_000,
+            hold_response: Duration::from_millis(250),
+        }
+    }
+}
--- /dev/null
+++ b/crates/shallothill-policy/src/quarantine/store.rs
@@ -0,0 +1,154 @@
+//! Fingerprints of requests that were in flight at a crash.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::time::Duration;
+
+use shallothill_core::hash::Fingerprint;
+use shallothill_core::time::Millis;
+
+use crate::pick::EndpointKey;
+use crate::quarantine::options::QuarantineOptions;
+
+/// `CrashId` identifies one crash of one backend server, so that repeated notices count once.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct CrashId {
+    /// The backend server.
+    pub endpoint: EndpointKey,
+    /// Its number of the crash.
+    pub crash: u64,
+}
+
+/// `Entrance` tells whether an attempt of a fingerprint may go on.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Entrance {
+    /// No crash is known; nothing is to be given back.
+    Free,
+    /// One crash is known; the attempt holds the only place until [`Quarantine::finish`].
+    Single,
+    /// Another attempt of the fingerprint holds the place: refuse as not run.
+    Busy,
+    /// The fingerprint is quarantined for this time: refuse as not run.
+    Quarantined(Duration),
+}
+
+/// `Listed` is a known fingerprint for the dump.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Listed {
+    /// The fingerprint.
+    pub fingerprint: Fingerprint,
+    /// Crashes counted.
+    pub crashes: u32,
+    /// When it is released.
+    pub until: Millis,
+}
+
+#[derive(Clone, Debug)]
+struct Entry {
+    crashes: BTreeSet<CrashId>,
+    last: Millis,
+    running: bool,
+}
+
+/// `Quarantine` holds crash fingerprints in bounded memory.
+#[derive(Clone, Debug)]
+pub struct Quarantine {
+    options: QuarantineOptions,
+    entries: HashMap<Fingerprint, Entry>,
+    by_time: BTreeMap<(Millis, Fingerprint), ()>,
+}
+
+impl Quarantine {
+    /// `new` builds an empty quarantine.
+    pub fn new(options: QuarantineOptions) -> Self {
+        Self {
+            options,
+            entries: HashMap::new(),
+            by_time: BTreeMap::new(),
+        }
+    }
+
+    /// `enter` asks whether an attempt may run.
+    pub fn enter(&mut self, now: Millis, fingerprint: Fingerprint) -> Entrance {
+        self.expire(now);
+        let Some(entry) = self.entries.get_mut(&fingerprint) else {
+            return Entrance::Free;
+        };
+        if entry.crashes.len() >= self.options.crashes as usize {
+            let until = entry.last + self.options.release_after;
+            return Entrance::Quarantined(until.saturating_since(now));
+        }
+        if entry.running {
+            return Entrance::Busy;
+        }
+        entry.running = true;
+        Entrance::Single
+    }
+
+    /// `finish` gives the place of an attempt back that entered as [`Entrance::Single`].
+    pub fn finish(&mut self, fingerprint: Fingerprint) {
+        if let Some(entry) = self.entries.get_mut(&fingerprint) {
+            entry.running = false;
+        }
+    }
+
+    /// `crashed` counts a crash that happened `age` before `now`; returns whether it was new.
+    pub fn crashed(
+        &mut self,
+        now: Millis,
+        fingerprint: Fingerprint,
+        crash: CrashId,
+        age: Duration,
+    ) -> bool {
+        if age >= self.options.release_after {
+            return false;
+        }
+        self.expire(now);
+        let age_ms = u64::try_from(age.as_millis()).unwrap_or(u64::MAX);
+        let at = Millis(now.0.saturating_sub(age_ms));
+        let entry = self.entries.entry(fingerprint).or_insert_with(|| Entry {
+            crashes: BTreeSet::new(),
+            last: at,
+            running: false,
+        });
+        // More crashes than the limit change nothing, so they take no memory.
+        let room = entry.crashes.len() < self.options.crashes.max(1) as usize;
+        let new = room && entry.crashes.insert(crash);
+        self.by_time.remove(&(entry.last, fingerprint));
+        entry.last = entry.last.max(at);
+        self.by_time.insert((entry.last, fingerprint), ());
+        if self.entries.len() > self.options.most
+            && let Some(((_, oldest), ())) = self.by_time.pop_first()
+        {
+            self.entries.remove(&oldest);
+        }
+        new
+    }
+
+    /// `hold_response` returns how long the failure of a crashed request is withheld.
+    pub fn hold_response(&self) -> Duration {
+        self.options.hold_response
+    }
+
+    /// `listed` returns the known fingerprints, oldest crash first.
+    pub fn listed(&self) -> Vec<Listed> {
+        let known = |fingerprint: &Fingerprint| {
+            let entry = self.entries.get(fingerprint)?;
+            Some(Listed {
+                fingerprint: *fingerprint,
+                crashes: u32::try_from(entry.crashes.len()).unwrap_or(u32::MAX),
+                until: entry.last + self.options.release_after,
+            })
+        };
+        self.by_time.keys().filter_map(|(_, f)| known(f)).collect()
+    }
+
+    fn expire(&mut self, now: Millis) {
+        while let Some(((last, fingerprint), ())) = self.by_time.first_key_value() {
+            if now.saturating_since(*last) < self.options.release_after {
+                return;
+            }
+            self.entries.remove(fingerprint);
+            self.by_time.pop_first();
+        }
+    }
+}
--- /dev/null
+++ b/crates/shallothill-policy/src/retry/attempts.rs
@@ -0,0 +1,131 @@
+//! The attempts of one request.
+
+use shallothill_core::outcome::Outcome;
+use shallothill_core::time::Millis;
+
+use crate::pick::EndpointKey;
+use crate::retry::budget::Budget;
+use crate::retry::options::RetryOptions;
+
+const MOST_ATTEMPTS: usize = 8;
+
+/// `Next` tells what follows an ended attempt.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Next {
+    /// Send the request again, avoiding [`Attempts::used`].
+    Retry,
+    /// Wait for the other attempt that still runs.
+    Wait,
+    /// Give the caller this result.
+    Return(Outcome),
+}
+
+/// `Attempts` follows one request through its attempts and decides on retries and hedges.
+#[derive(Clone, Debug)]
+pub struct Attempts {
+    idempotent: bool,
+    deadline: Millis,
+    made: u8,
+    running: u8,
+    used: [EndpointKey; MOST_ATTEMPTS],
+    worst: Outcome,
+    responding: bool,
+}
+
+impl Attempts {
+    /// `new` follows a request that arrived with `deadline`.
+    pub fn new(idempotent: bool, deadline: Millis) -> Self {
+        Self {
+            idempotent,
+            deadline,
+            made: 0,
+            running: 0,
+            used: [EndpointKey::default(); MOST_ATTEMPTS],
+            worst: Outcome::RefusedNotRun,
+            responding: false,
+        }
+    }
+
+    /// `started` notes an attempt; the first one deposits into the service's budget.
+    pub fn started(&mut self, endpoint: EndpointKey, options: &RetryOptions, budget: &Budget) {
+        if self.made == 0 {
+            budget.deposit(options.budget_percent);
+        }
+        if let Some(slot) = self.used.get_mut(usize::from(self.made)) {
+            *slot = endpoint;
+        }
+        self.made = self.made.saturating_add(1);
+        self.running += 1;
+    }
+
+    /// `responding` notes that the first byte of an answer was sent to the caller; from then on
+    /// nothing is sent again.
+    pub fn responding(&mut self) {
+        self.responding = true;
+    }
+
+    /// `ended` decides what follows an attempt that ended at `now` with `outcome`.
+    pub fn ended(
+        &mut self,
+        now: Millis,
+        outcome: Outcome,
+        options: &RetryOptions,
+        budget: &Budget,
+    ) -> Next {
+        self.running = self.running.saturating_sub(1);
+        self.worst = worse(self.worst, outcome);
+        if outcome == Outcome::Answered || self.responding {
+            return Next::Return(outcome);
+        }
+        if self.running > 0 {
+            return Next::Wait;
+        }
+        let allowed = outcome.allows_retry(self.idempotent) && self.may_add(now, options);
+        if allowed && budget.withdraw() {
+            return Next::Retry;
+        }
+        Next::Return(self.worst)
+    }
+
+    /// `hedge` decides at `now` whether a second attempt runs beside one that was sent at `sent`;
+    /// a true result has taken it from the budget.
+    pub fn hedge(
+        &self,
+        now: Millis,
+        sent: Millis,
+        options: &RetryOptions,
+        budget: &Budget,
+    ) -> bool {
+        let due = options
+            .hedge_after
+            .is_some_and(|after| now.saturating_since(sent) >= after);
+        let allowed = due && self.idempotent && !self.responding && self.running == 1;
+        allowed && self.may_add(now, options) && budget.withdraw()
+    }
+
+    /// `used` returns the endpoints of earlier attempts, for `pick::PickRequest::avoid`.
+    pub fn used(&self) -> &[EndpointKey] {
+        &self.used[..usize::from(self.made).min(MOST_ATTEMPTS)]
+    }
+
+    /// `made` returns the number of attempts so far.
+    pub fn made(&self) -> u8 {
+        self.made
+    }
+
+    fn may_add(&self, now: Millis, options: &RetryOptions) -> bool {
+        let most = options.max_attempts.min(MOST_ATTEMPTS as u8);
+        self.made < most && now < self.deadline
+    }
+}
+
+// The caller learns the outcome that says most about whether its request ran.
+fn worse(a: Outcome, b: Outcome) -> Outcome {
+    let rank = |o: Outcome| match o {
+        Outcome::RefusedNotRun => 0,
+        Outcome::RanAndFailed => 1,
+        Outcome::Unknown => 2,
+        Outcome::Answered => 3,
+    };
+    if rank(b) > rank(a) { b } else { a }
+}
--- /dev/null
+++ b/crates/shallothill-policy/src/retry/options.rs
@@ -0,0 +1,37 @@
+//! Limits of retries and hedging.
+
+use std::time::Duration;
+
+use shallothill_core::config::Service;
+
+/// `RetryOptions` holds the limits of one service.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct RetryOptions {
+    /// Attempts allowed for one request, the first included.
+    pub max_attempts: u8,
+    /// Retries and hedges allowed per 100 first attempts.
+    pub budget_percent: u8,
+    /// Time after which an idempotent request gets a second attempt beside the first, if any.
+    pub hedge_after: Option<Duration>,
+}
+
+impl Default for RetryOptions {
+    fn default() -> Self {
+        Self {
+            max_attempts: 3,
+            budget_percent: 10,
+            hedge_after: None,
+        }
+    }
+}
+
+impl RetryOptions {
+    /// `from_service` takes the limits from the configuration.
+    pub fn from_service(service: &Service) -> Self {
+        Self {
+            max_attempts: service.max_attempts,
+            budget_percent: service.retry_budget_percent,
+            hedge_after: service.hedge_after,
+        }
+    }
+}
