--- /dev/null
+++ b/crates/shallothill-ledger/tests/claims/member.rs
@@ -0,0 +1,180 @@
+//! Answers of one member to claims on old, reused and completed keys.
+
+use shallothill_core::hash::ContentHash;
+use shallothill_core::idempotency::IdempotencyKey;
+use shallothill_core::ids::{KeeperId, NodeName};
+use shallothill_core::incarnation::Incarnation;
+use shallothill_core::time::UnixMillis;
+use shallothill_ledger::{
+    Answer, Claim, ClaimId, ClaimRequest, Claimant, CompleteRequest, Completion, LedgerOptions,
+    Member, Record, Refusal, Verdict, WithdrawRequest,
+};
+
+const GROUP: [KeeperId; 3] = [KeeperId(1), KeeperId(2), KeeperId(3)];
+const HOUR_MS: u64 = 3_600_000;
+
+fn key() -> IdempotencyKey {
+    IdempotencyKey::try_parse("019ae8a0-0000-7000-8000-000000000001").unwrap()
+}
+
+fn after(ms: u64) -> UnixMillis {
+    UnixMillis(key().created().0 + ms)
+}
+
+fn claim(n: u64, body: &[u8]) -> Claim {
+    Claim {
+        id: ClaimId(0, n),
+        body_hash: ContentHash::of(body),
+        gate: NodeName::try_new("n1").unwrap(),
+        expires: after(10_000),
+    }
+}
+
+fn request(n: u64) -> ClaimRequest {
+    ClaimRequest {
+        key: key(),
+        claim: claim(n, b"body"),
+    }
+}
+
+fn member(id: KeeperId) -> Member {
+    let mut member = Member::try_new(id, &GROUP, Incarnation(0), LedgerOptions::default()).unwrap();
+    member.replay(&Record::Whole {
+        incarnation: Incarnation(1),
+    });
+    member
+}
+
+fn answered() -> Completion {
+    Completion::Answered {
+        status: 201,
+        headers: Vec::new(),
+        body: Some(b"ok".to_vec()),
+    }
+}
+
+/// Guards against a key that runs again after the ledger has dropped it and a clock went back.
+#[test]
+fn holds_dropped_key_stays_refused() {
+    let mut m = member(KeeperId(1));
+    m.claim(after(0), &request(1));
+
+    m.forget(after(30 * HOUR_MS));
+    let (reply, records) = m.claim(after(0), &request(2));
+
+    assert_eq!(reply.answer, Answer::Refused(Refusal::TooOld));
+    assert!(records.is_empty());
+}
+
+/// Guards against keys from the far future, which would outlive the retention.
+#[test]
+fn key_from_the_future_is_refused() {
+    let mut m = member(KeeperId(1));
+
+    let (reply, _) = m.claim(UnixMillis(key().created().0 - HOUR_MS), &request(1));
+
+    assert_eq!(reply.answer, Answer::Refused(Refusal::TooNew));
+}
+
+/// Guards against a late duplicate of a withdrawn claim that blocks the key again.
+#[test]
+fn withdrawn_claim_is_not_accepted_again() {
+    let mut m = member(KeeperId(1));
+    m.claim(after(0), &request(1));
+    m.withdraw(&WithdrawRequest {
+        key: key(),
+        claim: ClaimId(0, 1),
+    });
+
+    let (late, _) = m.claim(after(1), &request(1));
+    let (next, _) = m.claim(after(1), &request(2));
+
+    assert_eq!(late.answer, Answer::Refused(Refusal::Withdrawn));
+    assert!(matches!(next.answer, Answer::Holds { claim, .. } if claim.id == ClaimId(0, 2)));
+}
+
+/// Guards against a resend that runs again, or gets another answer, after the first one ended.
+#[test]
+fn resend_gets_the_stored_answer() {
+    let mut m = member(KeeperId(1));
+    m.claim(after(0), &request(1));
+    let done = CompleteRequest {
+        key: key(),
+        claim: claim(1, b"body"),
+        completion: answered(),
+    };
+    m.complete(&done);
+    let mut resend = Claimant::new(key(), claim(2, b"body"), &GROUP);
+
+    let (reply, _) = m.claim(after(5), &resend.request());
+    let verdict = resend.on_reply(after(5), reply);
+
+    assert_eq!(verdict, Some(&Verdict::Completed(answered())));
+}
+
+/// Guards against an unknown end that later replaces a stored answer.
+#[test]
+fn stored_answer_is_not_replaced() {
+    let mut m = member(KeeperId(1));
+    m.claim(after(0), &request(1));
+    let done = CompleteRequest {
+        key: key(),
+        claim: claim(1, b"body"),
+        completion: answered(),
+    };
+    m.complete(&done);
+
+    let unknown = CompleteRequest {
+        completion: Completion::Unknown,
+        ..done
+    };
+    let records = m.complete(&unknown);
+
+    assert_eq!(records, Some(Vec::new()));
+}
+
+/// Guards against one key being used for two different requests.
+#[test]
+fn another_request_under_the_same_key_is_an_error() {
+    let mut members = [member(KeeperId(1)), member(KeeperId(2))];
+    let mut other = Claimant::new(key(), claim(2, b"another body"), &GROUP);
+
+    let mut verdict = None;
+    for m in &mut members {
+        m.claim(after(0), &request(1));
+        let (reply, _) = m.claim(after(1), &other.request());
+        verdict = other.on_reply(after(1), reply).cloned();
+    }
+
+    assert_eq!(verdict, Some(Verdict::DifferentRequest));
+}
+
+/// Guards against a snapshot that forgets a claim, a withdrawal or an incarnation.
+#[test]
+fn snapshot_rebuilds_the_member() {
+    let mut m = member(KeeperId(1));
+    m.claim(after(0), &request(1));
+    m.withdraw(&WithdrawRequest {
+        key: key(),
+        claim: ClaimId(0, 1),
+    });
+    m.claim(after(0), &request(2));
+    m.replay(&Record::PeerIncarnation {
+        peer: KeeperId(2),
+        incarnation: Incarnation(7),
+    });
+
+    let mut restored = Member::try_new(
+        KeeperId(1),
+        &GROUP,
+        Incarnation(0),
+        LedgerOptions::default(),
+    )
+    .unwrap();
+    for record in m.snapshot() {
+        restored.replay(&record);
+    }
+
+    assert_eq!(restored.snapshot(), m.snapshot());
+    assert_eq!(restored.query(after(1), &key()), m.query(after(1), &key()));
+}
