core: check names, keys, floors and sections

Cause: names, homes of keys and regional floors are relied on by every process and had no test. Ruled out: tests in the crates that use them, which would repeat them. Change: eight tests; a borrow in the ledger's tests that the linter refuses. Conclusion: regional floors cover the total for 0 to 39, and a change of one caller among 5000 touches one section.

--- /dev/null
+++ b/crates/shallothill-core/tests/values.rs
@@ -0,0 +1,171 @@
+//! Names, keys, floors, outcomes and sections.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use shallothill_core::class::Class;
+use shallothill_core::config::{Caller, Config, Disposition, Floor, Route, Service};
+use shallothill_core::idempotency::IdempotencyKey;
+use shallothill_core::ids::{CallerName, Region, RouteName, ServiceName};
+use shallothill_core::outcome::Outcome;
+use shallothill_core::sections;
+use shallothill_core::time::UnixMillis;
+
+const ID: &str = "019ae8a0-0000-7000-8000-000000000001";
+
+fn region(name: &str) -> Region {
+    Region::try_new(name).unwrap()
+}
+
+fn regions() -> Vec<Region> {
+    vec![region("marmara"), region("ege"), region("anadolu")]
+}
+
+fn service() -> Service {
+    Service {
+        depends_on: Vec::new(),
+        slots: 7,
+        connections: 350,
+        queue: 14,
+        floor: Floor::Total(6),
+        disposition: Disposition::CAUTIOUS,
+        expected_latency: Duration::from_millis(40),
+        cold_start_requests: 50,
+        retry_budget_percent: 10,
+        max_attempts: 3,
+        hedge_after: None,
+        cross_region_bytes_per_s: None,
+    }
+}
+
+fn config(callers: u32) -> Config {
+    let name = ServiceName::try_new("courier").unwrap();
+    let route = Route {
+        service: name.clone(),
+        methods: vec!["POST".to_owned()],
+        path: "/courier".to_owned(),
+        idempotent: false,
+        class: Class::Shop,
+        deadline: Duration::from_secs(10),
+        max_body_bytes: 65_536,
+    };
+    let caller = Caller {
+        class: Class::Shop,
+        requests_per_s: Some(50),
+        concurrent: None,
+    };
+    let callers = (0..callers)
+        .map(|n| {
+            (
+                CallerName::try_new(&format!("shop-{n}")).unwrap(),
+                caller.clone(),
+            )
+        })
+        .collect();
+    Config {
+        regions: regions(),
+        services: BTreeMap::from([(name, service())]),
+        routes: BTreeMap::from([(RouteName::try_new("book").unwrap(), route)]),
+        callers,
+    }
+}
+
+/// Guards against names that break headers, paths or dumps.
+#[test]
+fn names_refuse_separators_and_bad_lengths() {
+    let long = "x".repeat(65);
+
+    let refused = ["", "a/b", "a b", "a\n", long.as_str()];
+
+    for name in refused {
+        assert!(ServiceName::try_new(name).is_err(), "{name:?}");
+    }
+    assert!(ServiceName::try_new("spare-parts_2.a").is_ok());
+}
+
+/// Guards against keys without a time, which could not be forgotten safely.
+#[test]
+fn only_time_ordered_keys_are_accepted() {
+    let v4 = "7f9c24e8-3b12-4fef-91e0-5d3c1d6a2b77";
+
+    assert!(IdempotencyKey::try_parse(v4).is_err());
+    assert!(IdempotencyKey::try_parse("").is_err());
+    assert!(IdempotencyKey::try_parse(&format!("a b.{ID}")).is_err());
+    assert!(IdempotencyKey::try_parse(&format!("ege.{ID}")).is_ok());
+}
+
+/// Guards against a home region that differs between two nodes or for the same key.
+#[test]
+fn home_of_a_key_follows_the_prefix_or_the_hash() {
+    let plain = IdempotencyKey::try_parse(ID).unwrap();
+    let placed = IdempotencyKey::try_parse(&format!("ege.{ID}")).unwrap();
+    let foreign = IdempotencyKey::try_parse(&format!("nowhere.{ID}")).unwrap();
+
+    assert_eq!(plain.home(&regions()), plain.home(&regions()));
+    assert_eq!(placed.home(&regions()), Ok(&region("ege")));
+    assert!(foreign.home(&regions()).is_err());
+    assert!(plain.home(&[]).is_err());
+}
+
+/// Guards against an age that is wrong for keys created after the reader's clock.
+#[test]
+fn age_of_a_key_is_none_before_its_creation() {
+    let key = IdempotencyKey::try_parse(ID).unwrap();
+    let created = key.created();
+
+    assert_eq!(
+        key.age(UnixMillis(created.0 + 5)),
+        Some(Duration::from_millis(5))
+    );
+    assert_eq!(key.age(UnixMillis(created.0 - 5)), None);
+    assert_eq!(key.to_string(), ID);
+}
+
+/// Guards against regional floors that add up to less than the floor of the service.
+#[test]
+fn holds_regional_floors_cover_the_total() {
+    for total in 0..40 {
+        let floor = Floor::Total(total);
+
+        let sum: u32 = regions().iter().map(|r| floor.in_region(r, 3)).sum();
+
+        assert!(sum >= total, "floor {total}");
+    }
+}
+
+/// Guards against a non-idempotent request that is sent again although it may have run.
+#[test]
+fn holds_non_idempotent_is_retried_only_when_it_did_not_run() {
+    assert!(Outcome::RefusedNotRun.allows_retry(false));
+    for outcome in [Outcome::Answered, Outcome::RanAndFailed, Outcome::Unknown] {
+        assert!(!outcome.allows_retry(false), "{outcome}");
+    }
+}
+
+/// Guards against a configuration that is changed by being split and joined.
+#[test]
+fn sections_join_to_the_same_configuration() {
+    let cfg = config(500);
+
+    let joined = sections::join(&sections::split(&cfg));
+
+    assert_eq!(joined, cfg);
+}
+
+/// Guards against a change of one caller that is sent as more than one section.
+#[test]
+fn change_of_one_caller_touches_one_section() {
+    let old = config(5000);
+    let mut new = old.clone();
+    let name = CallerName::try_new("shop-7").unwrap();
+    new.callers.get_mut(&name).unwrap().requests_per_s = Some(60);
+
+    let before: BTreeSet<_> = sections::manifest(&sections::split(&old))
+        .into_iter()
+        .collect();
+    let after: BTreeSet<_> = sections::manifest(&sections::split(&new))
+        .into_iter()
+        .collect();
+
+    assert_eq!(after.difference(&before).count(), 1);
+}
--- a/crates/shallothill-ledger/tests/claims/schedules.rs
+++ b/crates/shallothill-ledger/tests/claims/schedules.rs
@@ -20,10 +20,10 @@
         0..=1 if group.gates() < 6 => group.start_claim(),
         2 if group.gates() > 0 => group.repeat_claim(u.choose_index(group.gates())?),
         3 if group.gates() > 0 => group.give_up(u.choose_index(group.gates())?),
-        4 => group.crash(pick(u, &group.ids())?),
-        5 => group.lose_disk(pick(u, &group.ids())?),
+        4 => group.crash(pick(u, group.ids())?),
+        5 => group.lose_disk(pick(u, group.ids())?),
         6 => group.repeat_recovery(),
-        7..=9 => group.sync(pick(u, &group.ids())?),
+        7..=9 => group.sync(pick(u, group.ids())?),
         kind if group.net.len() > 0 => {
             let i = u.choose_index(group.net.len())?;
             match kind {
