--- /dev/null
+++ b/crates/shallothill-storage/src/folder.rs
@@ -0,0 +1,160 @@
+//! The data folder.
+
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+use shallothill_core::ids::KeeperId;
+use snafu::ResultExt;
+
+use crate::cell;
+use crate::disk_files::DiskFiles;
+use crate::errors;
+use crate::errors::{Error, Result};
+use crate::files::FileOps;
+use crate::options::FolderOptions;
+
+/// `FORMAT` is the version of everything in the folder.
+pub(crate) const FORMAT: u32 = 1;
+pub(crate) const IDENTITY: &str = "identity";
+pub(crate) const LOCK: &str = "lock";
+pub(crate) const CELL_SUFFIX: &str = ".cell";
+
+/// `Identity` is the content of the identity file; every format starts with these fields.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub(crate) struct Identity {
+    pub(crate) format: u32,
+    pub(crate) keeper: KeeperId,
+}
+
+/// `DataFolder` is a locked data folder of one keeper.
+///
+/// Its logs share the lock: the folder stays locked until the folder and all of its logs are
+/// dropped.
+#[derive(Debug)]
+pub struct DataFolder<F: FileOps = DiskFiles> {
+    pub(crate) files: F,
+    pub(crate) path: PathBuf,
+    pub(crate) options: FolderOptions,
+    pub(crate) lock: Arc<F::Lock>,
+    new: bool,
+}
+
+impl DataFolder<DiskFiles> {
+    /// `try_open` locks and checks the folder at `path`, or creates it.
+    ///
+    /// Fails with `Locked`, `OtherKeeper`, `OtherFormat`, `Damaged` or an error of the disk.
+    pub fn try_open(path: &Path, options: FolderOptions) -> Result<Self> {
+        Self::try_open_with(DiskFiles, path, options)
+    }
+}
+
+impl<F: FileOps> DataFolder<F> {
+    /// `try_open_with` does the same with other file operations.
+    pub fn try_open_with(files: F, path: &Path, options: FolderOptions) -> Result<Self> {
+        files
+            .create_dir(path)
+            .map_err(|e| Error::file("create", path, e))?;
+        let lock_path = path.join(LOCK);
+        let lock = files
+            .try_lock(&lock_path)
+            .map_err(|e| Error::file("lock", &lock_path, e))?;
+        let Some(lock) = lock else {
+            return errors::LockedSnafu { path }.fail();
+        };
+        let identity = cell::read::<F, Identity>(&files, path, IDENTITY)?;
+        let new = identity.is_none();
+        match identity {
+            Some(identity) => check(&identity, path, options.keeper)?,
+            None => create(&files, path, options.keeper)?,
+        }
+        Ok(Self {
+            files,
+            path: path.to_path_buf(),
+            options,
+            lock: Arc::new(lock),
+            new,
+        })
+    }
+
+    /// `is_new` tells whether this call created the identity file. Logs of a new folder are marked
+    /// lost, also after a restart, until they are marked as repaired.
+    pub fn is_new(&self) -> bool {
+        self.new
+    }
+
+    /// `path` returns the place of the folder.
+    pub fn path(&self) -> &Path {
+        &self.path
+    }
+
+    /// `write_cell` replaces the small value `name` durably and atomically.
+    pub fn write_cell<T: Serialize>(&self, name: &str, value: &T) -> Result<()> {
+        let file = format!("{name}{CELL_SUFFIX}");
+        cell::write(&self.files, &self.path, &file, value)
+    }
+
+    /// `read_cell` returns the small value `name`, `None` when it was never written.
+    ///
+    /// Fails with `Damaged` when its bytes are not those written.
+    pub fn read_cell<T: DeserializeOwned>(&self, name: &str) -> Result<Option<T>> {
+        let file = format!("{name}{CELL_SUFFIX}");
+        cell::read(&self.files, &self.path, &file)
+    }
+
+    /// `remove_cell` deletes the small value `name` durably; a missing one is no error.
+    pub fn remove_cell(&self, name: &str) -> Result<()> {
+        let path = self.path.join(format!("{name}{CELL_SUFFIX}"));
+        match self.files.remove(&path) {
+            Err(e) if e.kind() != std::io::ErrorKind::NotFound => {
+                return Err(Error::file("remove", &path, e));
+            }
+            _ => {}
+        }
+        self.files
+            .sync_dir(&self.path)
+            .context(errors::SyncFailedSnafu { path: &self.path })
+    }
+}
+
+fn check(identity: &Identity, path: &Path, keeper: KeeperId) -> Result<()> {
+    if identity.format != FORMAT {
+        return errors::OtherFormatSnafu {
+            path,
+            found: identity.format,
+            expected: FORMAT,
+        }
+        .fail();
+    }
+    if identity.keeper != keeper {
+        return errors::OtherKeeperSnafu {
+            path,
+            found: identity.keeper,
+            expected: keeper,
+        }
+        .fail();
+    }
+    Ok(())
+}
+
+// The identity is the first file of a folder, so other files without it mean that it went missing.
+fn create<F: FileOps>(files: &F, path: &Path, keeper: KeeperId) -> Result<()> {
+    let names = files.list(path).map_err(|e| Error::file("list", path, e))?;
+    let other = names.iter().find(|n| *n != LOCK && !n.ends_with(".tmp"));
+    if let Some(other) = other {
+        let what = format!("it is missing, but `{other}` exists");
+        return Err(Error::damaged(&path.join(IDENTITY), what));
+    }
+    // The parent's entry of a new folder must be durable as well.
+    if let Some(parent) = path.parent().filter(|p| !p.as_os_str().is_empty()) {
+        files
+            .sync_dir(parent)
+            .context(errors::SyncFailedSnafu { path: parent })?;
+    }
+    let identity = Identity {
+        format: FORMAT,
+        keeper,
+    };
+    cell::write(files, path, IDENTITY, &identity)
+}
