keeper: serve nodes and operators from one keeper in memory

Cause: nodes and the command line need a keeper to work with before the replicated log and the data folder are ready. Change: settings, the state machine of the config log (versions, change ids, history, undo patches), distribution of changed sections, directory, crash notices, load summaries, leases, the ledger thread with grouped answers, operators' HTTP, sync between keepers, and the binary. The log applies changes at once on one keeper and the ledger keeps nothing on disk yet. Known gap: a stop takes 5 s, because the temporary log task does not see it.

--- a/crates/shallothill-directory/src/directory.rs
+++ b/crates/shallothill-directory/src/directory.rs
@@ -158,6 +158,13 @@
         }
     }
 
+    /// `advance` takes a change number that belongs to no node, so that other news can be sent to
+    /// readers by the same cursor.
+    pub fn advance(&mut self) -> u64 {
+        self.change += 1;
+        self.change
+    }
+
     /// `keeper_heard` notes that the keeper `from` was heard without news.
     pub fn keeper_heard(&mut self, now: Millis, from: KeeperId) {
         self.keepers_heard.insert(from, now);
--- /dev/null
+++ b/crates/shallothill-keeper/src/clock.rs
@@ -0,0 +1,12 @@
+//! Wall-clock time, for the age of idempotency keys and for operators' displays only.
+
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use shallothill_core::time::UnixMillis;
+
+/// `now` returns the wall-clock time.
+pub fn now() -> UnixMillis {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
+    let ms = since_epoch.map_or(0, |d| u64::try_from(d.as_millis()).unwrap_or(u64::MAX));
+    UnixMillis(ms)
+}
--- /dev/null
+++ b/crates/shallothill-keeper/src/config_state/state.rs
@@ -0,0 +1,188 @@
+//! The current text, its version and the changes that led to it.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+use shallothill_config::TextPatch;
+use shallothill_core::hash::ContentHash;
+use shallothill_core::version::ConfigVersion;
+use shallothill_wire::operator::HistoryItem;
+
+use super::change::{Change, Outcome};
+use super::change_table::{ChangeTable, KnownChange};
+use super::section_history::SectionHistory;
+
+/// `HISTORY_MAX` is the number of accepted changes that are kept for operators.
+pub const HISTORY_MAX: usize = 1_000;
+
+/// `UNDO_MAX_BYTES` bounds the patches that lead back to former texts.
+const UNDO_MAX_BYTES: usize = 16 * 1024 * 1024;
+
+/// `Accepted` is an accepted change with the way back to the text before it.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+struct Accepted {
+    item: HistoryItem,
+    undo: Option<TextPatch>,
+}
+
+/// `Snapshot` is the whole state in the form that is stored and sent to other keepers.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Snapshot {
+    version: ConfigVersion,
+    text: Arc<str>,
+    changes: Vec<KnownChange>,
+    history: VecDeque<Accepted>,
+    /// Which sections changed in recent versions.
+    pub sections: SectionHistory,
+}
+
+/// `ConfigState` applies the entries of the config log in their order.
+#[derive(Clone, Debug)]
+pub struct ConfigState {
+    version: ConfigVersion,
+    text: Arc<str>,
+    changes: ChangeTable,
+    history: VecDeque<Accepted>,
+    undo_bytes: usize,
+}
+
+impl Default for ConfigState {
+    fn default() -> Self {
+        Self {
+            version: ConfigVersion(0),
+            text: Arc::from(""),
+            changes: ChangeTable::default(),
+            history: VecDeque::new(),
+            undo_bytes: 0,
+        }
+    }
+}
+
+impl ConfigState {
+    /// `version` returns the current version.
+    pub fn version(&self) -> ConfigVersion {
+        self.version
+    }
+
+    /// `text` returns the current text.
+    pub fn text(&self) -> Arc<str> {
+        Arc::clone(&self.text)
+    }
+
+    /// `answer` returns the first answer to a change that was submitted before.
+    pub fn answer(&self, change_id: &str, text_hash: ContentHash) -> Option<Outcome> {
+        self.changes.answer(change_id, text_hash)
+    }
+
+    /// `apply` applies an entry and returns its outcome, the first one for a resend.
+    pub fn apply(&mut self, change: &Change) -> Outcome {
+        if let Some(known) = self.changes.answer(&change.change_id, change.text_hash) {
+            return known;
+        }
+        let fits = |text: &String| ContentHash::of(text.as_bytes()) == change.text_hash;
+        let text = if change.base == self.version {
+            change.patch.apply(&self.text).ok().filter(fits)
+        } else {
+            None
+        };
+        let outcome = match text {
+            Some(text) => self.accept(change, text),
+            None => Outcome::Conflict(self.version),
+        };
+        self.changes.insert(KnownChange {
+            change_id: change.change_id.clone(),
+            text_hash: change.text_hash,
+            outcome,
+        });
+        outcome
+    }
+
+    /// `text_at` returns the text of `version` while the way back to it is kept.
+    pub fn text_at(&self, version: ConfigVersion) -> Option<String> {
+        let mut text = self.text.as_ref().to_owned();
+        if version == ConfigVersion(0) {
+            return Some(String::new());
+        }
+        if version > self.version {
+            return None;
+        }
+        for accepted in self.history.iter().rev() {
+            if accepted.item.version <= version {
+                break;
+            }
+            text = accepted.undo.as_ref()?.apply(&text).ok()?;
+        }
+        let oldest = self
+            .history
+            .front()
+            .map_or(self.version, |a| a.item.version);
+        (version >= oldest).then_some(text)
+    }
+
+    /// `history` returns up to `limit` accepted changes, newest first.
+    pub fn history(&self, limit: usize) -> Vec<HistoryItem> {
+        let newest_first = self.history.iter().rev().take(limit);
+        newest_first.map(|a| a.item.clone()).collect()
+    }
+
+    /// `changes_known` returns the number of change ids whose answers are kept.
+    pub fn changes_known(&self) -> usize {
+        self.changes.len()
+    }
+
+    /// `snapshot` returns the whole state, with `sections` for the nodes that are behind.
+    pub fn snapshot(&self, sections: SectionHistory) -> Snapshot {
+        Snapshot {
+            version: self.version,
+            text: Arc::clone(&self.text),
+            changes: self.changes.to_list(),
+            history: self.history.clone(),
+            sections,
+        }
+    }
+
+    /// `restore` builds the state from a snapshot.
+    pub fn restore(snapshot: Snapshot) -> Self {
+        let undo = snapshot.history.iter().filter_map(|a| a.undo.as_ref());
+        let undo_bytes = undo.map(|u| u.middle.len()).sum();
+        Self {
+            version: snapshot.version,
+            text: snapshot.text,
+            changes: ChangeTable::from_list(snapshot.changes),
+            history: snapshot.history,
+            undo_bytes,
+        }
+    }
+
+    fn accept(&mut self, change: &Change, text: String) -> Outcome {
+        self.version = self.version.next();
+        let undo = TextPatch::make(&text, &self.text);
+        self.undo_bytes += undo.middle.len();
+        self.history.push_back(Accepted {
+            item: HistoryItem {
+                version: self.version,
+                change_id: change.change_id.clone(),
+                operator: change.operator.clone(),
+                accepted: change.proposed,
+                bytes: text.len() as u64,
+            },
+            undo: Some(undo),
+        });
+        self.text = Arc::from(text);
+        if self.history.len() > HISTORY_MAX
+            && let Some(undo) = self.history.pop_front().and_then(|a| a.undo)
+        {
+            self.undo_bytes -= undo.middle.len();
+        }
+        for accepted in &mut self.history {
+            if self.undo_bytes <= UNDO_MAX_BYTES {
+                break;
+            }
+            if let Some(undo) = accepted.undo.take() {
+                self.undo_bytes -= undo.middle.len();
+            }
+        }
+        Outcome::Accepted(self.version)
+    }
+}
--- /dev/null
+++ b/crates/shallothill-keeper/src/errors.rs
@@ -0,0 +1,57 @@
+//! Errors of the keeper.
+
+use std::path::PathBuf;
+
+use snafu::Snafu;
+
+/// `Error` is why a keeper cannot start or go on.
+#[derive(Debug, Snafu)]
+#[snafu(visibility(pub(crate)))]
+pub enum Error {
+    /// The settings contradict themselves.
+    #[snafu(display("the settings are not valid: {message}"))]
+    Settings {
+        /// What is wrong and what to do.
+        message: String,
+    },
+    /// The process cannot be set up.
+    #[snafu(display("{source}"), context(false))]
+    Runtime {
+        /// The cause.
+        source: shallothill_runtime::Error,
+    },
+    /// The ledger member cannot be built.
+    #[snafu(display("{source}"), context(false))]
+    Ledger {
+        /// The cause.
+        source: shallothill_ledger::Error,
+    },
+    /// The keeper cannot go on.
+    #[snafu(display("{message}"))]
+    Fatal {
+        /// Why, and what to do.
+        message: String,
+    },
+    /// The address of a listener is not known.
+    #[snafu(display("the address of a listener cannot be read: {source}; start again"))]
+    Address {
+        /// The cause.
+        source: std::io::Error,
+    },
+    /// A durable record cannot be read.
+    #[snafu(display(
+        "{what} in `{}` cannot be read: {message}; move the data folder away and start again, so \
+         that the keeper recovers from the others", path.display()
+    ))]
+    Decode {
+        /// What is damaged.
+        what: &'static str,
+        /// The data folder.
+        path: PathBuf,
+        /// The cause.
+        message: String,
+    },
+}
+
+/// `Result` is the result of the keeper's fallible functions.
+pub type Result<T, E = Error> = std::result::Result<T, E>;
--- /dev/null
+++ b/crates/shallothill-keeper/src/keeper.rs
@@ -0,0 +1,205 @@
+//! The state that the parts of a keeper share.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use arc_swap::ArcSwap;
+use shallothill_core::ids::{KeeperId, Region};
+use shallothill_core::incarnation::Incarnation;
+use shallothill_core::time::Millis;
+use shallothill_core::version::ConfigVersion;
+use shallothill_directory::{LeaseMember, LeaseOptions, LeaseReply, LeaseRequest};
+use shallothill_runtime::timer::Timer;
+use shallothill_wire::channel::RpcChannel;
+use shallothill_wire::control::KeeperControlClient;
+use shallothill_wire::watch::{SectionsReply, SectionsRequest};
+use tokio::sync::watch;
+
+use crate::config_state::ConfigState;
+use crate::ledger::LedgerHandle;
+use crate::log::LogHandle;
+use crate::membership::Membership;
+use crate::peer::KeeperPeerClient;
+use crate::published::Published;
+use crate::settings::Settings;
+
+/// `HEARD_FOR` is how long another keeper counts as heard after its last answer.
+pub const HEARD_FOR: Duration = Duration::from_secs(6);
+
+/// `Peer` holds the connections to another keeper.
+#[derive(Debug)]
+pub struct Peer {
+    /// The region whose group it serves.
+    pub region: Region,
+    /// Its service for keepers.
+    pub peer: RpcChannel<KeeperPeerClient>,
+    /// Its service for nodes, which answers questions on keys.
+    pub control: RpcChannel<KeeperControlClient>,
+    /// When it answered last.
+    pub heard: Mutex<Option<Millis>>,
+}
+
+/// `Keeper` is the shared state of the keeper's tasks and servers.
+#[derive(Debug)]
+pub struct Keeper {
+    /// The settings.
+    pub settings: Settings,
+    /// The timer service.
+    pub timer: Timer,
+    /// The life of the process.
+    pub incarnation: Incarnation,
+    /// The configuration that is served.
+    pub published: ArcSwap<Published>,
+    /// The state machine of the config log.
+    pub state: Arc<Mutex<ConfigState>>,
+    /// What is known of nodes.
+    pub membership: Mutex<Membership>,
+    /// Ejection tokens.
+    pub leases: Mutex<LeaseMember>,
+    /// The ledger member.
+    pub ledger: LedgerHandle,
+    /// The config log.
+    pub log: LogHandle,
+    /// The other keepers.
+    pub peers: BTreeMap<KeeperId, Peer>,
+    news: watch::Sender<()>,
+    highest: watch::Sender<ConfigVersion>,
+}
+
+impl Keeper {
+    /// `new` shares the given parts.
+    pub fn new(
+        settings: Settings,
+        timer: Timer,
+        incarnation: Incarnation,
+        state: Arc<Mutex<ConfigState>>,
+        ledger: LedgerHandle,
+        log: LogHandle,
+    ) -> Self {
+        let peers = settings.others().map(|k| {
+            let peer = Peer {
+                region: k.region.clone(),
+                peer: RpcChannel::new(k.peer_address),
+                control: RpcChannel::new(k.control_address),
+                heard: Mutex::new(None),
+            };
+            (k.id, peer)
+        });
+        Self {
+            peers: peers.collect(),
+            membership: Mutex::new(Membership::new(settings.id, incarnation)),
+            leases: Mutex::new(LeaseMember::new(
+                settings.id,
+                timer.now(),
+                LeaseOptions::default(),
+            )),
+            published: ArcSwap::from_pointee(Published::default()),
+            news: watch::Sender::new(()),
+            highest: watch::Sender::new(ConfigVersion(0)),
+            settings,
+            timer,
+            incarnation,
+            state,
+            ledger,
+            log,
+        }
+    }
+
+    /// `learn_version` notes a version that a node or another keeper acts on.
+    pub fn learn_version(&self, version: ConfigVersion) {
+        self.highest.send_if_modified(|highest| {
+            let news = version > *highest;
+            *highest = version.max(*highest);
+            news
+        });
+    }
+
+    /// `highest` returns a receiver of the highest version heard of.
+    pub fn highest(&self) -> watch::Receiver<ConfigVersion> {
+        self.highest.subscribe()
+    }
+
+    /// `publish` serves `next` from now on, if it is newer than what is served.
+    pub fn publish(&self, next: Published) {
+        let next = Arc::new(next);
+        self.published.rcu(|current| {
+            let newer = next.version() > current.version();
+            Arc::clone(if newer { &next } else { current })
+        });
+        self.learn_version(next.version());
+        self.wake();
+    }
+
+    /// `wake` lets everyone who waits for news look again.
+    pub fn wake(&self) {
+        self.news.send_replace(());
+    }
+
+    /// `news` returns a receiver that is woken by every change.
+    pub fn news(&self) -> watch::Receiver<()> {
+        self.news.subscribe()
+    }
+
+    /// `with_membership` runs `f` and wakes the watchers when the directory changed.
+    pub fn with_membership<T>(&self, f: impl FnOnce(Millis, &mut Membership) -> T) -> T {
+        let mut membership = lock(&self.membership);
+        let before = membership.directory.cursor();
+        let result = f(self.timer.now(), &mut membership);
+        let changed = membership.directory.cursor() != before;
+        drop(membership);
+        if changed {
+            self.wake();
+        }
+        result
+    }
+
+    /// `lease` decides on a request for an ejection token of this keeper's region.
+    pub fn lease(&self, req: &LeaseRequest) -> LeaseReply {
+        let budget = self.budget(req);
+        lock(&self.leases).request(self.timer.now(), req, budget)
+    }
+
+    /// `sections` returns sections of the served version, or nothing for any other version.
+    pub fn sections(&self, req: &SectionsRequest) -> SectionsReply {
+        let published = self.published.load();
+        SectionsReply {
+            sections: (published.version() == req.version).then(|| published.sections(&req.ids)),
+            config_version: published.version(),
+        }
+    }
+
+    /// `heard` notes that a keeper answered.
+    pub fn heard(&self, from: KeeperId) {
+        if let Some(peer) = self.peers.get(&from) {
+            *lock(&peer.heard) = Some(self.timer.now());
+        }
+    }
+
+    /// `is_heard` tells whether a keeper answered lately.
+    pub fn is_heard(&self, peer: &Peer) -> bool {
+        let now = self.timer.now();
+        lock(&peer.heard).is_some_and(|at| now.saturating_since(at) < HEARD_FOR)
+    }
+
+    fn budget(&self, req: &LeaseRequest) -> u32 {
+        let token = &req.token;
+        if token.region != self.settings.region {
+            return 0;
+        }
+        let published = self.published.load();
+        let config = published.config();
+        let Some(service) = config.services.get(&token.service) else {
+            return 0;
+        };
+        let floor = service.floor.in_region(&token.region, config.regions.len());
+        let membership = lock(&self.membership);
+        let capacity = membership.directory.capacity(&token.service, &token.region);
+        capacity.saturating_sub(floor)
+    }
+}
+
+/// `lock` locks a mutex whose holders never leave its state half changed.
+pub fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/crates/shallothill-keeper/src/lib.rs
+++ b/crates/shallothill-keeper/src/lib.rs
@@ -1,1 +1,26 @@
 //! The keeper: replicated configuration, the ledger, the directory and ejection leases.
+
+pub mod clock;
+pub mod config_state;
+pub mod control;
+pub mod crashes;
+pub mod errors;
+pub mod fatal;
+pub mod keeper;
+pub mod key_status;
+pub mod ledger;
+pub mod loads;
+pub mod log;
+pub mod membership;
+pub mod operators;
+pub mod peer;
+pub mod peer_server;
+pub mod process;
+pub mod published;
+pub mod publisher;
+pub mod settings;
+pub mod status;
+pub mod submit;
+pub mod sync;
+
+pub use errors::{Error, Result};
--- /dev/null
+++ b/crates/shallothill-keeper/src/log/handle.rs
@@ -0,0 +1,82 @@
+//! Calls to the driver of the config log.
+
+use serde::Serialize;
+use shallothill_core::ids::KeeperId;
+use tokio::sync::{mpsc, oneshot, watch};
+
+use crate::config_state::{Change, Outcome};
+
+/// `QUEUE_MAX` bounds the calls that wait for the driver.
+const QUEUE_MAX: usize = 256;
+
+/// `Refusal` is why the log did not carry out a call.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Refusal {
+    /// Another keeper orders the entries; nothing was done.
+    NotPrimary(Option<KeeperId>),
+    /// Nothing was done, or nothing is known; the change may be sent again with the same id.
+    Unavailable(String),
+}
+
+/// `Command` is a call to the driver.
+#[derive(Debug)]
+pub enum Command {
+    /// Puts a change into the log and answers once it is applied.
+    Propose(Change, oneshot::Sender<Result<Outcome, Refusal>>),
+    /// Answers once the applied state is current.
+    Read(oneshot::Sender<Result<(), Refusal>>),
+}
+
+/// `LogStatus` is a copy of the driver's main figures.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct LogStatus {
+    /// The primary, as far as known.
+    pub primary: Option<KeeperId>,
+    /// Figures of the replica.
+    pub replica: serde_json::Value,
+}
+
+/// `LogHandle` passes calls to the driver; clones share it.
+#[derive(Clone, Debug)]
+pub struct LogHandle {
+    tx: mpsc::Sender<Command>,
+    status: watch::Receiver<LogStatus>,
+}
+
+impl LogHandle {
+    /// `new` returns a handle and the ends that the driver holds.
+    pub fn new() -> (Self, mpsc::Receiver<Command>, watch::Sender<LogStatus>) {
+        let (tx, rx) = mpsc::channel(QUEUE_MAX);
+        let (status_tx, status) = watch::channel(LogStatus::default());
+        (Self { tx, status }, rx, status_tx)
+    }
+
+    /// `propose` puts a change into the log and returns its outcome.
+    ///
+    /// Fails with a [`Refusal`] on keepers other than the primary and without a quorum.
+    pub async fn propose(&self, change: Change) -> Result<Outcome, Refusal> {
+        self.call(|tx| Command::Propose(change, tx)).await
+    }
+
+    /// `read` returns once the applied state holds everything committed before the call.
+    ///
+    /// Fails with a [`Refusal`] on keepers other than the primary and without a quorum.
+    pub async fn read(&self) -> Result<(), Refusal> {
+        self.call(Command::Read).await
+    }
+
+    /// `status` returns the driver's main figures.
+    pub fn status(&self) -> LogStatus {
+        self.status.borrow().clone()
+    }
+
+    async fn call<T>(
+        &self,
+        command: impl FnOnce(oneshot::Sender<Result<T, Refusal>>) -> Command,
+    ) -> Result<T, Refusal> {
+        let stopping = || Refusal::Unavailable("the keeper is stopping".to_owned());
+        let (tx, rx) = oneshot::channel();
+        self.tx.send(command(tx)).await.map_err(|_| stopping())?;
+        rx.await.map_err(|_| stopping())?
+    }
+}
--- /dev/null
+++ b/crates/shallothill-keeper/src/status.rs
@@ -0,0 +1,93 @@
+//! Collects where the current configuration is in force.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use futures::future;
+use shallothill_core::ids::{NodeName, Zone};
+use shallothill_core::version::ConfigVersion;
+use shallothill_wire::operator::{DataCentreStatus, KeeperStatus, StatusReply};
+
+use crate::keeper::{Keeper, lock};
+use crate::peer::PeerStatus;
+
+/// `ASK_TIMEOUT` bounds the time that other keepers may take for their part.
+const ASK_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// `own` returns this keeper's part of the status.
+pub fn own(keeper: &Keeper) -> PeerStatus {
+    let nodes = lock(&keeper.membership).node_versions(keeper.settings.id);
+    PeerStatus {
+        config_version: keeper.published.load().version(),
+        primary: keeper.log.status().primary == Some(keeper.settings.id),
+        nodes,
+    }
+}
+
+/// `collect` asks the other keepers for their nodes and sums up each data centre.
+pub async fn collect(keeper: &Keeper) -> StatusReply {
+    let asked = keeper.peers.iter().map(|(id, peer)| async move {
+        let call = peer.peer.call(
+            ASK_TIMEOUT,
+            |client, cx| async move { client.status(cx).await },
+        );
+        (*id, call.await.ok())
+    });
+    let mut parts = future::join_all(asked).await;
+    parts.push((keeper.settings.id, Some(own(keeper))));
+    parts.sort_by_key(|(id, _)| *id);
+    let highest = *keeper.highest().borrow();
+    let logged = lock(&keeper.state).version();
+    let heard = parts.iter().filter_map(|(_, part)| part.as_ref());
+    let served = heard.map(|part| part.config_version);
+    let current = served.fold(highest.max(logged), ConfigVersion::max);
+    let keepers = parts.iter().map(|(id, part)| KeeperStatus {
+        keeper: *id,
+        heard: part.is_some(),
+        primary: part.as_ref().is_some_and(|p| p.primary),
+        config_version: part.as_ref().map_or(ConfigVersion(0), |p| p.config_version),
+    });
+    StatusReply {
+        config_version: current,
+        quorum: keeper.log.status().primary.is_some(),
+        data_centres: data_centres(keeper, &parts, current),
+        keepers: keepers.collect(),
+    }
+}
+
+fn data_centres(
+    keeper: &Keeper,
+    parts: &[(shallothill_core::ids::KeeperId, Option<PeerStatus>)],
+    current: ConfigVersion,
+) -> Vec<DataCentreStatus> {
+    let mut nodes: BTreeMap<NodeName, (Zone, Option<ConfigVersion>)> = BTreeMap::new();
+    for (node, zone) in lock(&keeper.membership).zones() {
+        nodes.insert(node, (zone, None));
+    }
+    for node in parts
+        .iter()
+        .filter_map(|(_, p)| p.as_ref())
+        .flat_map(|p| &p.nodes)
+    {
+        let known = nodes
+            .entry(node.node.clone())
+            .or_insert_with(|| (node.zone.clone(), None));
+        known.1 = known.1.max(node.config_version);
+    }
+    let mut by_zone: BTreeMap<Zone, DataCentreStatus> = BTreeMap::new();
+    for (node, (zone, version)) in nodes {
+        let status = by_zone.entry(zone.clone()).or_insert(DataCentreStatus {
+            zone,
+            nodes: 0,
+            in_force: 0,
+            behind: Vec::new(),
+        });
+        status.nodes += 1;
+        if version.is_some_and(|v| v >= current) {
+            status.in_force += 1;
+        } else {
+            status.behind.push(node);
+        }
+    }
+    by_zone.into_values().collect()
+}
--- /dev/null
+++ b/crates/shallothill-keeper/src/submit.rs
@@ -0,0 +1,130 @@
+//! Carries an operator's submission into the config log.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use shallothill_config::TextPatch;
+use shallothill_core::config::{Config, Fault};
+use shallothill_core::hash::ContentHash;
+use shallothill_wire::operator::{SubmitReply, SubmitRequest};
+use tokio::task;
+
+use crate::clock;
+use crate::config_state::{Change, Outcome};
+use crate::keeper::{Keeper, lock};
+use crate::log::Refusal;
+
+/// `TEXT_MAX_BYTES` bounds a configuration text, so that a whole one fits one frame of 8 MB with
+/// its envelope; the largest planned configuration has about 6 MB.
+pub const TEXT_MAX_BYTES: usize = 7 * 1024 * 1024;
+
+/// `ID_MAX_BYTES` bounds change ids and operators' names, which are kept for thousands of changes.
+pub const ID_MAX_BYTES: usize = 128;
+
+/// `FORWARD_TIMEOUT` bounds the time that the primary may take for a forwarded submission.
+const FORWARD_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// `submit` checks the text, puts it into the log and returns what became of it.
+///
+/// A keeper that is not the primary passes the submission on, once.
+pub async fn submit(keeper: &Arc<Keeper>, req: SubmitRequest, forward: bool) -> SubmitReply {
+    if let Some(fault) = limits(&req) {
+        return SubmitReply::Invalid {
+            faults: vec![fault],
+        };
+    }
+    let text = req.text.clone();
+    let checked =
+        task::spawn_blocking(move || shallothill_config::read(&text).map(|_: Config| ())).await;
+    match checked {
+        Ok(Ok(())) => {}
+        Ok(Err(faults)) => return SubmitReply::Invalid { faults },
+        Err(_) => return unavailable("the text could not be checked"),
+    }
+    match at_primary(keeper, &req).await {
+        Ok(reply) => reply,
+        Err(Refusal::Unavailable(reason)) => SubmitReply::Unavailable { reason },
+        Err(Refusal::NotPrimary(_)) if !forward => {
+            unavailable("the primary of the config log is changing")
+        }
+        Err(Refusal::NotPrimary(primary)) => {
+            let Some(peer) = primary.and_then(|p| keeper.peers.get(&p)) else {
+                return unavailable("no primary of the config log is known");
+            };
+            let call = peer.peer.call(FORWARD_TIMEOUT, |client, cx| async move {
+                client.submit(cx, req).await
+            });
+            call.await.unwrap_or_else(|e| unavailable(&e.to_string()))
+        }
+    }
+}
+
+async fn at_primary(keeper: &Keeper, req: &SubmitRequest) -> Result<SubmitReply, Refusal> {
+    // Only the current state tells a resend, or a base that is out of date, from a new change.
+    keeper.log.read().await?;
+    let text_hash = ContentHash::of(req.text.as_bytes());
+    let change = {
+        let state = lock(&keeper.state);
+        if let Some(outcome) = state.answer(&req.change_id, text_hash) {
+            drop(state);
+            return Ok(reply(keeper, outcome));
+        }
+        if req.base != state.version() {
+            let conflict = Outcome::Conflict(state.version());
+            drop(state);
+            return Ok(reply(keeper, conflict));
+        }
+        Change {
+            change_id: req.change_id.clone(),
+            operator: req.operator.clone(),
+            base: req.base,
+            text_hash,
+            proposed: clock::now(),
+            patch: TextPatch::make(&state.text(), &req.text),
+        }
+    };
+    let outcome = keeper.log.propose(change).await?;
+    Ok(reply(keeper, outcome))
+}
+
+fn reply(keeper: &Keeper, outcome: Outcome) -> SubmitReply {
+    match outcome {
+        Outcome::Accepted(version) => SubmitReply::Accepted { version },
+        Outcome::Reused(version) => SubmitReply::ChangeIdReused { version },
+        Outcome::Conflict(_) => {
+            let state = lock(&keeper.state);
+            SubmitReply::Conflict {
+                current: state.version(),
+                current_text: state.text().as_ref().to_owned(),
+            }
+        }
+    }
+}
+
+fn unavailable(reason: &str) -> SubmitReply {
+    SubmitReply::Unavailable {
+        reason: format!("{reason}; send the same change id again"),
+    }
+}
+
+fn limits(req: &SubmitRequest) -> Option<Fault> {
+    let fault = |field: &str, message: String| Fault {
+        line: 0,
+        column: 0,
+        field: field.to_owned(),
+        message,
+    };
+    if req.text.len() > TEXT_MAX_BYTES {
+        let message = format!(
+            "the text has {} bytes; shorten it to {TEXT_MAX_BYTES}",
+            req.text.len()
+        );
+        return Some(fault("", message));
+    }
+    let ids = [("change_id", &req.change_id), ("operator", &req.operator)];
+    let bad = ids.into_iter().find(|(name, value)| {
+        let empty = value.is_empty() && *name == "change_id";
+        empty || value.len() > ID_MAX_BYTES
+    });
+    bad.map(|(name, _)| fault(name, format!("use 1 to {ID_MAX_BYTES} bytes")))
+}
--- /dev/null
+++ b/crates/shallothill-keeper/src/sync.rs
@@ -0,0 +1,104 @@
+//! Follows the directory, the loads and the configuration version of the other keepers.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use log::debug;
+use shallothill_core::ids::KeeperId;
+use shallothill_core::time::Millis;
+use shallothill_directory::Cursor;
+use tokio_util::sync::CancellationToken;
+
+use crate::keeper::{Keeper, Peer};
+use crate::peer::{SyncReply, SyncRequest};
+
+/// `WAIT` is the longest time between two answers of another keeper; three of them fit the time
+/// after which a keeper counts as silent.
+const WAIT: Duration = Duration::from_secs(2);
+
+/// `DEADLINE` leaves an answer without news one second for its way.
+const DEADLINE: Duration = Duration::from_secs(3);
+
+/// `RETRY_AFTER` is the pause after a call that failed.
+const RETRY_AFTER: Duration = Duration::from_millis(500);
+
+/// `LOADS_EVERY` is the time between two exchanges of loads: with 1,100 services one has about
+/// 100 KB, and links between regions are billed by volume.
+const LOADS_EVERY: Duration = Duration::from_secs(10);
+
+/// `follow` polls the keeper `id` until `stop` is cancelled.
+pub async fn follow(keeper: Arc<Keeper>, id: KeeperId, stop: CancellationToken) {
+    let Some(peer) = keeper.peers.get(&id) else {
+        return;
+    };
+    let mut follower = Follower {
+        keeper: &keeper,
+        id,
+        peer,
+        cursor: None,
+        loads_at: None,
+    };
+    loop {
+        tokio::select! {
+            () = follower.round() => {}
+            () = stop.cancelled() => return,
+        }
+    }
+}
+
+struct Follower<'a> {
+    keeper: &'a Keeper,
+    id: KeeperId,
+    peer: &'a Peer,
+    cursor: Option<Cursor>,
+    loads_at: Option<Millis>,
+}
+
+impl Follower<'_> {
+    async fn round(&mut self) {
+        let now = self.keeper.timer.now();
+        let due = |at: Millis| now.saturating_since(at) >= LOADS_EVERY;
+        let loads = self.loads_at.is_none_or(due);
+        let req = SyncRequest {
+            from: self.keeper.settings.id,
+            config_version: self.keeper.published.load().version(),
+            cursor: self.cursor,
+            loads,
+            wait_ms: u32::try_from(WAIT.as_millis()).unwrap_or(u32::MAX),
+        };
+        let call = self.peer.peer.call(
+            DEADLINE,
+            |client, cx| async move { client.sync(cx, req).await },
+        );
+        match call.await {
+            Ok(reply) => self.apply(reply),
+            Err(e) => {
+                debug!("sync: keeper {}: {e}", self.id);
+                // The timer service ends only with the process.
+                let _ = self.keeper.timer.after(RETRY_AFTER).await;
+            }
+        }
+    }
+
+    fn apply(&mut self, reply: SyncReply) {
+        self.keeper.heard(self.id);
+        self.keeper.learn_version(reply.config_version);
+        let id = self.id;
+        if reply.loads.is_some() {
+            self.loads_at = Some(self.keeper.timer.now());
+        }
+        if let Some(delta) = &reply.directory {
+            self.cursor = Some(delta.cursor);
+        }
+        self.keeper.with_membership(|now, membership| {
+            match reply.directory {
+                Some(delta) => membership.directory.merge(now, id, delta),
+                None => membership.directory.keeper_heard(now, id),
+            }
+            membership.learn_crashes(now, reply.crashes);
+            if let Some(shards) = reply.loads {
+                membership.loads.merge(now, id, shards);
+            }
+        });
+    }
+}
