directory: keep nodes that move between keepers or come back after a silence

Change: removals for silence name the keeper that noticed it (Change::Removed has a new field silent_by); the keeper that heard a node last is the one whose silence counts; the contact as stated by that keeper is kept beside the effective one; a full delta marks entries that its sender no longer lists; releases carry the round of their holder. delta_for_keeper sends only what the sender hears itself, or relays on request, so that a change crosses each link between keepers once.

--- a/crates/shallothill-directory/src/delta.rs
+++ b/crates/shallothill-directory/src/delta.rs
@@ -28,6 +28,8 @@
         incarnation: Incarnation,
         /// Its last sequence number.
         sequence: u64,
+        /// The keeper that removed the node for its silence, or `None` when the node left.
+        silent_by: Option<KeeperId>,
     },
 }
 
--- a/crates/shallothill-directory/src/directory.rs
+++ b/crates/shallothill-directory/src/directory.rs
@@ -10,27 +10,21 @@
 use crate::cursor::Cursor;
 use crate::delta::{Change, Delta};
 use crate::entry::{Contact, NodeEntry};
+use crate::kept::{Kept, Tombstone};
 use crate::options::DirectoryOptions;
 use crate::report::NodeReport;
 
-#[derive(Clone, Debug)]
-struct Tombstone {
-    order: (Incarnation, u64),
-    since: Millis,
-    change: u64,
-}
-
 /// `Directory` holds the latest report of every node, heard directly or through other keepers.
 ///
 /// Reports are ordered by (incarnation, sequence). A removed node leaves a tombstone, so that late
 /// or repeated reports never bring a departed backend server back.
 #[derive(Clone, Debug)]
 pub struct Directory {
-    me: KeeperId,
+    pub(crate) me: KeeperId,
     incarnation: Incarnation,
     options: DirectoryOptions,
-    nodes: BTreeMap<NodeName, NodeEntry>,
-    tombstones: BTreeMap<NodeName, Tombstone>,
+    pub(crate) nodes: BTreeMap<NodeName, Kept>,
+    pub(crate) tombstones: BTreeMap<NodeName, Tombstone>,
     by_change: BTreeMap<u64, NodeName>,
     keepers_heard: BTreeMap<KeeperId, Millis>,
     change: u64,
@@ -52,85 +46,79 @@
     }
 
     /// `report` applies a report that came from the node itself; returns whether it was news.
+    ///
+    /// A node that was removed for its silence may come back with the report that it sent last.
     pub fn report(&mut self, now: Millis, report: NodeReport) -> bool {
-        self.present(now, report, self.me, Contact::Heard)
+        let order = report.order();
+        let late = |t: &Tombstone| order < t.order || order == t.order && t.silent_by.is_none();
+        if self.tombstones.get(&report.node).is_some_and(late) {
+            return false;
+        }
+        let known = self.nodes.get(&report.node).map(|k| k.entry.report.order());
+        if known.is_some_and(|known| order < known) {
+            return false;
+        }
+        self.put(now, report, self.me, Contact::Heard)
     }
 
     /// `leave` removes a node that says that it leaves.
     pub fn leave(&mut self, now: Millis, node: &NodeName, order: (Incarnation, u64)) {
-        self.remove(now, node, order);
-    }
-
-    /// `merge` applies the changes of another keeper and notes that it was heard.
-    pub fn merge(&mut self, now: Millis, from: KeeperId, delta: Delta) {
-        self.keepers_heard.insert(from, now);
-        for change in delta.changes {
-            match change {
-                Change::Present {
-                    report,
-                    via,
-                    contact,
-                } => {
-                    // What this keeper hears itself is never replaced by what another one relays,
-                    // unless the relayed report is newer.
-                    let own = self
-                        .nodes
-                        .get(&report.node)
-                        .is_some_and(|e| e.via == self.me && e.report.order() >= report.order());
-                    if !own && via != self.me {
-                        self.present(now, report, via, contact);
-                    }
-                }
-                Change::Removed {
-                    node,
-                    incarnation,
-                    sequence,
-                } => {
-                    self.remove(now, &node, (incarnation, sequence));
-                }
-            }
-        }
+        self.remove(now, node, order, None);
     }
 
     /// `expire` marks and removes silent nodes; call it about once a second.
     pub fn expire(&mut self, now: Millis) {
-        let mut unheard = Vec::new();
+        let mut changed = Vec::new();
         let mut gone = Vec::new();
-        for (node, entry) in &self.nodes {
-            let own = entry.via == self.me;
-            let heard = if own {
-                entry.heard
-            } else {
-                // The keeper that hears the node answers for it; only its own silence counts here.
-                self.keepers_heard
-                    .get(&entry.via)
-                    .copied()
-                    .unwrap_or(entry.heard)
-            };
-            let silent = now.saturating_since(heard);
-            let remove_after = if own {
-                self.options.remove_after
-            } else {
-                self.options.remove_orphan_after
-            };
-            if silent >= remove_after {
-                gone.push((node.clone(), entry.report.order()));
-            } else if silent >= self.options.unheard_after && entry.contact == Contact::Heard {
-                unheard.push(node.clone());
+        for (node, kept) in &self.nodes {
+            match self.contact_at(now, kept) {
+                Some(contact) if contact != kept.entry.contact => {
+                    changed.push((node.clone(), contact));
+                }
+                Some(_) => {}
+                None => gone.push((node.clone(), kept.entry.report.order(), kept.entry.via)),
             }
         }
-        for (node, order) in gone {
-            self.remove(now, &node, order);
+        for (node, order, via) in gone {
+            self.remove(now, &node, order, Some(via));
         }
-        for node in unheard {
-            if let Some(entry) = self.nodes.get_mut(&node) {
-                entry.contact = Contact::Unheard;
+        for (node, contact) in changed {
+            if let Some(kept) = self.nodes.get_mut(&node) {
+                kept.entry.contact = contact;
             }
             self.touch(&node);
         }
         self.drop_old_tombstones(now);
     }
 
+    // Returns `None` for a node that has been silent for too long.
+    fn contact_at(&self, now: Millis, kept: &Kept) -> Option<Contact> {
+        let own = kept.entry.via == self.me;
+        let last = match kept.orphan_since {
+            _ if own => kept.entry.heard,
+            Some(since) => since,
+            // The keeper that hears the node answers for it; only its own silence counts here.
+            None => {
+                let heard = self.keepers_heard.get(&kept.entry.via);
+                heard.copied().unwrap_or(kept.entry.heard)
+            }
+        };
+        let remove_after = if own || kept.orphan_since.is_some() {
+            self.options.remove_after
+        } else {
+            self.options.remove_orphan_after
+        };
+        let silent = now.saturating_since(last);
+        if silent >= remove_after {
+            return None;
+        }
+        Some(if silent >= self.options.unheard_after {
+            Contact::Unheard
+        } else {
+            kept.stated
+        })
+    }
+
     /// `delta` returns the changes after `cursor`, or the whole directory when the cursor belongs
     /// to another keeper or an earlier life of this one.
     pub fn delta(&self, cursor: Option<Cursor>) -> Delta {
@@ -149,6 +137,19 @@
         }
     }
 
+    /// `delta_for_keeper` returns the changes after `cursor` of the nodes that this keeper hears
+    /// itself, and of those that it knows through the keepers in `relay`, which the reader does
+    /// not hear. The reader starts without a cursor whenever `relay` changes.
+    pub fn delta_for_keeper(&self, cursor: Option<Cursor>, relay: &[KeeperId]) -> Delta {
+        let wanted = |k: &KeeperId| *k == self.me || relay.contains(k);
+        let mut delta = self.delta(cursor);
+        delta.changes.retain(|change| match change {
+            Change::Present { via, .. } => wanted(via),
+            Change::Removed { silent_by, .. } => silent_by.as_ref().is_none_or(wanted),
+        });
+        delta
+    }
+
     /// `cursor` returns the position after the last change.
     pub fn cursor(&self) -> Cursor {
         Cursor {
@@ -174,8 +175,7 @@
     /// if they were not ejected. Crashed, cold and draining ones and unheard nodes do not count.
     pub fn capacity(&self, service: &ServiceName, region: &Region) -> u32 {
         let endpoints = self
-            .nodes
-            .values()
+            .nodes()
             .filter(|n| n.contact == Contact::Heard && n.report.zone.region == *region)
             .flat_map(|n| &n.report.endpoints);
         let counted = endpoints.filter(|e| {
@@ -187,10 +187,11 @@
 
     /// `nodes` iterates over all present nodes in the order of their names.
     pub fn nodes(&self) -> impl Iterator<Item = &NodeEntry> {
-        self.nodes.values()
+        self.nodes.values().map(|k| &k.entry)
     }
 
-    fn present(
+    // Stores a report that is not older than the known one; returns whether it was news.
+    pub(crate) fn put(
         &mut self,
         now: Millis,
         report: NodeReport,
@@ -198,17 +199,13 @@
         contact: Contact,
     ) -> bool {
         let node = report.node.clone();
-        let order = report.order();
-        if self.tombstones.get(&node).is_some_and(|t| order <= t.order) {
-            return false;
-        }
-        if let Some(entry) = self.nodes.get_mut(&node) {
-            let known = entry.report.order();
-            if order < known {
-                return false;
-            }
+        if let Some(kept) = self.nodes.get_mut(&node) {
+            kept.stated = contact;
+            kept.orphan_since = None;
+            let entry = &mut kept.entry;
             entry.heard = now;
-            if order == known && entry.contact == contact && entry.via == via {
+            let same = report.order() == entry.report.order();
+            if same && entry.contact == contact && entry.via == via {
                 return false;
             }
             entry.report = report;
@@ -222,7 +219,12 @@
                 heard: now,
                 change: 0,
             };
-            self.nodes.insert(node.clone(), entry);
+            let kept = Kept {
+                entry,
+                stated: contact,
+                orphan_since: None,
+            };
+            self.nodes.insert(node.clone(), kept);
         }
         if let Some(tombstone) = self.tombstones.remove(&node) {
             self.by_change.remove(&tombstone.change);
@@ -231,24 +233,32 @@
         true
     }
 
-    fn remove(&mut self, now: Millis, node: &NodeName, order: (Incarnation, u64)) {
-        if let Some(entry) = self.nodes.get(node) {
-            if entry.report.order() > order {
+    pub(crate) fn remove(
+        &mut self,
+        now: Millis,
+        node: &NodeName,
+        order: (Incarnation, u64),
+        silent_by: Option<KeeperId>,
+    ) {
+        if let Some(kept) = self.nodes.get(node) {
+            if kept.entry.report.order() > order {
                 return;
             }
-            self.by_change.remove(&entry.change);
+            self.by_change.remove(&kept.entry.change);
             self.nodes.remove(node);
         }
-        if self.tombstones.get(node).is_some_and(|t| t.order >= order) {
-            return;
-        }
         if let Some(tombstone) = self.tombstones.get(node) {
+            let left_since = tombstone.silent_by.is_some() && silent_by.is_none();
+            if tombstone.order > order || tombstone.order == order && !left_since {
+                return;
+            }
             self.by_change.remove(&tombstone.change);
         }
         self.change += 1;
         self.by_change.insert(self.change, node.clone());
         let tombstone = Tombstone {
             order,
+            silent_by,
             since: now,
             change: self.change,
         };
@@ -257,15 +267,15 @@
 
     fn touch(&mut self, node: &NodeName) {
         self.change += 1;
-        if let Some(entry) = self.nodes.get_mut(node) {
-            self.by_change.remove(&entry.change);
-            entry.change = self.change;
+        if let Some(kept) = self.nodes.get_mut(node) {
+            self.by_change.remove(&kept.entry.change);
+            kept.entry.change = self.change;
             self.by_change.insert(self.change, node.clone());
         }
     }
 
     fn change_of(&self, node: &NodeName) -> Option<Change> {
-        if let Some(entry) = self.nodes.get(node) {
+        if let Some(Kept { entry, .. }) = self.nodes.get(node) {
             return Some(Change::Present {
                 report: entry.report.clone(),
                 via: entry.via,
@@ -276,6 +286,7 @@
             node: node.clone(),
             incarnation: t.order.0,
             sequence: t.order.1,
+            silent_by: t.silent_by,
         })
     }
 
--- /dev/null
+++ b/crates/shallothill-directory/src/kept.rs
@@ -0,0 +1,27 @@
+//! What a directory keeps for one node.
+
+use shallothill_core::ids::KeeperId;
+use shallothill_core::incarnation::Incarnation;
+use shallothill_core::time::Millis;
+
+use crate::entry::{Contact, NodeEntry};
+
+/// `Kept` is a present node with what decides on its removal.
+#[derive(Clone, Debug)]
+pub(crate) struct Kept {
+    pub(crate) entry: NodeEntry,
+    /// The contact as the keeper states it that hears the node.
+    pub(crate) stated: Contact,
+    /// Since when the keeper that heard the node does not list it any more.
+    pub(crate) orphan_since: Option<Millis>,
+}
+
+/// `Tombstone` keeps the order of a removed node's last report, so that late ones are ignored.
+#[derive(Clone, Debug)]
+pub(crate) struct Tombstone {
+    pub(crate) order: (Incarnation, u64),
+    /// The keeper that removed the node for its silence, or `None` when the node left.
+    pub(crate) silent_by: Option<KeeperId>,
+    pub(crate) since: Millis,
+    pub(crate) change: u64,
+}
--- a/crates/shallothill-directory/src/lease_holder.rs
+++ b/crates/shallothill-directory/src/lease_holder.rs
@@ -80,6 +80,7 @@
         asked.then(|| ReleaseRequest {
             token: self.token(),
             endpoint: self.endpoint.clone(),
+            round: self.rounds,
         })
     }
 
@@ -149,6 +150,7 @@
         let release = ReleaseRequest {
             token: self.token(),
             endpoint: self.endpoint.clone(),
+            round: self.rounds,
         };
         self.token = if self.token + 1 < budget {
             self.token + 1
--- a/crates/shallothill-directory/src/lease_member.rs
+++ b/crates/shallothill-directory/src/lease_member.rs
@@ -12,6 +12,7 @@
 struct Grant {
     endpoint: EndpointId,
     until: Millis,
+    round: u64,
 }
 
 /// `LeaseMember` reserves tokens at one keeper. Its state is in memory only: after a start it
@@ -44,6 +45,7 @@
             let grant = Grant {
                 endpoint: req.endpoint.clone(),
                 until,
+                round: req.round,
             };
             self.grants.insert(req.token.clone(), grant);
         }
@@ -60,7 +62,7 @@
         if self
             .grants
             .get(&req.token)
-            .is_some_and(|g| g.endpoint == req.endpoint)
+            .is_some_and(|g| g.endpoint == req.endpoint && g.round <= req.round)
         {
             self.grants.remove(&req.token);
         }
--- a/crates/shallothill-directory/src/lease_messages.rs
+++ b/crates/shallothill-directory/src/lease_messages.rs
@@ -58,4 +58,6 @@
     pub token: Token,
     /// Its holder.
     pub endpoint: EndpointId,
+    /// The last request that the holder sent; a release that is late frees no later grant.
+    pub round: u64,
 }
