ledger: recover in pages, and ignore withdrawn claims in a recovery

A claim that its gate withdrew at one member and that another member still held made the key contested. Ruled out: a larger frame limit, which only moves the limit. Change: recovery requests name the last key of the page before; pages hold 2 MB. Entries may change between two pages, because the former incarnation counts for no claim from the first page on. Withdrawn claims are left out before holdings are compared.

--- a/crates/shallothill-ledger/src/entry.rs
+++ b/crates/shallothill-ledger/src/entry.rs
@@ -29,3 +29,17 @@
     /// Withdrawn claims; a late duplicate of one of them is not accepted again.
     pub dead: BTreeSet<ClaimId>,
 }
+
+impl Entry {
+    /// `size` returns an estimate of the entry's size in bytes, with its key.
+    pub fn size(&self) -> usize {
+        let answer = match &self.completion {
+            Some(Completion::Answered { headers, body, .. }) => {
+                let headers: usize = headers.iter().map(|(n, v)| n.len() + v.len() + 16).sum();
+                headers + body.as_ref().map_or(0, Vec::len)
+            }
+            _ => 0,
+        };
+        256 + answer + self.dead.len() * 20
+    }
+}
--- a/crates/shallothill-ledger/src/member.rs
+++ b/crates/shallothill-ledger/src/member.rs
@@ -1,6 +1,7 @@
 //! A member of the group of keepers that holds the keys of one region.
 
 use std::collections::BTreeMap;
+use std::ops::Bound;
 
 use serde::{Deserialize, Serialize};
 use shallothill_core::idempotency::IdempotencyKey;
@@ -18,6 +19,10 @@
 use crate::options::LedgerOptions;
 use crate::record::Record;
 
+/// `PAGE_BYTES` bounds a page of entries; with one more entry it fits a frame of 8 MB, also where
+/// the encoding takes two bytes for a byte of an answer.
+const PAGE_BYTES: usize = 2 * 1024 * 1024;
+
 /// `MemberStatus` tells whether a member may support claims.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum MemberStatus {
@@ -207,7 +212,10 @@
         vec![record]
     }
 
-    /// `recovery_request` answers a member that lost its disk with all entries of this one.
+    /// `recovery_request` answers a member that lost its disk with a page of the entries.
+    ///
+    /// Entries may change between two pages: from the first page on, a claim needs a majority
+    /// without the other's former incarnation, and the other supports no claim before it is whole.
     ///
     /// Returns `None` while this member recovers itself. The records must be synced before the
     /// reply is sent: from then on, answers of the other's former incarnation do not count.
@@ -225,16 +233,14 @@
         self.replay(&record);
         let mut known = self.known.clone();
         known.insert(self.me, self.incarnation);
+        let (entries, more) = self.page(req.after.as_ref());
         let reply = RecoveryReply {
             member: self.me,
             for_incarnation: req.incarnation,
             known,
             forgotten_through: self.forgotten_through,
-            entries: self
-                .entries
-                .iter()
-                .map(|(k, e)| (k.clone(), e.clone()))
-                .collect(),
+            entries,
+            more,
         };
         Some((reply, vec![record]))
     }
@@ -289,6 +295,20 @@
         self.entries.is_empty()
     }
 
+    fn page(&self, after: Option<&IdempotencyKey>) -> (Vec<(IdempotencyKey, Entry)>, bool) {
+        let start = after.map_or(Bound::Unbounded, Bound::Excluded);
+        let mut bytes = 0;
+        let mut entries = Vec::new();
+        for (key, entry) in self.entries.range((start, Bound::Unbounded)) {
+            if bytes >= PAGE_BYTES {
+                return (entries, true);
+            }
+            bytes += entry.size();
+            entries.push((key.clone(), entry.clone()));
+        }
+        (entries, false)
+    }
+
     fn entry(&mut self, key: &IdempotencyKey) -> &mut Entry {
         self.entries.entry(key.clone()).or_default()
     }
--- a/crates/shallothill-ledger/src/messages.rs
+++ b/crates/shallothill-ledger/src/messages.rs
@@ -85,16 +85,19 @@
     pub completion: Completion,
 }
 
-/// `RecoveryRequest` asks a member for all its entries on behalf of one that lost its disk.
+/// `RecoveryRequest` asks a member for a page of its entries on behalf of one that lost its disk.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct RecoveryRequest {
     /// The member that lost its disk.
     pub from: KeeperId,
     /// The new life of its data folder.
     pub incarnation: Incarnation,
+    /// The last key of the page before, or `None` for the first page.
+    pub after: Option<IdempotencyKey>,
 }
 
-/// `RecoveryReply` holds all entries of a member; sent only once the new incarnation is durable.
+/// `RecoveryReply` holds a page of a member's entries, in the order of the keys; sent only once
+/// the new incarnation is durable.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct RecoveryReply {
     /// The answering member.
@@ -105,6 +108,8 @@
     pub known: BTreeMap<KeeperId, Incarnation>,
     /// Keys created at or before this time were dropped and stay refused.
     pub forgotten_through: UnixMillis,
-    /// All entries.
+    /// The entries of the page.
     pub entries: Vec<(IdempotencyKey, Entry)>,
+    /// Whether entries follow after this page.
+    pub more: bool,
 }
--- a/crates/shallothill-ledger/src/recovery.rs
+++ b/crates/shallothill-ledger/src/recovery.rs
@@ -1,16 +1,26 @@
 //! Recovery of a member that lost its disk.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use shallothill_core::idempotency::IdempotencyKey;
 use shallothill_core::ids::KeeperId;
 use shallothill_core::incarnation::Incarnation;
 use shallothill_core::time::UnixMillis;
 
+use crate::claim::ClaimId;
 use crate::entry::{Entry, Holding};
 use crate::messages::{RecoveryReply, RecoveryRequest};
 use crate::record::Record;
 
+/// `Pages` holds what one member sent so far.
+#[derive(Clone, Debug, Default)]
+struct Pages {
+    known: BTreeMap<KeeperId, Incarnation>,
+    forgotten_through: UnixMillis,
+    entries: Vec<(IdempotencyKey, Entry)>,
+    complete: bool,
+}
+
 /// `Recovery` collects the entries of other members until a member is whole again.
 ///
 /// It needs answers of a majority of the full group that does not count the recovering member.
@@ -21,7 +31,7 @@
     me: KeeperId,
     incarnation: Incarnation,
     group: Vec<KeeperId>,
-    replies: BTreeMap<KeeperId, RecoveryReply>,
+    pages: BTreeMap<KeeperId, Pages>,
 }
 
 impl Recovery {
@@ -31,72 +41,95 @@
             me,
             incarnation,
             group: group.to_vec(),
-            replies: BTreeMap::new(),
+            pages: BTreeMap::new(),
         }
     }
 
-    /// `request` returns the request to send to every other member until [`Self::finish`] succeeds.
-    pub fn request(&self) -> RecoveryRequest {
-        RecoveryRequest {
+    /// `request` returns the next request to send to `member` until [`Self::finish`] succeeds, or
+    /// `None` when all its entries are here.
+    pub fn request(&self, member: KeeperId) -> Option<RecoveryRequest> {
+        let pages = self.pages.get(&member);
+        if pages.is_some_and(|p| p.complete) {
+            return None;
+        }
+        Some(RecoveryRequest {
             from: self.me,
             incarnation: self.incarnation,
-        }
+            after: pages.and_then(|p| p.entries.last()).map(|(k, _)| k.clone()),
+        })
     }
 
     /// `on_reply` adds an answer.
     ///
     /// When another member already knows a higher incarnation of this one, the answers so far are
-    /// dropped and the recovery goes on above it.
+    /// dropped and the recovery goes on above it. A page that does not follow the last one is
+    /// ignored.
     pub fn on_reply(&mut self, reply: RecoveryReply) {
         if reply.member == self.me || !self.group.contains(&reply.member) {
             return;
         }
         let known = reply.known.get(&self.me).copied().unwrap_or_default();
         if known > self.incarnation {
-            self.incarnation = Incarnation(known.0 + 1);
-            self.replies.clear();
+            self.incarnation = Incarnation(known.0.saturating_add(1));
+            self.pages.clear();
             return;
         }
-        if reply.for_incarnation == self.incarnation {
-            self.replies.insert(reply.member, reply);
+        if reply.for_incarnation != self.incarnation {
+            return;
+        }
+        let pages = self.pages.entry(reply.member).or_default();
+        let last = pages.entries.last().map(|(k, _)| k);
+        let first = reply.entries.first().map(|(k, _)| k);
+        let follows = first.is_none_or(|first| last.is_none_or(|last| last < first));
+        if pages.complete || !follows {
+            return;
         }
+        pages.known.extend(reply.known);
+        pages.forgotten_through = pages.forgotten_through.max(reply.forgotten_through);
+        pages.entries.extend(reply.entries);
+        pages.complete = !reply.more;
     }
 
     /// `finish` returns the records that make the member whole, once enough members answered.
     ///
     /// The member counts only after these records are synced.
     pub fn finish(&self) -> Option<Vec<Record>> {
-        if self.replies.len() < self.group.len() / 2 + 1 {
+        let complete = || self.pages.values().filter(|p| p.complete);
+        if complete().count() < self.group.len() / 2 + 1 {
             return None;
         }
-        let through = self
-            .replies
-            .values()
+        let through = complete()
             .map(|r| r.forgotten_through)
             .max()
             .unwrap_or(UnixMillis(0));
         let mut records = vec![Record::Forgotten { through }];
-        for reply in self.replies.values() {
-            for (peer, incarnation) in reply.known.iter().filter(|(p, _)| **p != self.me) {
+        for pages in complete() {
+            for (peer, incarnation) in pages.known.iter().filter(|(p, _)| **p != self.me) {
                 records.push(Record::PeerIncarnation {
                     peer: *peer,
                     incarnation: *incarnation,
                 });
             }
         }
-        let mut merged: BTreeMap<&IdempotencyKey, Entry> = BTreeMap::new();
-        for (key, entry) in self.replies.values().flat_map(|r| &r.entries) {
-            if key.created() > through {
-                merge(merged.entry(key).or_default(), entry);
-            }
+        let mut dead: BTreeMap<&IdempotencyKey, BTreeSet<ClaimId>> = BTreeMap::new();
+        let kept = || {
+            complete()
+                .flat_map(|p| &p.entries)
+                .filter(|(k, _)| k.created() > through)
+        };
+        for (key, entry) in kept() {
+            dead.entry(key).or_default().extend(&entry.dead);
         }
-        for (key, mut entry) in merged {
-            drop_dead_claim(&mut entry);
-            records.push(Record::Restored {
-                key: key.clone(),
-                entry,
-            });
+        let mut merged: BTreeMap<&IdempotencyKey, Entry> = BTreeMap::new();
+        for (key, entry) in kept() {
+            let dead = dead.get(key).cloned().unwrap_or_default();
+            merge(merged.entry(key).or_default(), entry, dead);
         }
+        let restored = merged.into_iter().map(|(key, entry)| Record::Restored {
+            key: key.clone(),
+            entry,
+        });
+        records.extend(restored);
         records.push(Record::Whole {
             incarnation: self.incarnation,
         });
@@ -104,10 +137,11 @@
     }
 }
 
-// A claim that completed was granted, so it wins over any other; two claims without a completion
-// leave open which of them the lost disk supported.
-fn merge(into: &mut Entry, from: &Entry) {
-    into.dead.extend(from.dead.iter().copied());
+// A claim that completed was granted, so it wins over any other, and one that its gate withdrew was
+// not. Two other claims leave open which of them the lost disk supported.
+fn merge(into: &mut Entry, from: &Entry, dead: BTreeSet<ClaimId>) {
+    let withdrawn = matches!(&from.holding, Holding::Held(claim) if dead.contains(&claim.id));
+    into.dead = dead;
     if into.completion.is_some() {
         return;
     }
@@ -116,15 +150,12 @@
         into.completion = from.completion.clone();
         return;
     }
+    if withdrawn {
+        return;
+    }
     into.holding = match (&into.holding, &from.holding) {
         (Holding::Free, other) | (other, Holding::Free) => other.clone(),
         (Holding::Held(a), Holding::Held(b)) if a.id == b.id => Holding::Held(a.clone()),
         _ => Holding::Contested,
     };
 }
-
-fn drop_dead_claim(entry: &mut Entry) {
-    if matches!(&entry.holding, Holding::Held(claim) if entry.dead.contains(&claim.id)) {
-        entry.holding = Holding::Free;
-    }
-}
