replica: elections, replication, recovery and state transfer

Cause: the interface was there, its logic was not. Ruled out: recovery as in the paper alone; a vote of a lost disk that is still on the way would count after the recovery, so answers carry the life of the disk. Change: the whole state machine, without tests yet. Before/after: no measurement.

--- a/crates/shallothill-replica/src/durable.rs
+++ b/crates/shallothill-replica/src/durable.rs
@@ -53,4 +53,25 @@
     pub fn lost() -> Self {
         Self::default()
     }
+
+    /// `restored` returns what to pass for a data folder that was read without faults.
+    ///
+    /// `log_is_lost` is the log's own mark. Without a state, or when the mark contradicts it, the
+    /// result is [`Durable::lost`]; when its `hard` is `None`, the driver resets the log.
+    pub fn restored(
+        hard: Option<HardState>,
+        log_is_lost: bool,
+        snapshot: Option<Snapshot>,
+        entries: Vec<Entry>,
+    ) -> Self {
+        let whole = hard.as_ref().map(|h| h.standing == Standing::Whole);
+        if whole.is_none_or(|whole| whole == log_is_lost) {
+            return Self::lost();
+        }
+        Self {
+            hard,
+            snapshot,
+            entries,
+        }
+    }
 }
--- a/crates/shallothill-replica/src/lib.rs
+++ b/crates/shallothill-replica/src/lib.rs
@@ -11,8 +11,9 @@
 //! - `Append`, `Truncate` and snapshots go to one log whose positions equal the [`Op`]s.
 //! - `SaveState` goes to a durable cell. A state with [`Standing::Whole`] also clears the log's
 //!   mark "lost", before the cell is written.
-//! - At a start, [`Durable`] holds what was read. If the log is marked lost or damaged, or the cell
-//!   is missing, the driver resets the log and passes [`Durable::lost`].
+//! - At a start, the driver restores its state machine from the log's snapshot and passes what it
+//!   read through [`Durable::restored`]. For a damaged log or cell it resets the log and passes
+//!   [`Durable::lost`].
 //!
 //! A group is created once by an operator, who sets [`ReplicaOptions::create_group`] at every
 //! initial member. A member becomes whole as part of a new group only after every other initial
@@ -21,14 +22,26 @@
 //! even when the option is still set. Without the option an empty folder always recovers.
 
 mod action;
+mod backup;
+mod ballot;
 mod bytes;
 mod durable;
+mod election;
 mod entry;
 mod errors;
 mod event;
+mod fetch;
+mod leading;
+mod membership;
+mod memory_log;
 mod message;
 mod options;
+mod outbox;
+mod peer;
+mod reads;
+mod recovery;
 mod replica;
+mod replication;
 mod snapshot;
 mod status;
 
--- a/crates/shallothill-replica/src/message.rs
+++ b/crates/shallothill-replica/src/message.rs
@@ -31,6 +31,8 @@
     pub last: LogPoint,
     /// The members according to the sender's log.
     pub members: Vec<KeeperId>,
+    /// The members before the first entry of the log.
+    pub first_members: Vec<KeeperId>,
 }
 
 /// `Message` is one message from a replica to another; each fits 1 MB with the default options.
@@ -62,7 +64,7 @@
         /// The end of the sender's log.
         last: LogPoint,
     },
-    /// Grants a vote; with [`crate::ElectionRule::Rotation`] it is sent without being asked.
+    /// Grants a vote; with [`crate::ElectionRule::Rotation`] it goes to the view's primary.
     VoteReply {
         /// The view voted in.
         view: View,
@@ -108,8 +110,6 @@
     SnapshotOffer {
         /// The primary's view.
         view: View,
-        /// The round, as in `Append`.
-        round: u64,
         /// What the snapshot stands for.
         meta: SnapshotMeta,
     },
@@ -124,8 +124,9 @@
     FetchedEntries {
         /// The sender's view.
         view: View,
-        /// The entry before the batch, which the asking replica has.
-        prev: LogPoint,
+        /// The entry before the batch, which the asking replica has; `None` when the sender does
+        /// not hold the end of the asking replica's log.
+        prev: Option<LogPoint>,
         /// The batch.
         entries: Vec<Entry>,
         /// The end of the sender's log.
