--- a/crates/shallothill-replica/src/lib.rs
+++ b/crates/shallothill-replica/src/lib.rs
@@ -52,6 +52,8 @@
 pub use errors::{Error, Result};
 pub use event::{Event, ReadToken, SyncToken};
 pub use message::{AppendOutcome, Message, RecoverySummary};
+#[doc(hidden)]
+pub use options::Broken;
 pub use options::{ElectionRule, ReplicaOptions};
 pub use replica::Replica;
 pub use snapshot::{Snapshot, SnapshotMeta};
--- a/crates/shallothill-replica/src/replication.rs
+++ b/crates/shallothill-replica/src/replication.rs
@@ -122,6 +122,8 @@
             peer.in_flight += 1;
         }
         if prev.is_none() {
+            // The entries were dropped from memory while the peer lagged.
+            peer.probing = true;
             self.offer_snapshot(to);
         }
         // A peer that needs a snapshot still gets heartbeats: its answers keep the primary in
