replica: admit new members only with the log, renew lives that do not count

A member added while another disk was lost left too few whole members to recover from; a late message of a disk life that never became whole made others refuse the current life for good. Ruled out: recovery from fewer members, which can lose accepted entries. Change: a new member is a learner until it holds the log; a whole replica takes a higher life when told that its own does not count.

--- a/crates/shallothill-replica/src/action.rs
+++ b/crates/shallothill-replica/src/action.rs
@@ -18,7 +18,8 @@
         /// The primary, as far as known.
         primary: Option<KeeperId>,
     },
-    /// Too many entries wait, or another change of members is under way; nothing was done.
+    /// Too many entries wait, another change of members is under way, or too few of the new
+    /// members answer; nothing was done.
     Busy,
     /// The request is too large or the change touches more than one member; nothing was done.
     Refused,
--- a/crates/shallothill-replica/src/ballot.rs
+++ b/crates/shallothill-replica/src/ballot.rs
@@ -45,14 +45,26 @@
     /// replica that lost its disk recovers from a majority that recorded its new life, and one of
     /// that majority is among any majority of votes.
     pub(crate) fn counted(&self, members: &[KeeperId], old_lives: bool) -> Vec<(KeeperId, &Vote)> {
-        let of_members = || self.votes.iter().filter(|(k, _)| members.contains(k));
-        let highest = |voter: &KeeperId| {
-            let known = of_members().filter_map(|(_, v)| v.known.get(voter));
-            known.max().copied().unwrap_or_default()
-        };
-        of_members()
-            .filter(|(k, v)| old_lives || v.incarnation >= highest(k))
+        let votes = self.votes.iter().filter(|(k, _)| members.contains(k));
+        votes
+            .filter(|(k, v)| old_lives || v.incarnation >= self.highest(**k, members))
             .map(|(k, v)| (*k, v))
             .collect()
     }
+
+    /// `outdated` returns the voters whose votes do not count, with their highest known lives.
+    pub(crate) fn outdated(&self, members: &[KeeperId]) -> Vec<(KeeperId, Incarnation)> {
+        let lives = self.votes.iter().map(|(k, v)| (*k, v.incarnation));
+        lives
+            .map(|(k, life)| (k, life, self.highest(k, members)))
+            .filter(|(_, life, highest)| life < highest)
+            .map(|(k, _, highest)| (k, highest))
+            .collect()
+    }
+
+    fn highest(&self, voter: KeeperId, members: &[KeeperId]) -> Incarnation {
+        let votes = self.votes.iter().filter(|(k, _)| members.contains(k));
+        let known = votes.filter_map(|(_, v)| v.known.get(&voter));
+        known.max().copied().unwrap_or_default()
+    }
 }
--- a/crates/shallothill-replica/src/election.rs
+++ b/crates/shallothill-replica/src/election.rs
@@ -1,6 +1,7 @@
 //! Elections: pre-vote, votes, and the change to a new view.
 
 use shallothill_core::ids::KeeperId;
+use shallothill_core::incarnation::Incarnation;
 
 use crate::action::{Action, ProposeResult};
 use crate::ballot::{Ballot, Vote};
@@ -217,6 +218,9 @@
         let votes = ballot.counted(members, self.options.broken.count_old_lives);
         let own = votes.iter().any(|(k, _)| *k == self.options.me);
         if !own || votes.len() <= members.len() / 2 {
+            for (to, highest) in ballot.outdated(members) {
+                self.tell_newer_life(to, highest);
+            }
             return;
         }
         let best = votes.iter().max_by_key(|(_, v)| v.last);
@@ -233,6 +237,14 @@
         }
     }
 
+    fn tell_newer_life(&mut self, to: KeeperId, highest: Incarnation) {
+        if to == self.options.me {
+            self.on_newer_life(highest);
+        } else {
+            self.send(to, Message::NewerLife { highest });
+        }
+    }
+
     /// `after_fetch` continues a change of view that waited for a more complete log.
     pub(crate) fn after_fetch(&mut self) {
         if self.ballot.as_ref().is_some_and(|b| !b.pre) {
@@ -258,7 +270,9 @@
 
     /// `update_peers` makes the peers of a primary equal to the other members.
     pub(crate) fn update_peers(&mut self) {
-        let others = self.others();
+        let mut others = self.others();
+        let leading = self.leading.as_ref();
+        others.extend(leading.and_then(|l| l.joining.as_ref()).map(|j| j.member));
         let next = self.log.last().op.next();
         let now = self.now;
         let Some(leading) = self.leading.as_mut() else {
@@ -290,6 +304,10 @@
             let result = ProposeResult::Unknown;
             self.out.push(Action::Reply { request, result });
         }
+        if let Some(joining) = leading.joining {
+            let primary = None;
+            self.reply(joining.id, ProposeResult::NotPrimary { primary });
+        }
         for read in leading.reads {
             let (token, primary) = (read.token, None);
             self.out.push(Action::ReadRefused { token, primary });
--- a/crates/shallothill-replica/src/event.rs
+++ b/crates/shallothill-replica/src/event.rs
@@ -32,7 +32,7 @@
         request: Request,
     },
     /// An operator asks for other members; one may be added or removed at a time. Answered by one
-    /// `Reply`.
+    /// `Reply`. A new member is added only after it holds the log, so it has to run already.
     ChangeMembers {
         /// The id of the request.
         id: RequestId,
--- a/crates/shallothill-replica/src/leading.rs
+++ b/crates/shallothill-replica/src/leading.rs
@@ -16,6 +16,17 @@
     pub(crate) round: u64,
 }
 
+/// `Joining` is a change of members that waits until the new member holds the log.
+#[derive(Clone, Debug)]
+pub(crate) struct Joining {
+    pub(crate) id: RequestId,
+    pub(crate) member: KeeperId,
+    pub(crate) members: Vec<KeeperId>,
+    /// How far the new member's log has to reach.
+    pub(crate) target: Op,
+    pub(crate) until: Millis,
+}
+
 /// `Leading` is what a replica keeps while it is the primary.
 #[derive(Debug)]
 pub(crate) struct Leading {
@@ -33,6 +44,7 @@
     pub(crate) next_beat: Millis,
     pub(crate) waiting: BTreeMap<Op, RequestId>,
     pub(crate) reads: VecDeque<PendingRead>,
+    pub(crate) joining: Option<Joining>,
 }
 
 impl Leading {
@@ -47,6 +59,7 @@
             next_beat: now,
             waiting: BTreeMap::new(),
             reads: VecDeque::new(),
+            joining: None,
         }
     }
 
--- a/crates/shallothill-replica/src/message.rs
+++ b/crates/shallothill-replica/src/message.rs
@@ -106,6 +106,12 @@
         /// The sender's view.
         view: View,
     },
+    /// Tells a whole replica that its answers do not count, because a higher life of its disk is
+    /// known: a late message of a life that never became whole was recorded.
+    NewerLife {
+        /// The highest life of the receiver's disk that the sender knows.
+        highest: Incarnation,
+    },
     /// Tells a lagging replica that the entries it needs are only in a snapshot.
     SnapshotOffer {
         /// The primary's view.
--- a/crates/shallothill-replica/src/recovery.rs
+++ b/crates/shallothill-replica/src/recovery.rs
@@ -156,6 +156,16 @@
         }
     }
 
+    // The disk is intact and keeps every promise made so far, so a higher number alone is safe: a
+    // life with the higher number that had become whole would have been known to the majority that
+    // this replica recovered from.
+    pub(crate) fn on_newer_life(&mut self, highest: Incarnation) {
+        if highest > self.hard.incarnation {
+            self.hard.incarnation = self.new_incarnation(highest);
+            self.save();
+        }
+    }
+
     // Others know a life of this replica that this disk does not hold: the disk was lost.
     fn begin_new_life(&mut self, highest: Incarnation) {
         let higher = highest.max(self.hard.incarnation);
--- a/crates/shallothill-replica/src/replica.rs
+++ b/crates/shallothill-replica/src/replica.rs
@@ -183,6 +183,7 @@
             Message::Append { .. } => self.on_append(from, msg),
             Message::AppendReply { .. } => self.on_append_reply(from, msg),
             Message::HigherView { view } => self.adopt_view(view),
+            Message::NewerLife { highest } => self.on_newer_life(highest),
             Message::SnapshotOffer { view, meta } => self.on_snapshot_offer(from, view, meta),
         }
     }
--- a/crates/shallothill-replica/src/replication.rs
+++ b/crates/shallothill-replica/src/replication.rs
@@ -21,9 +21,12 @@
         let alone = self.log.members() == [self.options.me];
         if self.now > limit && !alone && !self.options.broken.no_check_quorum {
             self.step_down();
-        } else if self.now >= leading.next_beat {
+            return;
+        }
+        if self.now >= leading.next_beat {
             self.beat();
         }
+        self.expire_joining();
     }
 
     /// `beat` starts a round and sends to every peer.
@@ -180,6 +183,7 @@
             return;
         };
         peer.round = peer.round.max(round);
+        peer.heard = Some(now);
         match outcome {
             AppendOutcome::Matches(op) => {
                 peer.matched = peer.matched.max(op);
@@ -207,6 +211,7 @@
         self.advance_commit();
         self.count_rounds();
         self.fill_pipeline(from);
+        self.admit_member();
     }
 
     // Answers of a disk that was lost since count no more, see `Ballot::counted`.
@@ -227,8 +232,15 @@
                 peer.begin_life(*life);
             }
         }
-        let peer = leading.peers.get_mut(&from);
-        peer.is_some_and(|p| p.begin_life(incarnation))
+        let Some(peer) = leading.peers.get_mut(&from) else {
+            return false;
+        };
+        let counts = peer.begin_life(incarnation);
+        if !counts {
+            let highest = peer.incarnation;
+            self.send(from, Message::NewerLife { highest });
+        }
+        counts
     }
 
     // Entries of earlier views are committed only together with one of this view: a majority that
--- a/crates/shallothill-replica/tests/bus/host.rs
+++ b/crates/shallothill-replica/tests/bus/host.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 
+use shallothill_core::ids::KeeperId;
 use shallothill_core::time::Millis;
 use shallothill_replica::{
     Action, Content, Durable, Entry, HardState, Op, Replica, ReplicaOptions, RequestId, Snapshot,
@@ -97,6 +98,23 @@
         self.accepted_at_loss = accepted;
     }
 
+    pub fn members(&self) -> Option<Vec<KeeperId>> {
+        let of_entry = |e: &Entry| match &e.content {
+            Content::Members { members, .. } => Some(members.clone()),
+            _ => None,
+        };
+        let newest = self.disk.entries.iter().rev().find_map(of_entry);
+        let snapshot = self.disk.snapshot.as_ref();
+        let hard = self
+            .disk
+            .hard
+            .as_ref()
+            .filter(|h| h.standing == Standing::Whole);
+        newest
+            .or_else(|| snapshot.map(|s| s.meta.members.clone()))
+            .or_else(|| hard.map(|h| h.first_members.clone()))
+    }
+
     fn restore_machine(&mut self) {
         self.applied = self.disk.start();
         let state = self.disk.snapshot.as_ref().map(|s| &s.state[..]);
--- a/crates/shallothill-replica/tests/bus/mod.rs
+++ b/crates/shallothill-replica/tests/bus/mod.rs
@@ -403,6 +403,11 @@
         }
     }
 
+    /// The members according to each disk.
+    pub fn memberships(&self) -> Vec<Vec<KeeperId>> {
+        self.hosts.values().filter_map(Host::members).collect()
+    }
+
     /// The members according to the primary.
     pub fn members(&self) -> Vec<KeeperId> {
         let primary = self.primary().and_then(|k| self.hosts.get(&k));
