replica: schedules with power failures, and variants that break one rule

Cause: a check that never fails may check nothing. Ruled out: broken variants in the test code, which would test a copy of the logic. Change: hidden options switch off single rules; the same schedules must then find lost entries, two values at a position, a falling commit position and a replica that counts before it is whole.

--- a/crates/shallothill-replica/src/backup.rs
+++ b/crates/shallothill-replica/src/backup.rs
@@ -32,6 +32,9 @@
         } else {
             let end = Op(prev.op.0 + entries.len() as u64);
             self.take_entries(prev.op, entries);
+            if self.options.broken.commit_may_fall {
+                self.commit = commit.min(end);
+            }
             self.commit_to(commit.min(end));
             AppendOutcome::Matches(end)
         };
--- a/crates/shallothill-replica/src/options.rs
+++ b/crates/shallothill-replica/src/options.rs
@@ -70,6 +70,8 @@
     pub no_pre_vote: bool,
     /// Votes for candidates whose log is less complete.
     pub vote_for_any_log: bool,
+    /// Takes over a lower commit position from a late message.
+    pub commit_may_fall: bool,
     /// Stays primary without answers of a majority.
     pub no_check_quorum: bool,
 }
--- a/crates/shallothill-replica/tests/bus/mod.rs
+++ b/crates/shallothill-replica/tests/bus/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code)] // Each test file uses another part.
 
 pub mod host;
+pub mod schedule;
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -45,6 +46,8 @@
     pub answers: BTreeMap<RequestId, ProposeResult>,
     pub ready: BTreeMap<ReadToken, u64>,
     pub refused: BTreeSet<ReadToken>,
+    /// Requests to change the members; they are repeated with other ids.
+    pub changes: BTreeSet<RequestId>,
     pub broken_rules: Vec<String>,
     pub largest_message: usize,
     pub without_primary: u64,
@@ -78,6 +81,7 @@
             answers: BTreeMap::new(),
             ready: BTreeMap::new(),
             refused: BTreeSet::new(),
+            changes: BTreeSet::new(),
             broken_rules: Vec::new(),
             largest_message: 0,
             without_primary: 0,
@@ -93,8 +97,10 @@
     }
 
     /// A group of `n` members that has a primary.
-    pub fn formed(seed: u64, n: u16) -> Self {
-        let mut bus = Self::new_group(seed, n, options(seed));
+    pub fn formed(seed: u64, n: u16, broken: Broken) -> Self {
+        let mut options = options(seed);
+        options.broken = broken;
+        let mut bus = Self::new_group(seed, n, options);
         bus.run_until(20_000, |b| b.primary().is_some());
         bus
     }
@@ -109,14 +115,8 @@
         self.restart(id);
     }
 
-    pub fn set_broken(&mut self, broken: Broken) {
-        self.options.broken = broken;
-        for host in self.hosts.values_mut() {
-            host.options.broken = broken;
-        }
-        let ids: Vec<KeeperId> = self.hosts.keys().copied().collect();
-        for id in ids {
-            self.crash(id);
+    pub fn restart_if_down(&mut self, id: KeeperId) {
+        if self.hosts.get(&id).is_some_and(|h| h.replica.is_none()) {
             self.restart(id);
         }
     }
@@ -191,26 +191,11 @@
     pub fn change_members(&mut self, to: KeeperId, members: Vec<KeeperId>) -> RequestId {
         self.requests += 1;
         let id = RequestId(u128::from(self.requests));
+        self.changes.insert(id);
         self.event(to, Event::ChangeMembers { id, members });
         id
     }
 
-    /// Proposes to the primary until a request is accepted.
-    pub fn accept_one(&mut self, within: u64) -> Option<Op> {
-        let end = self.now + within;
-        while self.now < end {
-            if let Some(primary) = self.primary() {
-                let id = self.propose(primary);
-                self.run_until(500, |b| b.answers.contains_key(&id));
-                if let Some(op) = self.accepted.get(&id) {
-                    return Some(*op);
-                }
-            }
-            self.run(100);
-        }
-        None
-    }
-
     pub fn run(&mut self, ms: u64) {
         self.run_until(ms, |_| false);
     }
@@ -242,7 +227,7 @@
                 self.event(id, Event::Tick);
             }
         }
-        if self.now % TICK == 0 && self.primary().is_none() {
+        if self.now.is_multiple_of(TICK) && self.primary().is_none() {
             self.without_primary += TICK;
         }
     }
@@ -318,7 +303,7 @@
         match action {
             Action::Sync(token) => {
                 let (life, op) = (host.life, host.disk.last());
-                let at = self.now + self.rng.random_range(1..6);
+                let at = self.now + self.rng.random_range(1..40);
                 self.schedule(at, Due::Synced(id, life, token, op));
             }
             Action::Send { to, msg } => self.send(id, to, msg),
@@ -331,7 +316,8 @@
             }
             Action::Reply { request, result } => {
                 self.answers.insert(request, result);
-                if let ProposeResult::Committed(op) = result {
+                let change = self.changes.contains(&request);
+                if let (ProposeResult::Committed(op), false) = (result, change) {
                     self.accepted.insert(request, op);
                 }
             }
@@ -370,48 +356,4 @@
             self.schedule(at, Due::Message(from, to, msg.clone()));
         }
     }
-
-    /// Ends all faults, then checks that the group goes on and that nothing accepted is missing.
-    pub fn settle(&mut self) {
-        self.faults = Faults::default();
-        self.cuts.clear();
-        let ids: Vec<KeeperId> = self.hosts.keys().copied().collect();
-        for id in ids {
-            if self.hosts.get(&id).is_some_and(|h| h.replica.is_none()) {
-                self.restart(id);
-            }
-        }
-        let Some(op) = self.accept_one(60_000) else {
-            self.broken_rules.push("nothing is accepted".to_owned());
-            return;
-        };
-        let members = self.members();
-        let applied = |b: &Self| {
-            let of_member = |k: &KeeperId| b.hosts.get(k).is_some_and(|h| h.applied >= op);
-            members.iter().all(of_member)
-        };
-        if !self.run_until(60_000, applied) {
-            self.broken_rules.push("a member stays behind".to_owned());
-        }
-        for (request, op) in &self.accepted {
-            for (id, host) in self.hosts.iter().filter(|(k, _)| members.contains(k)) {
-                if host.machine.get(op) != Some(request) {
-                    let rule = format!("{id}: lost accepted request {request:?} at {op}");
-                    self.broken_rules.push(rule);
-                }
-            }
-        }
-    }
-
-    /// The members according to each disk.
-    pub fn memberships(&self) -> Vec<Vec<KeeperId>> {
-        self.hosts.values().filter_map(Host::members).collect()
-    }
-
-    /// The members according to the primary.
-    pub fn members(&self) -> Vec<KeeperId> {
-        let primary = self.primary().and_then(|k| self.hosts.get(&k));
-        let replica = primary.and_then(|h| h.replica.as_ref());
-        replica.map_or(Vec::new(), |r| r.status().members)
-    }
 }
--- /dev/null
+++ b/crates/shallothill-replica/tests/bus/schedule.rs
@@ -0,0 +1,148 @@
+//! Random schedules of faults, and the check after them.
+
+use rand::Rng;
+use shallothill_core::ids::KeeperId;
+use shallothill_replica::{Broken, Op};
+
+use crate::bus::host::Host;
+use crate::bus::{Bus, Faults};
+
+/// The seeds of all schedules.
+pub const SEEDS: [u64; 24] = [
+    1, 2, 3, 5, 8, 13, 21, 34, 55, 89, 144, 233, 377, 610, 987, 1597, 2584, 4181, 6765, 10946,
+    17711, 28657, 46368, 75025,
+];
+
+/// One random fault, or the end of one.
+fn disturb(bus: &mut Bus, with_members: bool) {
+    let ids: Vec<KeeperId> = bus.hosts.keys().copied().collect();
+    let id = ids[bus.rng.random_range(0..ids.len())];
+    let other = ids[bus.rng.random_range(0..ids.len())];
+    match bus.rng.random_range(0..1000) {
+        0..6 => bus.crash(id),
+        6..46 => {
+            bus.restart_if_down(id);
+        }
+        46..54 => {
+            bus.cuts.insert((id, other));
+        }
+        54..72 => bus.cuts.clear(),
+        72..78 => {
+            let until = bus.now + bus.rng.random_range(100..5000);
+            bus.hosts.get_mut(&id).expect("a host").frozen_until = until;
+        }
+        78..86 => lose_disk(bus, id),
+        86..96 if with_members => change_members(bus),
+        // A power failure of all hosts shows what only looked durable.
+        96..99 => ids.into_iter().for_each(|id| bus.crash(id)),
+        _ => {}
+    }
+}
+
+// A group survives as long as a majority of disks survives at each repair.
+fn lose_disk(bus: &mut Bus, id: KeeperId) {
+    let survives = bus.memberships().iter().all(|members| {
+        let whole = |k: &&KeeperId| **k != id && !bus.hosts[k].must_recover;
+        members.iter().filter(whole).count() > members.len() / 2
+    });
+    if survives && bus.members().contains(&id) {
+        bus.lose_disk(id);
+    }
+}
+
+fn change_members(bus: &mut Bus) {
+    let Some(primary) = bus.primary() else {
+        return;
+    };
+    let mut members = bus.members();
+    let next = bus.hosts.keys().map(|k| k.0).max().unwrap_or(0) + 1;
+    if members.len() > 3 && bus.rng.random_range(0..2) == 0 {
+        let at = bus.rng.random_range(0..members.len());
+        members.remove(at);
+    } else if members.len() < 7 && next < 12 {
+        members.push(KeeperId(next));
+        bus.add_host(KeeperId(next), members.clone(), false);
+    }
+    bus.change_members(primary, members);
+}
+
+/// Runs a group of `n` through 40 s of random faults, then ends them and checks the result.
+pub fn run_schedule(seed: u64, n: u16, with_members: bool, broken: Broken) -> Bus {
+    let mut bus = Bus::formed(seed, n, broken);
+    bus.faults = Faults {
+        drop: 30,
+        repeat: 50,
+        crash: 1,
+        slow: 20,
+    };
+    for _ in 0..2000 {
+        disturb(&mut bus, with_members);
+        let ids: Vec<KeeperId> = bus.hosts.keys().copied().collect();
+        let to = ids[bus.rng.random_range(0..ids.len())];
+        let to = bus.primary().unwrap_or(to);
+        bus.propose(to);
+        bus.run(20);
+    }
+    bus.settle();
+    bus
+}
+
+impl Bus {
+    /// Proposes to the primary until a request is accepted.
+    pub fn accept_one(&mut self, within: u64) -> Option<Op> {
+        let end = self.now + within;
+        while self.now < end {
+            if let Some(primary) = self.primary() {
+                let id = self.propose(primary);
+                self.run_until(500, |b| b.answers.contains_key(&id));
+                if let Some(op) = self.accepted.get(&id) {
+                    return Some(*op);
+                }
+            }
+            self.run(100);
+        }
+        None
+    }
+
+    /// Ends all faults, then checks that the group goes on and that nothing accepted is missing.
+    pub fn settle(&mut self) {
+        self.faults = Faults::default();
+        self.cuts.clear();
+        let ids: Vec<KeeperId> = self.hosts.keys().copied().collect();
+        for id in ids {
+            self.restart_if_down(id);
+        }
+        let Some(op) = self.accept_one(60_000) else {
+            self.broken_rules.push("nothing is accepted".to_owned());
+            return;
+        };
+        let members = self.members();
+        let applied = |b: &Self| {
+            let of_member = |k: &KeeperId| b.hosts.get(k).is_some_and(|h| h.applied >= op);
+            members.iter().all(of_member)
+        };
+        if !self.run_until(60_000, applied) {
+            self.broken_rules.push("a member stays behind".to_owned());
+        }
+        for (request, op) in &self.accepted {
+            for (id, host) in self.hosts.iter().filter(|(k, _)| members.contains(k)) {
+                if host.machine.get(op) != Some(request) {
+                    let rule = format!("{id}: lost accepted request {request:?} at {op}");
+                    self.broken_rules.push(rule);
+                }
+            }
+        }
+    }
+
+    /// The members according to each disk.
+    pub fn memberships(&self) -> Vec<Vec<KeeperId>> {
+        self.hosts.values().filter_map(Host::members).collect()
+    }
+
+    /// The members according to the primary.
+    pub fn members(&self) -> Vec<KeeperId> {
+        let primary = self.primary().and_then(|k| self.hosts.get(&k));
+        let replica = primary.and_then(|h| h.replica.as_ref());
+        replica.map_or(Vec::new(), |r| r.status().members)
+    }
+}
