replica: change members only when a majority of the new ones answers

Ruled out: looking at answers of the last 600 ms; a disk may have been lost since. Change: a change waits for a round that starts after the request.

--- a/crates/shallothill-replica/src/election.rs
+++ b/crates/shallothill-replica/src/election.rs
@@ -272,7 +272,7 @@
     pub(crate) fn update_peers(&mut self) {
         let mut others = self.others();
         let leading = self.leading.as_ref();
-        others.extend(leading.and_then(|l| l.joining.as_ref()).map(|j| j.member));
+        others.extend(leading.and_then(|l| l.change.as_ref()?.added));
         let next = self.log.last().op.next();
         let now = self.now;
         let Some(leading) = self.leading.as_mut() else {
@@ -304,9 +304,9 @@
             let result = ProposeResult::Unknown;
             self.out.push(Action::Reply { request, result });
         }
-        if let Some(joining) = leading.joining {
+        if let Some(change) = leading.change {
             let primary = None;
-            self.reply(joining.id, ProposeResult::NotPrimary { primary });
+            self.reply(change.id, ProposeResult::NotPrimary { primary });
         }
         for read in leading.reads {
             let (token, primary) = (read.token, None);
--- a/crates/shallothill-replica/src/leading.rs
+++ b/crates/shallothill-replica/src/leading.rs
@@ -16,14 +16,16 @@
     pub(crate) round: u64,
 }
 
-/// `Joining` is a change of members that waits until the new member holds the log.
+/// `Change` is a change of members that waits until enough of the new members answer.
 #[derive(Clone, Debug)]
-pub(crate) struct Joining {
+pub(crate) struct Change {
     pub(crate) id: RequestId,
-    pub(crate) member: KeeperId,
+    pub(crate) added: Option<KeeperId>,
     pub(crate) members: Vec<KeeperId>,
-    /// How far the new member's log has to reach.
+    /// How far the added member's log has to reach.
     pub(crate) target: Op,
+    /// The round that a majority of the new members has to answer.
+    pub(crate) round: u64,
     pub(crate) until: Millis,
 }
 
@@ -44,7 +46,7 @@
     pub(crate) next_beat: Millis,
     pub(crate) waiting: BTreeMap<Op, RequestId>,
     pub(crate) reads: VecDeque<PendingRead>,
-    pub(crate) joining: Option<Joining>,
+    pub(crate) change: Option<Change>,
 }
 
 impl Leading {
@@ -59,7 +61,7 @@
             next_beat: now,
             waiting: BTreeMap::new(),
             reads: VecDeque::new(),
-            joining: None,
+            change: None,
         }
     }
 
--- a/crates/shallothill-replica/src/membership.rs
+++ b/crates/shallothill-replica/src/membership.rs
@@ -3,17 +3,16 @@
 use std::time::Duration;
 
 use shallothill_core::ids::KeeperId;
-use shallothill_core::time::Millis;
 
 use crate::action::ProposeResult;
-use crate::entry::{Content, RequestId};
-use crate::leading::Joining;
+use crate::entry::{Content, Op, RequestId};
+use crate::leading::Change;
 use crate::options;
 use crate::replica::Replica;
 
-/// `JOIN_LIMIT` is how long a new member may take to get the log; a snapshot of some megabytes over
+/// `CHANGE_LIMIT` is how long a new member may take to get the log; a snapshot of some megabytes over
 /// a link between regions takes a few seconds.
-const JOIN_LIMIT: Duration = Duration::from_secs(30);
+const CHANGE_LIMIT: Duration = Duration::from_secs(30);
 
 impl Replica {
     pub(crate) fn on_change_members(&mut self, id: RequestId, mut members: Vec<KeeperId>) {
@@ -27,8 +26,8 @@
         // Two changes that overlap, or one that a new primary starts before it committed anything,
         // could each find a majority that does not meet the other's.
         let since = self.log.members_since();
-        let joining = leading.joining.is_some();
-        if joining || since > self.commit || self.commit < leading.first {
+        let waits = leading.change.is_some();
+        if waits || since > self.commit || self.commit < leading.first {
             self.reply(id, ProposeResult::Busy);
             return;
         }
@@ -48,65 +47,58 @@
             self.reply(id, ProposeResult::Refused);
             return;
         }
-        match added.first() {
-            Some(member) => self.start_joining(id, *member, members),
-            None if self.hears_majority_of(&members) => {
-                self.propose(id, Content::Members { id, members });
-            }
-            None => self.reply(id, ProposeResult::Busy),
-        }
+        self.start_change(id, added.first().copied(), members);
     }
 
-    // A new member that does not count yet must not raise the size of a majority: if another disk
-    // were lost meanwhile, too few whole members would be left to recover from.
-    fn start_joining(&mut self, id: RequestId, member: KeeperId, members: Vec<KeeperId>) {
-        let (target, until) = (self.commit, self.now + JOIN_LIMIT);
+    // A new member that does not count yet, or a change that leaves out one of few whole members,
+    // must not take effect while other disks are lost: too few whole members would be left to
+    // recover from. So a majority of the new members has to answer after the request came in.
+    fn start_change(&mut self, id: RequestId, added: Option<KeeperId>, members: Vec<KeeperId>) {
+        let (target, until) = (self.commit, self.now + CHANGE_LIMIT);
         if let Some(leading) = self.leading.as_mut() {
-            leading.joining = Some(Joining {
+            leading.change = Some(Change {
                 id,
-                member,
+                added,
                 members,
                 target,
+                round: leading.round + 1,
                 until,
             });
         }
         self.update_peers();
         self.beat();
+        self.continue_change();
     }
 
-    /// `admit_member` proposes the waiting change once the new member holds the log.
-    pub(crate) fn admit_member(&mut self) {
-        let Some(leading) = self.leading.as_mut() else {
+    /// `continue_change` proposes the waiting change once enough of the new members answered.
+    pub(crate) fn continue_change(&mut self) {
+        let me = self.options.me;
+        let Some(leading) = self.leading.as_ref() else {
+            return;
+        };
+        let Some(change) = leading.change.as_ref() else {
             return;
         };
-        let peers = &leading.peers;
-        let holds = |j: &mut Joining| peers.get(&j.member).is_some_and(|p| p.matched >= j.target);
-        if let Some(joining) = leading.joining.take_if(holds) {
-            let (id, members) = (joining.id, joining.members);
-            self.propose(id, Content::Members { id, members });
+        let matched = |k| leading.peers.get(&k).map_or(Op(0), |p| p.matched);
+        let holds = change.added.is_none_or(|k| matched(k) >= change.target);
+        if !holds || leading.majority_round(me, &change.members) < change.round {
+            return;
+        }
+        let (id, members) = (change.id, change.members.clone());
+        if let Some(leading) = self.leading.as_mut() {
+            leading.change = None;
         }
+        self.propose(id, Content::Members { id, members });
     }
 
-    /// `expire_joining` gives up a change whose new member does not catch up.
-    pub(crate) fn expire_joining(&mut self) {
+    /// `expire_change` gives up a change that too few of the new members answer.
+    pub(crate) fn expire_change(&mut self) {
         let now = self.now;
-        let joining = self.leading.as_mut().map(|l| &mut l.joining);
-        let expired = joining.and_then(|j| j.take_if(|j| now > j.until));
-        if let Some(joining) = expired {
-            self.reply(joining.id, ProposeResult::Busy);
+        let change = self.leading.as_mut().map(|l| &mut l.change);
+        let expired = change.and_then(|c| c.take_if(|c| now > c.until));
+        if let Some(change) = expired {
+            self.reply(change.id, ProposeResult::Busy);
             self.update_peers();
         }
     }
-
-    fn hears_majority_of(&self, members: &[KeeperId]) -> bool {
-        let Some(leading) = self.leading.as_ref() else {
-            return false;
-        };
-        let recent = |heard: Millis| self.now < heard + self.options.election_timeout;
-        let heard = |k: &&KeeperId| {
-            let peer = leading.peers.get(k).and_then(|p| p.heard);
-            **k == self.options.me || peer.is_some_and(recent)
-        };
-        members.iter().filter(heard).count() > members.len() / 2
-    }
 }
--- a/crates/shallothill-replica/src/peer.rs
+++ b/crates/shallothill-replica/src/peer.rs
@@ -20,8 +20,6 @@
     pub(crate) probed: (Millis, Op),
     /// The highest round answered.
     pub(crate) round: u64,
-    /// When the last answer arrived.
-    pub(crate) heard: Option<Millis>,
     /// The life of the replica's disk that `matched` belongs to.
     pub(crate) incarnation: Incarnation,
 }
@@ -35,7 +33,6 @@
             probing: true,
             probed: (now, Op(0)),
             round: 0,
-            heard: None,
             incarnation: Incarnation(0),
         }
     }
@@ -47,7 +44,6 @@
             self.incarnation = incarnation;
             self.matched = Op(0);
             self.round = 0;
-            self.heard = None;
             self.probing = true;
             self.in_flight = 0;
         }
--- a/crates/shallothill-replica/src/replication.rs
+++ b/crates/shallothill-replica/src/replication.rs
@@ -26,7 +26,7 @@
         if self.now >= leading.next_beat {
             self.beat();
         }
-        self.expire_joining();
+        self.expire_change();
     }
 
     /// `beat` starts a round and sends to every peer.
@@ -183,7 +183,6 @@
             return;
         };
         peer.round = peer.round.max(round);
-        peer.heard = Some(now);
         match outcome {
             AppendOutcome::Matches(op) => {
                 peer.matched = peer.matched.max(op);
@@ -211,7 +210,7 @@
         self.advance_commit();
         self.count_rounds();
         self.fill_pipeline(from);
-        self.admit_member();
+        self.continue_change();
     }
 
     // Answers of a disk that was lost since count no more, see `Ballot::counted`.
