storage, replica: inspect checks gaps, options are checked

Cause: an inspection did not see a missing file between two others; a lease longer than the election timeout would let a former primary serve old reads. Ruled out: a second scan for the inspection; it shares the one of the log. Change: as above; the crate page says what a group cannot survive. Conclusion: both faults are refused with a remedy.

--- a/crates/shallothill-replica/src/errors.rs
+++ b/crates/shallothill-replica/src/errors.rs
@@ -1,5 +1,7 @@
 //! Errors of building a replica.
 
+use std::time::Duration;
+
 use shallothill_core::ids::KeeperId;
 use snafu::Snafu;
 
@@ -19,6 +21,19 @@
         /// The number of members given.
         count: usize,
     },
+    /// The times of the options do not fit together.
+    #[snafu(display(
+        "the heartbeat ({heartbeat:?}) and the lease ({lease:?}) must be shorter than the election \
+         timeout ({election_timeout:?}); correct the options"
+    ))]
+    Timing {
+        /// The heartbeat.
+        heartbeat: Duration,
+        /// The lease.
+        lease: Duration,
+        /// The election timeout.
+        election_timeout: Duration,
+    },
 }
 
 /// `Result` is the result of building a replica.
--- a/crates/shallothill-replica/src/lib.rs
+++ b/crates/shallothill-replica/src/lib.rs
@@ -20,6 +20,13 @@
 //! member confirmed that it is new as well, or that it counted exactly this life of the member
 //! when the group was formed. A member whose disk was lost has another incarnation, so it recovers
 //! even when the option is still set. Without the option an empty folder always recovers.
+//!
+//! Recovery needs a majority of the whole group besides the recovering member, so a group of one or
+//! two cannot replace a lost disk. If a disk is lost before a majority formed the group, nothing
+//! was accepted yet; the operator empties the folders and creates the group again.
+//!
+//! A new member starts with an empty folder and recovers as a learner. [`Event::ChangeMembers`]
+//! adds it once it holds the log. The number of a removed member is not used again.
 
 mod action;
 mod backup;
--- a/crates/shallothill-replica/src/replica.rs
+++ b/crates/shallothill-replica/src/replica.rs
@@ -53,8 +53,9 @@
 impl Replica {
     /// `try_new` builds a replica from what its disk holds.
     ///
-    /// Fails with `GroupSize` for no or more than 9 members, and with `NotAMember` when a new
-    /// group is to be created without this replica.
+    /// Fails with `GroupSize` for no or more than 9 members, with `NotAMember` when a new group is
+    /// to be created without this replica, and with `Timing` for a lease that outlasts the
+    /// election timeout.
     pub fn try_new(mut options: ReplicaOptions, durable: Durable, now: Millis) -> Result<Self> {
         options.members.sort_unstable();
         options.members.dedup();
@@ -65,6 +66,7 @@
         if options.create_group && !options.members.contains(&options.me) {
             return errors::NotAMemberSnafu { me: options.me }.fail();
         }
+        check_timing(&options)?;
         let mut rng = StdRng::seed_from_u64(options.seed);
         let mut out = Outbox::new(options.broken.ack_before_sync);
         let saved = durable.hard.is_some();
@@ -244,6 +246,21 @@
     }
 }
 
+// A lease of zero makes every read take a round.
+fn check_timing(options: &ReplicaOptions) -> Result<()> {
+    let (heartbeat, lease) = (options.heartbeat, options.lease);
+    let election_timeout = options.election_timeout;
+    if lease < election_timeout && heartbeat < election_timeout {
+        return Ok(());
+    }
+    errors::TimingSnafu {
+        heartbeat,
+        lease,
+        election_timeout,
+    }
+    .fail()
+}
+
 // The counter in the upper half orders the lives; the random lower half keeps two lives apart that
 // did not know of each other.
 fn random_incarnation(rng: &mut StdRng, highest: Incarnation) -> Incarnation {
--- a/crates/shallothill-storage/src/inspect.rs
+++ b/crates/shallothill-storage/src/inspect.rs
@@ -13,7 +13,8 @@
 use crate::folder::Identity;
 use crate::manifest::Manifest;
 use crate::position::Position;
-use crate::segment::Segment;
+use crate::restored::Restored;
+use crate::segment;
 use crate::snapshot;
 
 /// `LogSummary` is what one log holds.
@@ -25,7 +26,7 @@
     pub lost: bool,
     /// The position of the last snapshot and its size in bytes.
     pub snapshot: Option<(Position, usize)>,
-    /// The number of records.
+    /// The number of records after the snapshot.
     pub records: usize,
     /// The last position.
     pub last: Position,
@@ -104,11 +105,12 @@
         into.snapshot = Some((position, bytes.len()));
         into.last = position;
     }
-    for (i, at) in m.segments.iter().enumerate() {
-        let scan = Segment::scan(f, dir, name, *at, i + 1 == m.segments.len())?;
-        into.records += scan.records.len();
-        into.last = into.last.max(scan.segment.last());
-        into.torn_bytes += scan.torn_bytes;
+    let mut restored = Restored::default();
+    segment::scan_all(f, dir, name, &m, &mut restored)?;
+    into.records = restored.records.len();
+    into.torn_bytes = restored.torn_bytes;
+    if let Some(record) = restored.records.last() {
+        into.last = record.position;
     }
     Ok(())
 }
--- a/crates/shallothill-storage/src/record_log.rs
+++ b/crates/shallothill-storage/src/record_log.rs
@@ -15,6 +15,7 @@
 use crate::position::Position;
 use crate::record;
 use crate::restored::{Restored, RestoredSnapshot};
+use crate::segment;
 use crate::segment::Segment;
 use crate::snapshot;
 
@@ -64,7 +65,7 @@
             let bytes = snapshot::read(f, dir, name, position)?;
             restored.snapshot = Some(RestoredSnapshot { position, bytes });
         }
-        let segments = Self::scan(folder, name, &m, &mut restored)?;
+        let segments = segment::scan_all(f, dir, name, &m, &mut restored)?;
         let Some(newest) = segments.last() else {
             let path = dir.join(Manifest::file(name));
             return Err(Error::damaged(&path, "it names no file of records"));
@@ -136,35 +137,6 @@
         log
     }
 
-    fn scan(
-        folder: &DataFolder<F>,
-        name: &str,
-        m: &Manifest,
-        restored: &mut Restored,
-    ) -> Result<Vec<Segment>> {
-        let (f, dir) = (&folder.files, &folder.path);
-        let covered = m.snapshot.unwrap_or_default();
-        let mut segments: Vec<Segment> = Vec::new();
-        for (i, at) in m.segments.iter().enumerate() {
-            let newest = i + 1 == m.segments.len();
-            let scan = Segment::scan(f, dir, name, *at, newest)?;
-            let joins = match segments.last() {
-                Some(before) => at.first == before.last().next(),
-                None => at.first <= covered.next(),
-            };
-            if !joins {
-                let path = dir.join(manifest::segment_file(name, at.seq));
-                let what = format!("records before position {} are missing", at.first);
-                return Err(Error::damaged(&path, what));
-            }
-            let after = scan.records.into_iter().filter(|r| r.position > covered);
-            restored.records.extend(after);
-            restored.torn_bytes += scan.torn_bytes;
-            segments.push(scan.segment);
-        }
-        Ok(segments)
-    }
-
     /// `is_lost` tells whether the log is marked lost.
     pub fn is_lost(&self) -> bool {
         self.manifest.lost
--- a/crates/shallothill-storage/src/segment.rs
+++ b/crates/shallothill-storage/src/segment.rs
@@ -8,11 +8,11 @@
 use crate::errors::{Error, Result};
 use crate::files::FileOps;
 use crate::manifest;
-use crate::manifest::SegmentRef;
+use crate::manifest::{Manifest, SegmentRef};
 use crate::position::Position;
 use crate::record;
 use crate::record::Next;
-use crate::restored::RestoredRecord;
+use crate::restored::{Restored, RestoredRecord};
 
 const MAGIC: &[u8; 8] = b"SHLOG001";
 const HEAD: usize = 20;
@@ -131,6 +131,37 @@
     }
 }
 
+/// `scan_all` reads and checks all files of records that the manifest names, and adds the records
+/// after the snapshot to `restored`.
+pub(crate) fn scan_all<F: FileOps>(
+    f: &F,
+    dir: &Path,
+    log: &str,
+    m: &Manifest,
+    restored: &mut Restored,
+) -> Result<Vec<Segment>> {
+    let covered = m.snapshot.unwrap_or_default();
+    let mut segments: Vec<Segment> = Vec::new();
+    for (i, at) in m.segments.iter().enumerate() {
+        let newest = i + 1 == m.segments.len();
+        let scan = Segment::scan(f, dir, log, *at, newest)?;
+        let joins = match segments.last() {
+            Some(before) => at.first == before.last().next(),
+            None => at.first <= covered.next(),
+        };
+        if !joins {
+            let path = dir.join(manifest::segment_file(log, at.seq));
+            let what = format!("records before position {} are missing", at.first);
+            return Err(Error::damaged(&path, what));
+        }
+        let after = scan.records.into_iter().filter(|r| r.position > covered);
+        restored.records.extend(after);
+        restored.torn_bytes += scan.torn_bytes;
+        segments.push(scan.segment);
+    }
+    Ok(segments)
+}
+
 fn check_head(buf: &[u8], at: SegmentRef, path: &Path) -> Result<()> {
     let sound = buf.len() >= HEAD
         && buf.starts_with(MAGIC)
