--- /dev/null
+++ b/crates/shallothill-keeper/src/data.rs
@@ -0,0 +1,62 @@
+//! Opens and inspects the data folder.
+
+use shallothill_ledger::{LedgerOptions, Member};
+use shallothill_replica::Durable;
+use shallothill_storage::{DataFolder, FolderOptions};
+
+use crate::errors;
+use crate::ledger::{Journal, first_life};
+use crate::log::Disk;
+use crate::settings::Settings;
+
+/// `RECORD_MAX_BYTES` bounds a record; the largest one is a whole text with its envelope.
+const RECORD_MAX_BYTES: usize = 16 * 1024 * 1024;
+
+/// `Data` is everything durable of a keeper.
+#[derive(Debug)]
+pub struct Data {
+    /// The config log.
+    pub disk: Disk,
+    /// What the config log holds.
+    pub durable: Durable,
+    /// The ledger's log.
+    pub journal: Journal,
+    /// The ledger member with its records replayed.
+    pub member: Member,
+}
+
+impl Data {
+    /// `try_open` locks the data folder and reads it.
+    ///
+    /// Fails when another keeper uses it, or when it cannot be read.
+    pub fn try_open(settings: &Settings) -> errors::Result<Self> {
+        let options = FolderOptions {
+            keeper: settings.id,
+            max_record_bytes: RECORD_MAX_BYTES,
+            ..FolderOptions::default()
+        };
+        let folder = DataFolder::try_open(&settings.data_dir, options)?;
+        let mut member = Member::try_new(
+            settings.id,
+            &settings.ledger_group(),
+            first_life(),
+            LedgerOptions::default(),
+        )?;
+        let journal = Journal::try_open(&folder, &mut member)?;
+        let (disk, durable) = Disk::try_open(folder)?;
+        Ok(Self {
+            disk,
+            durable,
+            journal,
+            member,
+        })
+    }
+}
+
+/// `inspect` describes the data folder without changing it.
+///
+/// Fails when the folder cannot be read.
+pub fn inspect(settings: &Settings) -> errors::Result<String> {
+    let summary = shallothill_storage::inspect(&settings.data_dir)?;
+    Ok(summary.to_string())
+}
--- a/crates/shallothill-keeper/src/errors.rs
+++ b/crates/shallothill-keeper/src/errors.rs
@@ -20,6 +20,18 @@
         /// The cause.
         source: shallothill_runtime::Error,
     },
+    /// The data folder cannot be used.
+    #[snafu(display("{source}"), context(false))]
+    Storage {
+        /// The cause.
+        source: shallothill_storage::Error,
+    },
+    /// The replica of the config log cannot be built.
+    #[snafu(display("{source}"), context(false))]
+    Replica {
+        /// The cause.
+        source: shallothill_replica::Error,
+    },
     /// The ledger member cannot be built.
     #[snafu(display("{source}"), context(false))]
     Ledger {
--- a/crates/shallothill-keeper/src/keeper.rs
+++ b/crates/shallothill-keeper/src/keeper.rs
@@ -16,7 +16,7 @@
 use shallothill_wire::watch::{SectionsReply, SectionsRequest};
 use tokio::sync::watch;
 
-use crate::config_state::ConfigState;
+use crate::config_state::{ConfigState, SectionHistory};
 use crate::ledger::LedgerHandle;
 use crate::log::LogHandle;
 use crate::membership::Membership;
@@ -53,6 +53,8 @@
     pub published: ArcSwap<Published>,
     /// The state machine of the config log.
     pub state: Arc<Mutex<ConfigState>>,
+    /// Which sections changed in recent versions, for snapshots of the config log.
+    pub sections: Arc<Mutex<SectionHistory>>,
     /// What is known of nodes.
     pub membership: Mutex<Membership>,
     /// Ejection tokens.
@@ -74,6 +76,7 @@
         timer: Timer,
         incarnation: Incarnation,
         state: Arc<Mutex<ConfigState>>,
+        sections: Arc<Mutex<SectionHistory>>,
         ledger: LedgerHandle,
         log: LogHandle,
     ) -> Self {
@@ -101,6 +104,7 @@
             timer,
             incarnation,
             state,
+            sections,
             ledger,
             log,
         }
@@ -127,6 +131,7 @@
             let newer = next.version() > current.version();
             Arc::clone(if newer { &next } else { current })
         });
+        *lock(&self.sections) = self.published.load().history().clone();
         self.learn_version(next.version());
         self.wake();
     }
--- a/crates/shallothill-keeper/src/ledger/command.rs
+++ b/crates/shallothill-keeper/src/ledger/command.rs
@@ -1,10 +1,11 @@
 //! Calls to the ledger's thread and their answers.
 
 use shallothill_core::idempotency::IdempotencyKey;
+use shallothill_core::incarnation::Incarnation;
 use shallothill_core::time::UnixMillis;
 use shallothill_ledger::{
-    ClaimReply, ClaimRequest, CompleteRequest, Member, Record, RecoveryReply, RecoveryRequest,
-    WithdrawRequest,
+    ClaimReply, ClaimRequest, CompleteRequest, Member, MemberStatus, Record, RecoveryReply,
+    RecoveryRequest, WithdrawRequest,
 };
 use tokio::sync::oneshot;
 
@@ -16,6 +17,8 @@
     Complete(CompleteRequest, oneshot::Sender<bool>),
     Recover(RecoveryRequest, oneshot::Sender<Option<RecoveryReply>>),
     Restore(Vec<Record>, oneshot::Sender<()>),
+    /// Makes a recovering member whole as a member of a new group.
+    Form(Incarnation, oneshot::Sender<()>),
     Forget,
 }
 
@@ -58,17 +61,27 @@
                 Some((reply, records)) => (Answer::Recover(Some(reply), tx), records),
                 None => (Answer::Recover(None, tx), Vec::new()),
             },
-            Self::Restore(records, tx) => {
-                for record in &records {
-                    member.replay(record);
-                }
-                (Answer::Restored(tx), records)
+            Self::Restore(records, tx) => (Answer::Restored(tx), restore(member, records)),
+            Self::Form(incarnation, tx) => {
+                let records = vec![Record::Whole { incarnation }];
+                (Answer::Restored(tx), restore(member, records))
             }
             Self::Forget => (Answer::Nothing, member.forget(now)),
         }
     }
 }
 
+// A member that is whole already must not change its incarnation.
+fn restore(member: &mut Member, records: Vec<Record>) -> Vec<Record> {
+    if member.status() == MemberStatus::Whole {
+        return Vec::new();
+    }
+    for record in &records {
+        member.replay(record);
+    }
+    records
+}
+
 impl Answer {
     /// `send` passes the answer on; a caller that no longer waits is ignored.
     pub(super) fn send(self) {
--- a/crates/shallothill-keeper/src/ledger/journal.rs
+++ b/crates/shallothill-keeper/src/ledger/journal.rs
@@ -1,47 +1,114 @@
-//! Where the ledger's records become durable.
+//! The storage log that keeps the ledger's records.
 
-use std::io;
+use shallothill_ledger::{Member, Record};
+use shallothill_storage::{DataFolder, Log, Restored};
 
-use shallothill_ledger::Record;
+use crate::errors;
+
+/// `LOG_NAME` names the ledger's log in the data folder.
+pub const LOG_NAME: &str = "ledger";
+
+/// `SNAPSHOT_MIN_BYTES` is the smallest log that is replaced by a snapshot.
+const SNAPSHOT_MIN_BYTES: u64 = 64 * 1024 * 1024;
+
+/// `Journal` appends the records of a ledger member to its log.
+#[derive(Debug)]
+pub struct Journal {
+    log: Log,
+    whole: bool,
+    snapshot_at: u64,
+}
+
+impl Journal {
+    /// `try_open` opens the log and replays it into `member`. A lost or damaged log is replaced by
+    /// an empty one, and the member stays recovering.
+    ///
+    /// Fails when the data folder cannot be used.
+    pub fn try_open(folder: &DataFolder, member: &mut Member) -> errors::Result<Self> {
+        let opened = Log::try_open(folder, LOG_NAME).and_then(|(log, restored)| {
+            if log.is_lost() {
+                Ok((Log::try_reset(folder, LOG_NAME)?, Restored::default()))
+            } else {
+                Ok((log, restored))
+            }
+        });
+        let (log, restored) = match opened {
+            Err(e @ shallothill_storage::Error::Damaged { .. }) => {
+                log::error!("ledger: {e}; the keeper recovers from the others of its region");
+                (Log::try_reset(folder, LOG_NAME)?, Restored::default())
+            }
+            opened => opened?,
+        };
+        if let Some(snapshot) = &restored.snapshot {
+            for record in decode::<Vec<Record>>(folder, &snapshot.bytes)? {
+                member.replay(&record);
+            }
+        }
+        for record in &restored.records {
+            member.replay(&decode(folder, &record.bytes)?);
+        }
+        let mut journal = Self {
+            log,
+            whole: false,
+            snapshot_at: 0,
+        };
+        journal.plan_snapshot(restored.snapshot.map_or(0, |s| s.bytes.len()));
+        Ok(journal)
+    }
 
-/// `Journal` keeps the records of a ledger member.
-pub trait Journal: Send + 'static {
     /// `append` adds a record, which is durable after the next [`Self::sync`].
     ///
     /// Fails when the disk refuses; the process must then end.
-    fn append(&mut self, record: &Record) -> io::Result<()>;
+    pub fn append(&mut self, record: &Record) -> shallothill_storage::Result<()> {
+        self.whole |= matches!(record, Record::Whole { .. });
+        self.log.append(&encode(record)).map(|_| ())
+    }
 
     /// `sync` makes every appended record durable.
     ///
     /// Fails when the disk refuses; the process must then end.
-    fn sync(&mut self) -> io::Result<()>;
+    pub fn sync(&mut self) -> shallothill_storage::Result<()> {
+        self.log.sync()?;
+        if self.whole && self.log.is_lost() {
+            self.log.mark_repaired()?;
+        }
+        Ok(())
+    }
 
-    /// `wants_snapshot` tells whether the log has grown so much that it is to be replaced.
-    fn wants_snapshot(&self) -> bool;
+    /// `wants_snapshot` tells whether the log has grown so much that a snapshot replaces it.
+    pub fn wants_snapshot(&self) -> bool {
+        self.log.size() >= self.snapshot_at
+    }
 
     /// `replace` replaces everything appended so far by `records`, durably.
     ///
     /// Fails when the disk refuses; the process must then end.
-    fn replace(&mut self, records: Vec<Record>) -> io::Result<()>;
-}
-
-/// `NoJournal` keeps nothing.
-pub struct NoJournal;
-
-impl Journal for NoJournal {
-    fn append(&mut self, _: &Record) -> io::Result<()> {
+    pub fn replace(&mut self, records: &[Record]) -> shallothill_storage::Result<()> {
+        let bytes = encode(&records);
+        self.log.snapshot(self.log.last(), &bytes)?;
+        self.plan_snapshot(bytes.len());
         Ok(())
     }
 
-    fn sync(&mut self) -> io::Result<()> {
-        Ok(())
+    // Waiting until the log is as large as its snapshot keeps the cost of snapshots below that of
+    // the records themselves.
+    fn plan_snapshot(&mut self, snapshot_bytes: usize) {
+        self.snapshot_at = SNAPSHOT_MIN_BYTES.max(snapshot_bytes as u64);
     }
+}
 
-    fn wants_snapshot(&self) -> bool {
-        false
-    }
+fn encode<T: serde::Serialize>(value: &T) -> Vec<u8> {
+    // Serialization into memory of records, which hold strings and numbers only, cannot fail.
+    rmp_serde::to_vec(value).unwrap_or_default()
+}
 
-    fn replace(&mut self, _: Vec<Record>) -> io::Result<()> {
-        Ok(())
-    }
+fn decode<T: serde::de::DeserializeOwned>(folder: &DataFolder, bytes: &[u8]) -> errors::Result<T> {
+    rmp_serde::from_slice(bytes).map_err(|e| {
+        errors::DecodeSnafu {
+            what: "a record of the ledger",
+            path: folder.path(),
+            message: e.to_string(),
+        }
+        .build()
+    })
 }
--- a/crates/shallothill-keeper/src/ledger/mod.rs
+++ b/crates/shallothill-keeper/src/ledger/mod.rs
@@ -2,7 +2,9 @@
 
 mod command;
 mod journal;
+mod recover;
 mod service;
 
-pub use journal::{Journal, NoJournal};
+pub use journal::{Journal, LOG_NAME};
+pub use recover::{first_life, run as recover};
 pub use service::{LedgerHandle, LedgerState};
--- a/crates/shallothill-keeper/src/ledger/service.rs
+++ b/crates/shallothill-keeper/src/ledger/service.rs
@@ -1,6 +1,5 @@
 //! The thread that owns the ledger member and answers in groups, each after one sync.
 
-use std::io;
 use std::sync::Arc;
 use std::thread;
 
@@ -52,15 +51,14 @@
 
 impl LedgerHandle {
     /// `start` runs `member` on a thread of its own, which ends when the last handle is dropped.
-    pub fn start<J: Journal>(member: Member, journal: J, fatal: Fatal) -> Self {
+    pub fn start(member: Member, journal: Journal, fatal: Fatal) -> Self {
         let (tx, rx) = mpsc::channel(QUEUE_MAX);
         let state = Arc::new(ArcSwap::from_pointee(state_of(&member, 0)));
         let shared = Arc::clone(&state);
         thread::spawn(move || {
             if let Err(e) = run(member, journal, rx, &shared) {
                 fatal.report(format!(
-                    "ledger: the data folder cannot be written: {e}; nothing more is acknowledged, \
-                     check the disk before the next start"
+                    "ledger: {e}; nothing more is acknowledged, check the disk before the next start"
                 ));
             }
         });
@@ -97,6 +95,11 @@
         self.call(|tx| Command::Restore(records, tx)).await
     }
 
+    /// `form` makes the member of a new group whole; returns when that is durable.
+    pub async fn form(&self, incarnation: Incarnation) -> Option<()> {
+        self.call(|tx| Command::Form(incarnation, tx)).await
+    }
+
     /// `forget` drops keys that are too old.
     pub async fn forget(&self) {
         // Without the thread there is nothing left to forget.
@@ -115,12 +118,12 @@
     }
 }
 
-fn run<J: Journal>(
+fn run(
     mut member: Member,
-    mut journal: J,
+    mut journal: Journal,
     mut rx: mpsc::Receiver<Command>,
     state: &ArcSwap<LedgerState>,
-) -> io::Result<()> {
+) -> shallothill_storage::Result<()> {
     let mut syncs = 0;
     while let Some(first) = rx.blocking_recv() {
         let mut answers = Vec::new();
@@ -145,7 +148,7 @@
             answer.send();
         }
         if journal.wants_snapshot() {
-            journal.replace(member.snapshot())?;
+            journal.replace(&member.snapshot())?;
         }
         state.store(Arc::new(state_of(&member, syncs)));
     }
--- /dev/null
+++ b/crates/shallothill-keeper/src/log/driver.rs
@@ -0,0 +1,311 @@
+//! Connects the replica of the config log with its disk, the other keepers and the config state.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, mpsc};
+use std::time::Duration;
+
+use log::{error, info};
+use shallothill_core::ids::KeeperId;
+use shallothill_core::incarnation::Incarnation;
+use shallothill_replica::{
+    Action, Content, Durable, Entry, Event, HardState, Message, ProposeResult, ReadToken, Replica,
+    ReplicaOptions, ReplicaStatus, Request, RequestId, Snapshot, Standing,
+};
+use shallothill_runtime::timer::Timer;
+use tokio::sync::{mpsc as async_mpsc, oneshot, watch};
+use tokio_util::sync::CancellationToken;
+
+use super::disk::{Disk, Done, Work, snapshot};
+use super::handle::{Command, LogStatus, Refusal};
+use super::links::Links;
+use crate::config_state::{Change, ConfigState, Outcome, SectionHistory};
+use crate::errors;
+use crate::fatal::Fatal;
+use crate::keeper::lock;
+use crate::ledger::LedgerHandle;
+
+/// `TICK` is the time between two looks of the replica at its deadlines.
+const TICK: Duration = Duration::from_millis(20);
+
+/// `PAYLOAD_MAX_BYTES` bounds an entry; a patch that replaces the whole text fits.
+const PAYLOAD_MAX_BYTES: usize = crate::submit::TEXT_MAX_BYTES + 64 * 1024;
+
+type ProposeAnswer = oneshot::Sender<Result<Outcome, Refusal>>;
+type ReadAnswer = oneshot::Sender<Result<(), Refusal>>;
+
+/// `Parts` is what a driver connects.
+#[derive(Debug)]
+pub struct Parts {
+    /// This keeper.
+    pub me: KeeperId,
+    /// All keepers according to the settings.
+    pub members: Vec<KeeperId>,
+    /// Whether the operator creates a new group.
+    pub new_group: bool,
+    /// The timer service.
+    pub timer: Timer,
+    /// The config log.
+    pub disk: Disk,
+    /// What the disk holds.
+    pub durable: Durable,
+    /// The state machine.
+    pub state: Arc<Mutex<ConfigState>>,
+    /// Which sections changed, for snapshots.
+    pub sections: Arc<Mutex<SectionHistory>>,
+    /// The ledger, which is formed with a new group.
+    pub ledger: LedgerHandle,
+    /// Calls of this process.
+    pub commands: async_mpsc::Receiver<Command>,
+    /// Messages of the other keepers.
+    pub messages: async_mpsc::Receiver<(KeeperId, Message)>,
+    /// Queues to the other keepers.
+    pub links: Links,
+    /// Where the figures go.
+    pub status: watch::Sender<LogStatus>,
+    /// Woken after each applied change.
+    pub applied: watch::Sender<()>,
+    /// Where a failure of the disk is reported.
+    pub fatal: Fatal,
+}
+
+/// `Driver` carries out the replica's actions.
+#[derive(Debug)]
+pub struct Driver {
+    me: KeeperId,
+    timer: Timer,
+    replica: Replica,
+    standing: Option<Standing>,
+    state: Arc<Mutex<ConfigState>>,
+    sections: Arc<Mutex<SectionHistory>>,
+    ledger: LedgerHandle,
+    first_life: Incarnation,
+    work: mpsc::SyncSender<Work>,
+    done: async_mpsc::UnboundedReceiver<Done>,
+    commands: async_mpsc::Receiver<Command>,
+    messages: async_mpsc::Receiver<(KeeperId, Message)>,
+    links: Links,
+    status: watch::Sender<LogStatus>,
+    applied: watch::Sender<()>,
+    proposals: BTreeMap<RequestId, (Change, ProposeAnswer)>,
+    reads: BTreeMap<ReadToken, ReadAnswer>,
+    next_read: u64,
+}
+
+impl Driver {
+    /// `try_new` restores the state machine and builds the replica.
+    ///
+    /// Fails when the group is not possible or the last snapshot cannot be read.
+    pub fn try_new(parts: Parts) -> errors::Result<Self> {
+        let options = ReplicaOptions {
+            me: parts.me,
+            members: parts.members,
+            create_group: parts.new_group,
+            seed: rand::random(),
+            max_payload_bytes: PAYLOAD_MAX_BYTES,
+            ..ReplicaOptions::default()
+        };
+        let standing = parts.durable.hard.as_ref().map(|h| h.standing);
+        if let Some(snapshot) = &parts.durable.snapshot {
+            restore(&parts.state, &parts.sections, snapshot)?;
+        }
+        let replica = Replica::try_new(options, parts.durable, parts.timer.now())?;
+        let (work, done) = parts.disk.start(parts.fatal);
+        let driver = Self {
+            me: parts.me,
+            timer: parts.timer,
+            replica,
+            standing,
+            state: parts.state,
+            sections: parts.sections,
+            ledger: parts.ledger,
+            first_life: crate::ledger::first_life(),
+            work,
+            done,
+            commands: parts.commands,
+            messages: parts.messages,
+            links: parts.links,
+            status: parts.status,
+            applied: parts.applied,
+            proposals: BTreeMap::new(),
+            reads: BTreeMap::new(),
+            next_read: 0,
+        };
+        driver.show_status();
+        Ok(driver)
+    }
+
+    /// `run` drives the replica until `stop` is cancelled or the disk's thread has ended.
+    pub async fn run(mut self, stop: CancellationToken) {
+        let mut ticks = self.timer.every(TICK);
+        loop {
+            let event = tokio::select! {
+                _ = ticks.recv() => Event::Tick,
+                Some((from, msg)) = self.messages.recv() => Event::Message { from, msg },
+                Some(command) = self.commands.recv() => self.event_of(command),
+                done = self.done.recv() => match done {
+                    Some(Done::Synced(upto)) => Event::Synced { upto },
+                    Some(Done::SnapshotTaken(snapshot)) => Event::SnapshotTaken { snapshot },
+                    None => return,
+                },
+                () = stop.cancelled() => return,
+            };
+            for action in self.replica.step(self.timer.now(), event) {
+                if self.carry_out(action).await.is_none() {
+                    return;
+                }
+            }
+            self.show_status();
+        }
+    }
+
+    fn event_of(&mut self, command: Command) -> Event {
+        match command {
+            Command::Propose(change, tx) => {
+                let id = RequestId(rand::random());
+                let payload = rmp_serde::to_vec(&change).unwrap_or_default().into();
+                self.proposals.insert(id, (change, tx));
+                let request = Request { id, payload };
+                Event::Propose { request }
+            }
+            Command::Read(tx) => {
+                self.next_read += 1;
+                let token = ReadToken(self.next_read);
+                self.reads.insert(token, tx);
+                Event::Read { token }
+            }
+        }
+    }
+
+    // Returns `None` when the disk's thread has ended.
+    async fn carry_out(&mut self, action: Action) -> Option<()> {
+        match action {
+            Action::Append { first, entries } => self.give(Work::Append(first, entries))?,
+            Action::Truncate { after } => self.give(Work::Truncate(after))?,
+            Action::SaveState(hard) => self.save(hard).await?,
+            Action::Sync(token) => self.give(Work::Sync(token))?,
+            Action::Send { to, msg } => self.links.send(to, msg),
+            Action::Apply { entry, .. } => self.apply(&entry),
+            Action::InstallSnapshot(snapshot) => {
+                if let Err(e) = restore(&self.state, &self.sections, &snapshot) {
+                    error!("config: a snapshot of another keeper cannot be used: {e}");
+                    return None;
+                }
+                self.applied.send_replace(());
+                self.give(Work::Install(snapshot))?;
+            }
+            Action::TakeSnapshot(meta) => {
+                let sections = lock(&self.sections).clone();
+                let state = lock(&self.state).snapshot(sections);
+                let state = rmp_serde::to_vec(&state).unwrap_or_default();
+                self.give(Work::Snapshot(snapshot(meta, state)))?;
+            }
+            Action::Reply { request, result } => self.reply(request, result),
+            Action::ReadReady { token } => self.read_answered(token, Ok(())),
+            Action::ReadRefused { token, primary } => {
+                self.read_answered(token, Err(refusal(self.me, primary)));
+            }
+        }
+        Some(())
+    }
+
+    // The ledger's members of a new group are whole from the same moment as the replicas. They
+    // are made so first, since after a crash in between the replica only forms the group again.
+    async fn save(&mut self, hard: HardState) -> Option<()> {
+        let formed = self.standing == Some(Standing::Forming) && hard.standing == Standing::Whole;
+        if formed {
+            self.ledger.form(self.first_life).await?;
+            info!("keeper: the new group is formed");
+        }
+        self.standing = Some(hard.standing);
+        self.give(Work::Save(hard))
+    }
+
+    fn give(&self, work: Work) -> Option<()> {
+        self.work.send(work).ok()
+    }
+
+    fn apply(&mut self, entry: &Entry) {
+        let Content::Request(request) = &entry.content else {
+            return;
+        };
+        match rmp_serde::from_slice::<Change>(&request.payload) {
+            Ok(change) => {
+                lock(&self.state).apply(&change);
+                self.applied.send_replace(());
+            }
+            Err(e) => error!(
+                "config: an entry of the log cannot be read by this release: {e}; run the same \
+                 release on all keepers"
+            ),
+        }
+    }
+
+    fn reply(&mut self, request: RequestId, result: ProposeResult) {
+        let Some((change, tx)) = self.proposals.remove(&request) else {
+            return;
+        };
+        let unavailable = |reason: &str| Err(Refusal::Unavailable(reason.to_owned()));
+        let answer = match result {
+            ProposeResult::Committed(_) => {
+                let known = lock(&self.state).answer(&change.change_id, change.text_hash);
+                known.ok_or_else(|| Refusal::Unavailable("the change was not applied".to_owned()))
+            }
+            ProposeResult::NotPrimary { primary } => Err(refusal(self.me, primary)),
+            ProposeResult::Busy => unavailable("too many changes wait"),
+            ProposeResult::Refused => unavailable("the change is too large"),
+            ProposeResult::Unknown => unavailable("the primary of the config log changed"),
+        };
+        // A caller that no longer waits sends the same change id again.
+        let _ = tx.send(answer);
+    }
+
+    fn read_answered(&mut self, token: ReadToken, answer: Result<(), Refusal>) {
+        if let Some(tx) = self.reads.remove(&token) {
+            // A caller that no longer waits needs no answer.
+            let _ = tx.send(answer);
+        }
+    }
+
+    fn show_status(&self) {
+        let replica = self.replica.status();
+        self.status.send_if_modified(|shown| {
+            let changed = shown.replica.as_ref() != Some(&replica);
+            if changed {
+                *shown = status_of(replica);
+            }
+            changed
+        });
+    }
+}
+
+fn status_of(replica: ReplicaStatus) -> LogStatus {
+    LogStatus {
+        primary: replica.primary,
+        forming: replica.standing == Standing::Forming,
+        replica: Some(replica),
+    }
+}
+
+fn refusal(me: KeeperId, primary: Option<KeeperId>) -> Refusal {
+    match primary {
+        Some(primary) if primary != me => Refusal::NotPrimary(primary),
+        _ => Refusal::Unavailable("no quorum of keepers can be reached".to_owned()),
+    }
+}
+
+fn restore(
+    state: &Mutex<ConfigState>,
+    sections: &Mutex<SectionHistory>,
+    snapshot: &Snapshot,
+) -> errors::Result<()> {
+    let read = rmp_serde::from_slice::<crate::config_state::Snapshot>(&snapshot.state);
+    let mut read = read.map_err(|e| {
+        errors::FatalSnafu {
+            message: format!("a snapshot of the config log cannot be read by this release: {e}"),
+        }
+        .build()
+    })?;
+    *lock(sections) = std::mem::take(&mut read.sections);
+    *lock(state) = ConfigState::restore(read);
+    Ok(())
+}
--- a/crates/shallothill-keeper/src/log/handle.rs
+++ b/crates/shallothill-keeper/src/log/handle.rs
@@ -2,6 +2,7 @@
 
 use serde::Serialize;
 use shallothill_core::ids::KeeperId;
+use shallothill_replica::ReplicaStatus;
 use tokio::sync::{mpsc, oneshot, watch};
 
 use crate::config_state::{Change, Outcome};
@@ -13,7 +14,7 @@
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Refusal {
     /// Another keeper orders the entries; nothing was done.
-    NotPrimary(Option<KeeperId>),
+    NotPrimary(KeeperId),
     /// Nothing was done, or nothing is known; the change may be sent again with the same id.
     Unavailable(String),
 }
@@ -28,12 +29,24 @@
 }
 
 /// `LogStatus` is a copy of the driver's main figures.
-#[derive(Clone, Debug, Default, Serialize)]
+#[derive(Clone, Debug, Serialize)]
 pub struct LogStatus {
     /// The primary, as far as known.
     pub primary: Option<KeeperId>,
+    /// Whether a new group is being formed, or nothing is known yet.
+    pub forming: bool,
     /// Figures of the replica.
-    pub replica: serde_json::Value,
+    pub replica: Option<ReplicaStatus>,
+}
+
+impl Default for LogStatus {
+    fn default() -> Self {
+        Self {
+            primary: None,
+            forming: true,
+            replica: None,
+        }
+    }
 }
 
 /// `LogHandle` passes calls to the driver; clones share it.
--- a/crates/shallothill-keeper/src/main.rs
+++ b/crates/shallothill-keeper/src/main.rs
@@ -4,9 +4,10 @@
 use std::process::ExitCode;
 
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
-use shallothill_keeper::errors;
+use shallothill_keeper::listeners::Listeners;
 use shallothill_keeper::process::{Process, StartOptions};
 use shallothill_keeper::settings::Settings;
+use shallothill_keeper::{data, errors};
 use shallothill_runtime::{logs, settings, shutdown};
 
 fn command() -> Command {
@@ -59,12 +60,17 @@
         println!("the settings are valid");
         return Ok(());
     }
+    if args.get_flag("inspect") {
+        print!("{}", data::inspect(&settings)?);
+        return Ok(());
+    }
     logs::init(settings.process.log_level)?;
     let stop = shutdown::on_signal()?;
     let options = StartOptions {
         new_group: args.get_flag("new-group"),
     };
-    let process = Process::start(settings, options).await?;
+    let listeners = Listeners::bind(&settings).await?;
+    let process = Process::start(settings, listeners, options).await?;
     println!(
         "ready control={} peer={} admin={}",
         process.control_address, process.peer_address, process.admin_address
--- a/crates/shallothill-keeper/src/peer.rs
+++ b/crates/shallothill-keeper/src/peer.rs
@@ -8,6 +8,7 @@
 use shallothill_core::version::ConfigVersion;
 use shallothill_directory::{Cursor, Delta};
 use shallothill_ledger::{RecoveryReply, RecoveryRequest};
+use shallothill_replica::Message;
 use shallothill_wire::crash::CrashNotice;
 use shallothill_wire::operator::{SubmitReply, SubmitRequest};
 use shallothill_wire::watch::{ConfigUpdate, SectionsReply, SectionsRequest};
@@ -79,6 +80,8 @@
     async fn status() -> PeerStatus;
     /// `submit` carries an operator's submission to the primary of the config log.
     async fn submit(req: SubmitRequest) -> SubmitReply;
+    /// `replica` delivers a message of the config log; it may be dropped.
+    async fn replica(from: KeeperId, msg: Message);
     /// `recover` answers a ledger member that lost its disk; `None` while this one recovers too.
     async fn recover(req: RecoveryRequest) -> Option<RecoveryReply>;
 }
--- a/crates/shallothill-keeper/src/peer_server.rs
+++ b/crates/shallothill-keeper/src/peer_server.rs
@@ -3,11 +3,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use shallothill_core::ids::KeeperId;
 use shallothill_core::version::ConfigVersion;
 use shallothill_ledger::{RecoveryReply, RecoveryRequest};
+use shallothill_replica::Message;
 use shallothill_wire::operator::{SubmitReply, SubmitRequest};
 use shallothill_wire::watch::{ConfigUpdate, SectionsReply, SectionsRequest};
 use tarpc::context::Context;
+use tokio::sync::mpsc;
 
 use crate::keeper::{Keeper, lock};
 use crate::peer::{KeeperPeer, PeerStatus, SyncReply, SyncRequest};
@@ -18,13 +21,18 @@
 
 /// `PeerServer` answers other keepers.
 #[derive(Clone, Debug)]
-pub struct PeerServer(pub Arc<Keeper>);
+pub struct PeerServer {
+    /// The shared state.
+    pub keeper: Arc<Keeper>,
+    /// Where messages of the config log go.
+    pub messages: mpsc::Sender<(KeeperId, Message)>,
+}
 
 impl PeerServer {
     fn sync_reply(&self, req: &SyncRequest, even_without_news: bool) -> Option<SyncReply> {
-        let config_version = self.0.published.load().version();
-        let membership = lock(&self.0.membership);
-        let news = membership.news(self.0.timer.now(), req.cursor);
+        let config_version = self.keeper.published.load().version();
+        let membership = lock(&self.keeper.membership);
+        let news = membership.news(self.keeper.timer.now(), req.cursor);
         let newer = config_version > req.config_version;
         if news.is_none() && !newer && !even_without_news {
             return None;
@@ -44,10 +52,10 @@
 
 impl KeeperPeer for PeerServer {
     async fn sync(self, _: Context, req: SyncRequest) -> SyncReply {
-        self.0.learn_version(req.config_version);
+        self.keeper.learn_version(req.config_version);
         let wait = Duration::from_millis(u64::from(req.wait_ms)).min(WAIT_MAX);
-        let mut end = self.0.timer.after(wait);
-        let mut news = self.0.news();
+        let mut end = self.keeper.timer.after(wait);
+        let mut news = self.keeper.news();
         let mut ended = false;
         loop {
             news.mark_unchanged();
@@ -62,23 +70,30 @@
     }
 
     async fn config(self, _: Context, from: ConfigVersion) -> Option<ConfigUpdate> {
-        self.0.learn_version(from);
-        self.0.published.load().update_since(from)
+        self.keeper.learn_version(from);
+        self.keeper.published.load().update_since(from)
     }
 
     async fn sections(self, _: Context, req: SectionsRequest) -> SectionsReply {
-        self.0.sections(&req)
+        self.keeper.sections(&req)
     }
 
     async fn status(self, _: Context) -> PeerStatus {
-        status::own(&self.0)
+        status::own(&self.keeper)
     }
 
     async fn submit(self, _: Context, req: SubmitRequest) -> SubmitReply {
-        submit::submit(&self.0, req, false).await
+        submit::submit(&self.keeper, req, false).await
+    }
+
+    async fn replica(self, _: Context, from: KeeperId, msg: Message) {
+        if self.keeper.peers.contains_key(&from) {
+            // The replica repeats what is dropped while the driver is busy.
+            let _ = self.messages.try_send((from, msg));
+        }
     }
 
     async fn recover(self, _: Context, req: RecoveryRequest) -> Option<RecoveryReply> {
-        self.0.ledger.recover(req).await
+        self.keeper.ledger.recover(req).await
     }
 }
--- a/crates/shallothill-keeper/src/process.rs
+++ b/crates/shallothill-keeper/src/process.rs
@@ -1,14 +1,17 @@
 //! Starts and stops a keeper.
 
+use std::future::Future;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use log::info;
+use shallothill_core::ids::KeeperId;
 use shallothill_core::incarnation::Incarnation;
-use shallothill_ledger::{LedgerOptions, Member, Record};
+use shallothill_replica::Message;
+use shallothill_runtime::admin;
 use shallothill_runtime::timer::Timer;
-use shallothill_runtime::{admin, settings};
+use shallothill_wire::control::KeeperControl;
 use shallothill_wire::{answer_calls, transport};
 use snafu::ResultExt;
 use tokio::net::TcpListener;
@@ -16,19 +19,23 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
-use crate::config_state::ConfigState;
+use crate::config_state::{ConfigState, SectionHistory};
 use crate::control::ControlServer;
+use crate::data::Data;
 use crate::errors;
 use crate::fatal::Fatal;
 use crate::keeper::{Keeper, lock};
-use crate::ledger::{LedgerHandle, NoJournal};
-use crate::log::LogHandle;
+use crate::ledger::LedgerHandle;
+use crate::listeners::Listeners;
+use crate::log::{Driver, Links, LogHandle, Parts};
 use crate::operators::Operators;
 use crate::peer::KeeperPeer;
 use crate::peer_server::PeerServer;
 use crate::settings::Settings;
-use crate::{clock, log as config_log, publisher, sync};
-use shallothill_wire::control::KeeperControl;
+use crate::{ledger, publisher, sync};
+
+/// `MESSAGES_MAX` bounds the messages of other keepers that wait for the config log.
+const MESSAGES_MAX: usize = 1024;
 
 /// `STOP_WITHIN` bounds the time that a graceful stop takes.
 const STOP_WITHIN: Duration = Duration::from_secs(5);
@@ -61,66 +68,64 @@
     tasks: TaskTracker,
 }
 
-struct Listeners {
-    control: TcpListener,
-    peer: TcpListener,
-    admin: TcpListener,
-}
-
 impl Process {
-    /// `start` binds the addresses of `settings` and serves.
+    /// `start` serves on `listeners`.
     ///
-    /// Fails when the settings contradict themselves, an address is taken or the data folder
-    /// cannot be used.
-    pub async fn start(settings: Settings, options: StartOptions) -> errors::Result<Self> {
+    /// Fails when the settings contradict themselves or the data folder cannot be used.
+    pub async fn start(
+        settings: Settings,
+        listeners: Listeners,
+        options: StartOptions,
+    ) -> errors::Result<Self> {
         settings.check()?;
-        let listeners = Listeners {
-            control: settings::bind(settings.control_address, "nodes").await?,
-            peer: settings::bind(settings.peer_address, "keepers").await?,
-            admin: settings::bind(settings.process.admin_address, "operators").await?,
-        };
+        let control_address = address(&listeners.control)?;
+        let peer_address = address(&listeners.peer)?;
+        let admin_address = address(&listeners.admin)?;
         let (fatal_tx, fatal) = Fatal::new();
-        let incarnation = Incarnation(clock::now().0);
-        let mut member = Member::try_new(
-            settings.id,
-            &settings.ledger_group(),
-            incarnation,
-            LedgerOptions::default(),
-        )?;
-        if options.new_group {
-            member.replay(&Record::Whole { incarnation });
-        }
-        let ledger = LedgerHandle::start(member, NoJournal, fatal_tx);
+        let stop = CancellationToken::new();
+        let tasks = TaskTracker::new();
         let timer = Timer::start();
+        let data = Data::try_open(&settings)?;
+        let ledger = LedgerHandle::start(data.member, data.journal, fatal_tx.clone());
         let state = Arc::new(Mutex::new(ConfigState::default()));
-        let (log, rx, status) = LogHandle::new();
+        let sections = Arc::new(Mutex::new(SectionHistory::default()));
+        let (log, commands, status) = LogHandle::new();
         let (applied, applied_rx) = watch::channel(());
-        let tasks = TaskTracker::new();
-        tasks.spawn(config_log::run(
-            settings.id,
-            Arc::clone(&state),
-            rx,
+        let (messages_tx, messages) = mpsc::channel(MESSAGES_MAX);
+        let others = settings.others().map(|k| (k.id, k.peer_address));
+        let driver = Driver::try_new(Parts {
+            me: settings.id,
+            members: settings.members(),
+            new_group: options.new_group,
+            timer: timer.clone(),
+            disk: data.disk,
+            durable: data.durable,
+            state: Arc::clone(&state),
+            sections: Arc::clone(&sections),
+            ledger: ledger.clone(),
+            commands,
+            messages,
+            links: Links::start(settings.id, others, &tasks, &stop),
             status,
             applied,
-        ));
-        let keeper = Arc::new(Keeper::new(
-            settings,
-            timer,
-            incarnation,
-            state,
-            ledger,
-            log,
-        ));
+            fatal: fatal_tx,
+        })?;
+        let life = Incarnation(rand::random());
+        let keeper = Keeper::new(settings, timer, life, state, sections, ledger, log);
         let process = Self {
-            control_address: address(&listeners.control)?,
-            peer_address: address(&listeners.peer)?,
-            admin_address: address(&listeners.admin)?,
-            keeper,
+            control_address,
+            peer_address,
+            admin_address,
+            keeper: Arc::new(keeper),
             fatal,
-            stop: CancellationToken::new(),
+            stop,
             tasks,
         };
-        process.spawn(listeners, applied_rx);
+        // What the last snapshot holds is served before the log goes on from it, so that the
+        // history of sections has no gap there.
+        publisher::publish_applied(&process.keeper).await;
+        process.tasks.spawn(driver.run(process.stop.clone()));
+        process.spawn(listeners, messages_tx, applied_rx);
         Ok(process)
     }
 
@@ -151,7 +156,12 @@
         &self.keeper
     }
 
-    fn spawn(&self, listeners: Listeners, applied: watch::Receiver<()>) {
+    fn spawn(
+        &self,
+        listeners: Listeners,
+        messages: mpsc::Sender<(KeeperId, Message)>,
+        applied: watch::Receiver<()>,
+    ) {
         let tasks = &self.tasks;
         let stop = || self.stop.clone();
         let keeper = || Arc::clone(&self.keeper);
@@ -161,13 +171,17 @@
             stop(),
             move |channel| answer_calls!(channel, server.clone().serve()),
         ));
-        let server = PeerServer(keeper());
+        let server = PeerServer {
+            keeper: keeper(),
+            messages,
+        };
         tasks.spawn(transport::serve(listeners.peer, stop(), move |channel| {
             answer_calls!(channel, server.clone().serve())
         }));
         let operators = Arc::new(Operators(keeper()));
         tasks.spawn(admin::serve(listeners.admin, operators, stop()));
         tasks.spawn(publisher::run(keeper(), applied, stop()));
+        tasks.spawn(until_stopped(ledger::recover(keeper()), stop()));
         tasks.spawn(housekeeping(keeper(), stop()));
         for id in self.keeper.peers.keys() {
             tasks.spawn(sync::follow(keeper(), *id, stop()));
@@ -175,6 +189,13 @@
     }
 }
 
+async fn until_stopped(task: impl Future<Output = ()>, stop: CancellationToken) {
+    tokio::select! {
+        () = task => {}
+        () = stop.cancelled() => {}
+    }
+}
+
 async fn housekeeping(keeper: Arc<Keeper>, stop: CancellationToken) {
     let mut ticks = keeper.timer.every(HOUSEKEEPING_EVERY);
     let mut count: u64 = 0;
--- a/crates/shallothill-keeper/src/publisher.rs
+++ b/crates/shallothill-keeper/src/publisher.rs
@@ -63,8 +63,14 @@
     if version <= current.version() {
         return;
     }
+    let mut sections = lock(&keeper.sections).clone();
+    sections.truncate(version);
     let next = task::spawn_blocking(move || {
         let config = shallothill_config::read(&text).ok()?;
+        // A snapshot of the log brings the history that leads to its version.
+        if sections.last() == Some(version) {
+            return Some(Published::new(version, config, sections));
+        }
         Some(current.next(version, config))
     });
     match next.await {
--- a/crates/shallothill-keeper/src/submit.rs
+++ b/crates/shallothill-keeper/src/submit.rs
@@ -48,7 +48,7 @@
             unavailable("the primary of the config log is changing")
         }
         Err(Refusal::NotPrimary(primary)) => {
-            let Some(peer) = primary.and_then(|p| keeper.peers.get(&p)) else {
+            let Some(peer) = keeper.peers.get(&primary) else {
                 return unavailable("no primary of the config log is known");
             };
             let call = peer.peer.call(FORWARD_TIMEOUT, |client, cx| async move {
