--- /dev/null
+++ b/crates/shallothill-keeper/tests/operators.rs
@@ -0,0 +1,160 @@
+//! Operators submit, show and follow configurations.
+
+mod common;
+
+use common::Group;
+use hyper::{Method, StatusCode};
+use shallothill_core::version::ConfigVersion;
+use shallothill_wire::operator::{HistoryReply, ShowReply, SubmitReply};
+
+/// Submissions, their texts and their history must be visible at every keeper, also at one that is
+/// not the primary.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn submissions_are_visible_at_every_keeper() {
+    let group = Group::start(3).await;
+    let backup = (group.primary().await + 1) % 3;
+    let texts = [common::text(3, 0), common::text(3, 1)];
+
+    for (base, text) in texts.iter().enumerate() {
+        let id = format!("change-{base}");
+        let reply = group.submit(backup, base as u64, &id, text).await;
+        let version = ConfigVersion(base as u64 + 1);
+        assert_eq!(reply, SubmitReply::Accepted { version });
+    }
+
+    for i in 0..3 {
+        let keeper = group.keeper(i);
+        common::wait("version 2", || {
+            keeper.published.load().version() == ConfigVersion(2)
+        })
+        .await;
+        let newest: ShowReply = group.get(i, "/config/show").await;
+        assert_eq!(newest.text.as_ref(), Some(&texts[1]));
+        let older: ShowReply = group.get(i, "/config/show?version=1").await;
+        assert_eq!(older.text.as_ref(), Some(&texts[0]));
+        let none: ShowReply = group.get(i, "/config/show?version=9").await;
+        assert_eq!(none.text, None);
+        let history: HistoryReply = group.get(i, "/config/history?limit=1").await;
+        assert_eq!(history.items.len(), 1);
+        assert_eq!(history.items[0].change_id, "change-1");
+        assert_eq!(
+            **keeper.published.load().config(),
+            common::config(&texts[1])
+        );
+    }
+}
+
+/// Of two operators with the same base, one must win and the other must get the current text.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn one_of_two_operators_with_the_same_base_wins() {
+    let group = Group::start(3).await;
+    let texts = [common::text(1, 1), common::text(1, 2)];
+
+    let (a, b) = tokio::join!(
+        group.submit(0, 0, "from-a", &texts[0]),
+        group.submit(1, 0, "from-b", &texts[1]),
+    );
+
+    let won = |r: &SubmitReply| {
+        matches!(
+            r,
+            SubmitReply::Accepted {
+                version: ConfigVersion(1)
+            }
+        )
+    };
+    let (winner, loser) = if won(&a) { (0, b) } else { (1, a) };
+    let expected = SubmitReply::Conflict {
+        current: ConfigVersion(1),
+        current_text: texts[winner].clone(),
+    };
+    assert_eq!(loser, expected);
+}
+
+/// An invalid text, or a change id that was used for another text, must change nothing.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn refused_submissions_change_nothing() {
+    let group = Group::start(1).await;
+    let text = common::text(1, 0);
+    let accepted = SubmitReply::Accepted {
+        version: ConfigVersion(1),
+    };
+    assert_eq!(group.submit(0, 0, "first", &text).await, accepted);
+
+    let invalid = group.submit(0, 1, "second", "services: [").await;
+    let reused = group.submit(0, 1, "first", &common::text(1, 1)).await;
+    let resent = group.submit(0, 0, "first", &text).await;
+    let stale = group.submit(0, 0, "third", &common::text(1, 2)).await;
+    let ahead = group.submit(0, 7, "fourth", &common::text(1, 2)).await;
+
+    assert!(matches!(invalid, SubmitReply::Invalid { faults } if !faults.is_empty()));
+    let version = Some(ConfigVersion(1));
+    assert_eq!(reused, SubmitReply::ChangeIdReused { version });
+    assert_eq!(resent, accepted);
+    for reply in [stale, ahead] {
+        assert!(matches!(
+            reply,
+            SubmitReply::Conflict {
+                current: ConfigVersion(1),
+                ..
+            }
+        ));
+    }
+    let shown: ShowReply = group.get(0, "/config/show").await;
+    assert_eq!(shown.text, Some(text));
+}
+
+/// Bodies that are no submission or too large, and unknown paths, must be refused without harm.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn bad_requests_are_refused() {
+    let group = Group::start(1).await;
+    let post = |body| group.send(0, Method::POST, "/config/submit", body);
+
+    assert_eq!(post(vec![0xc1; 64]).await.0, StatusCode::BAD_REQUEST);
+    assert_eq!(
+        post(vec![0; 33 << 20]).await.0,
+        StatusCode::PAYLOAD_TOO_LARGE
+    );
+    let (status, _) = group
+        .send(0, Method::GET, "/ledger/not-a-key", Vec::new())
+        .await;
+    assert_eq!(status, StatusCode::BAD_REQUEST);
+    let (status, _) = group.send(0, Method::GET, "/nothing", Vec::new()).await;
+    assert_eq!(status, StatusCode::NOT_FOUND);
+    let long = "x".repeat(8 << 20);
+    assert!(matches!(
+        group.submit(0, 0, "long", &long).await,
+        SubmitReply::Invalid { .. }
+    ));
+
+    let accepted = group.submit(0, 0, "fine", &common::text(1, 0)).await;
+    assert!(matches!(accepted, SubmitReply::Accepted { .. }));
+}
+
+/// The status must count the nodes of a data centre that act on the current version, wherever
+/// they report, and name those that do not.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn status_counts_nodes_in_force() {
+    let group = Group::start(3).await;
+    group
+        .submit_until_answered(0, 0, "one", &common::text(1, 0))
+        .await;
+    for (i, (node, version)) in [("n1", 1), ("n2", 1), ("n3", 0)].into_iter().enumerate() {
+        let control = group.control(i);
+        let report = common::report(node, version);
+        let call = control.call(common::DEADLINE, |c, cx| async move {
+            c.report(cx, report).await
+        });
+        call.await.unwrap();
+    }
+
+    let status = group.status(0).await;
+
+    assert!(status.quorum);
+    assert_eq!(status.config_version, ConfigVersion(1));
+    assert_eq!(status.keepers.iter().filter(|k| k.heard).count(), 3);
+    assert_eq!(status.keepers.iter().filter(|k| k.primary).count(), 1);
+    let centre = &status.data_centres[0];
+    assert_eq!((centre.nodes, centre.in_force), (3, 2));
+    assert_eq!(centre.behind[0].as_str(), "n3");
+}
