ledger: a clock that jumps ahead forgets no claims

Cause: forget() took the wall clock for granted. Ruled out: comparing the wall clock with the monotonic one, which does not help at a start with a wrong clock. Change: the bound never passes the newest key held less retention and margin. Withdrawals do not count as time, because they are not checked for the age of their key.

--- a/crates/shallothill-ledger/src/member.rs
+++ b/crates/shallothill-ledger/src/member.rs
@@ -46,6 +46,8 @@
     known: BTreeMap<KeeperId, Incarnation>,
     forgotten_through: UnixMillis,
     entries: BTreeMap<IdempotencyKey, Entry>,
+    /// When the newest key was created.
+    newest: UnixMillis,
 }
 
 impl Member {
@@ -70,6 +72,7 @@
             known: BTreeMap::new(),
             forgotten_through: UnixMillis(0),
             entries: BTreeMap::new(),
+            newest: UnixMillis(0),
         })
     }
 
@@ -80,7 +83,8 @@
                 self.entry(key).holding = Holding::Held(claim.clone());
             }
             Record::Withdrawn { key, claim } => {
-                let entry = self.entry(key);
+                // Withdrawals are not checked for the age of their key, so they do not count as time.
+                let entry = self.entries.entry(key.clone()).or_default();
                 entry.dead.insert(*claim);
                 if matches!(&entry.holding, Holding::Held(held) if held.id == *claim) {
                     entry.holding = Holding::Free;
@@ -101,7 +105,7 @@
             }
             Record::Forgotten { through } => self.drop_through(*through),
             Record::Restored { key, entry } => {
-                self.entries.insert(key.clone(), entry.clone());
+                *self.entry(key) = entry.clone();
             }
             Record::Whole { incarnation } => {
                 self.incarnation = *incarnation;
@@ -200,9 +204,13 @@
     }
 
     /// `forget` drops keys whose retention and margin have passed at `now`.
+    ///
+    /// Time also has to pass in the keys that callers create, so that a wall clock that jumps
+    /// ahead neither drops claims nor makes the member refuse new keys after it was set right.
     pub fn forget(&mut self, now: UnixMillis) -> Vec<Record> {
         let kept = self.options.retention + self.options.drop_margin;
         let kept_ms = u64::try_from(kept.as_millis()).unwrap_or(u64::MAX);
+        let now = now.min(self.newest);
         let through = UnixMillis(now.0.saturating_sub(kept_ms));
         if through <= self.forgotten_through {
             return Vec::new();
@@ -310,6 +318,7 @@
     }
 
     fn entry(&mut self, key: &IdempotencyKey) -> &mut Entry {
+        self.newest = self.newest.max(key.created());
         self.entries.entry(key.clone()).or_default()
     }
 
--- a/crates/shallothill-ledger/tests/claims/member.rs
+++ b/crates/shallothill-ledger/tests/claims/member.rs
@@ -58,6 +58,12 @@
 fn holds_dropped_key_stays_refused() {
     let mut m = member(KeeperId(1));
     m.claim(after(0), &request(1));
+    // A member drops keys only once it holds newer ones, whatever its own clock says.
+    let newer = ClaimRequest {
+        key: IdempotencyKey::try_parse("019aef0f-f300-7000-8000-000000000002").unwrap(),
+        claim: claim(3, b"body"),
+    };
+    m.claim(after(30 * HOUR_MS), &newer);
 
     m.forget(after(30 * HOUR_MS));
     let (reply, records) = m.claim(after(0), &request(2));
--- a/crates/shallothill-ledger/tests/recovery.rs
+++ b/crates/shallothill-ledger/tests/recovery.rs
@@ -129,3 +129,21 @@
     let (reply, records) = lost.claim(NOW, &request(1, 12));
     assert_eq!((reply.answer, records), (Answer::Contested, Vec::new()));
 }
+
+/// A wall clock that jumps ahead for a moment must not make a member forget claims, or refuse new
+/// keys for days after it was set right.
+#[test]
+fn clock_that_jumps_ahead_forgets_nothing() {
+    let mut member = member(GROUP[1]);
+    member.claim(NOW, &request(1, 10));
+
+    member.forget(UnixMillis(NOW.0 + 10 * 24 * 3_600_000));
+
+    let (held, _) = member.claim(NOW, &request(1, 11));
+    let (fresh, _) = member.claim(NOW, &request(2, 12));
+    let holds = |id| Answer::Holds {
+        claim: claim(id),
+        completion: None,
+    };
+    assert_eq!((held.answer, fresh.answer), (holds(10), holds(12)));
+}
