node: carry requests end to end and test the whole path

Ruled out: asking an endpoint for its state twice under one lock; the first run of the tests hung there, because the guard of a struct field lives until the end of the expression.

Change: statuses are read under one lock; tests/whole_path.rs drives two nodes, three fake keepers with real ledger members, and a stand-in.

--- a/crates/shallothill-node/src/control/watch.rs
+++ b/crates/shallothill-node/src/control/watch.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use log::{info, warn};
-use shallothill_core::ids::NodeName;
+use shallothill_core::ids::{KeeperId, NodeName};
 use shallothill_core::time::Millis;
 use shallothill_directory::Cursor;
 use shallothill_runtime::timer::Timer;
@@ -50,11 +50,18 @@
     pub timer: Timer,
 }
 
+/// `Position` is how far the node has followed a keeper.
+#[derive(Debug, Default)]
+struct Position {
+    keeper: Option<KeeperId>,
+    cursor: Option<Cursor>,
+}
+
 impl Watcher {
     /// `run` watches until `stop` is cancelled.
     pub async fn run(self, stop: CancellationToken) {
         let mut at = 0;
-        let mut cursor = None;
+        let mut position = Position::default();
         let mut moved = self.timer.now();
         let mut silent = 0;
         loop {
@@ -67,7 +74,7 @@
                 return;
             };
             let watched = tokio::select! {
-                watched = self.watch(keeper, &mut cursor) => watched,
+                watched = self.watch(keeper, &mut position) => watched,
                 () = stop.cancelled() => return,
             };
             keeper.note(watched);
@@ -88,13 +95,12 @@
         }
     }
 
-    async fn watch(&self, keeper: &Arc<Keeper>, cursor: &mut Option<Cursor>) -> bool {
-        let known = cursor.filter(|c| c.keeper == keeper.id());
-        let first = known.is_none();
+    async fn watch(&self, keeper: &Arc<Keeper>, position: &mut Position) -> bool {
+        let first = position.keeper != Some(keeper.id());
         let req = WatchRequest {
             node: self.node.clone(),
             config_version: self.store.version(),
-            cursor: known,
+            cursor: position.cursor.filter(|_| !first),
             wait_ms: if first { 0 } else { WAIT.as_millis() as u32 },
         };
         let call = keeper
@@ -105,14 +111,15 @@
             info!("watch: following keeper {}", keeper.id());
         }
         let now = self.timer.now();
-        self.take(keeper, cursor, reply, now).await;
+        position.keeper = Some(keeper.id());
+        self.take(keeper, position, reply, now).await;
         true
     }
 
     async fn take(
         &self,
         keeper: &Arc<Keeper>,
-        cursor: &mut Option<Cursor>,
+        position: &mut Position,
         reply: WatchReply,
         now: Millis,
     ) {
@@ -120,7 +127,7 @@
             self.crashes.heard(now, notice);
         }
         if let Some(delta) = reply.directory {
-            *cursor = Some(delta.cursor);
+            position.cursor = Some(delta.cursor);
             self.view.apply(delta);
         }
         if let Some(update) = reply.config {
--- a/crates/shallothill-node/src/gate/lifecycle.rs
+++ b/crates/shallothill-node/src/gate/lifecycle.rs
@@ -111,11 +111,12 @@
     pub fn statuses(&self) -> Vec<EndpointStatus> {
         let endpoints = self.endpoints.load();
         let status = |((service, name), e): (&(ServiceName, EndpointName), &Arc<Endpoint>)| {
-            Some(EndpointStatus {
+            let inner = e.lock();
+            inner.up.then(|| EndpointStatus {
                 service: service.clone(),
                 name: name.clone(),
-                slots: e.lock().announced_slots,
-                state: e.state()?,
+                slots: inner.announced_slots,
+                state: inner.gate.state(),
             })
         };
         endpoints.iter().filter_map(status).collect()
--- a/crates/shallothill-node/src/view.rs
+++ b/crates/shallothill-node/src/view.rs
@@ -69,6 +69,7 @@
                     node,
                     incarnation,
                     sequence,
+                    ..
                 } => {
                     let known = state.nodes.get(&node).map(|(r, _)| r.order());
                     let late = known.is_some_and(|k| k > (incarnation, sequence));
--- /dev/null
+++ b/crates/shallothill-node/tests/support/cluster.rs
@@ -0,0 +1,172 @@
+//! Nodes with stand-in backend servers.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use shallothill_core::class::Class;
+use shallothill_core::config::{Caller, Config, Disposition, Floor, Route, Service};
+use shallothill_core::ids::{CallerName, DataCentre, NodeName, Region, RouteName, ServiceName};
+use shallothill_node::node::Node;
+use shallothill_node::settings::{Bounds, KeeperAddress, Settings};
+use shallothill_runtime::settings::Common;
+use shallothill_testing::behaviour::Behaviour;
+use shallothill_testing::options::StandinOptions;
+use shallothill_testing::process;
+use shallothill_testing::standin::Standin;
+use tokio_util::sync::{CancellationToken, DropGuard};
+
+use super::LONG;
+use super::keepers::Keepers;
+
+pub const REGION: &str = "north";
+
+pub fn service() -> Service {
+    Service {
+        depends_on: Vec::new(),
+        slots: 5,
+        connections: 300,
+        queue: 10,
+        floor: Floor::Total(1),
+        disposition: Disposition::CAUTIOUS,
+        expected_latency: Duration::from_millis(5),
+        cold_start_requests: 5,
+        retry_budget_percent: 100,
+        max_attempts: 3,
+        hedge_after: None,
+        cross_region_bytes_per_s: None,
+    }
+}
+
+pub fn route(path: &str, method: &str, idempotent: bool) -> Route {
+    Route {
+        service: ServiceName::try_new("courier").unwrap(),
+        methods: vec![method.to_owned()],
+        path: path.to_owned(),
+        idempotent,
+        class: Class::Shop,
+        deadline: Duration::from_secs(10),
+        max_body_bytes: 1024 * 1024,
+    }
+}
+
+/// A service `courier` with an idempotent and a non-idempotent route.
+pub fn config() -> Config {
+    let mut internal = route("/internal", "GET", true);
+    internal.class = Class::Internal;
+    let routes = [
+        ("stock", route("/stock", "GET", true)),
+        ("put", route("/stock/items", "PUT", true)),
+        ("book", route("/book", "POST", false)),
+        ("internal", internal),
+    ];
+    let limited = Caller {
+        class: Class::Shop,
+        requests_per_s: Some(1),
+        concurrent: None,
+    };
+    Config {
+        regions: vec![Region::try_new(REGION).unwrap()],
+        services: BTreeMap::from([(ServiceName::try_new("courier").unwrap(), service())]),
+        routes: routes
+            .into_iter()
+            .map(|(n, r)| (RouteName::try_new(n).unwrap(), r))
+            .collect(),
+        callers: BTreeMap::from([(CallerName::try_new("limited").unwrap(), limited)]),
+    }
+}
+
+pub fn local() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+pub fn settings(name: &str, keepers: &[KeeperAddress], bounds: Bounds) -> Settings {
+    Settings {
+        node: NodeName::try_new(name).unwrap(),
+        region: Region::try_new(REGION).unwrap(),
+        data_centre: DataCentre::try_new("north-1").unwrap(),
+        caller_address: local(),
+        peer_address: local(),
+        announce_address: local(),
+        process: Common {
+            log_level: log::LevelFilter::Off,
+            admin_address: local(),
+            metrics_address: None,
+            metrics_every: 10,
+        },
+        regions: vec![Region::try_new(REGION).unwrap()],
+        keepers: keepers.to_vec(),
+        bounds,
+    }
+}
+
+pub struct RunningNode {
+    pub node: Arc<Node>,
+    pub stop: CancellationToken,
+    _guard: DropGuard,
+}
+
+impl RunningNode {
+    pub async fn start(name: &str, keepers: &[KeeperAddress], bounds: Bounds) -> Self {
+        let stop = CancellationToken::new();
+        let settings = settings(name, keepers, bounds);
+        let node = Node::start(settings, stop.clone()).await.unwrap();
+        Self {
+            node,
+            stop: stop.clone(),
+            _guard: stop.drop_guard(),
+        }
+    }
+
+    pub fn caller(&self) -> SocketAddr {
+        self.node.addresses().caller
+    }
+
+    pub async fn ready(&self, endpoints: usize) {
+        let name = ServiceName::try_new("courier").unwrap();
+        let known = || {
+            let tables = self.node.view().tables();
+            tables.service(&name).map_or(0, |t| t.endpoints().len())
+        };
+        process::wait_until("the node serves", LONG, || async {
+            self.node.entry().serving() && known() == endpoints
+        })
+        .await
+        .unwrap();
+    }
+}
+
+pub async fn standin(node: &RunningNode, name: &str, behaviour: Behaviour) -> Standin {
+    let options = StandinOptions {
+        announce: Some(node.node.addresses().announce),
+        service: "courier".to_owned(),
+        endpoint: name.to_owned(),
+        behaviour,
+        ..StandinOptions::default()
+    };
+    Standin::start(options).await.unwrap()
+}
+
+/// An entry node without backend servers, and a gate with one.
+pub struct Pair {
+    pub keepers: Keepers,
+    pub entry: RunningNode,
+    pub gate: RunningNode,
+    pub standin: Standin,
+}
+
+pub async fn pair(cfg: Config, behaviour: Behaviour) -> Pair {
+    let keepers = Keepers::start(REGION, cfg).await;
+    let entry = RunningNode::start("n1", &keepers.addresses, Bounds::default()).await;
+    let gate = RunningNode::start("n2", &keepers.addresses, Bounds::default()).await;
+    let standin = standin(&gate, "e1", behaviour).await;
+    entry.ready(1).await;
+    gate.ready(1).await;
+    Pair {
+        keepers,
+        entry,
+        gate,
+        standin,
+    }
+}
--- /dev/null
+++ b/crates/shallothill-node/tests/support/keepers.rs
@@ -0,0 +1,209 @@
+//! Fake keepers: one shared directory and configuration, and a real ledger member each.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use shallothill_core::config::Config;
+use shallothill_core::idempotency::IdempotencyKey;
+use shallothill_core::ids::{DataCentre, KeeperId, Region};
+use shallothill_core::incarnation::Incarnation;
+use shallothill_core::sections;
+use shallothill_core::time::{Millis, UnixMillis};
+use shallothill_core::version::ConfigVersion;
+use shallothill_directory::{
+    Directory, DirectoryOptions, LeaseAnswer, LeaseReply, LeaseRequest, ReleaseRequest,
+};
+use shallothill_ledger::{
+    ClaimReply, ClaimRequest, CompleteRequest, LedgerOptions, Member, Record, WithdrawRequest,
+};
+use shallothill_node::settings::KeeperAddress;
+use shallothill_wire::control::KeeperControl;
+use shallothill_wire::crash::CrashNotice;
+use shallothill_wire::report::{ReportReply, ReportRequest};
+use shallothill_wire::watch::{
+    ConfigUpdate, SectionsReply, SectionsRequest, WatchReply, WatchRequest,
+};
+use shallothill_wire::{answer_calls, transport};
+use tarpc::context::Context;
+use tokio::net::TcpListener;
+use tokio::time;
+use tokio_util::sync::{CancellationToken, DropGuard};
+
+pub struct Shared {
+    started: Instant,
+    pub config: Mutex<(ConfigVersion, Config)>,
+    directory: Mutex<Directory>,
+    crashes: Mutex<Vec<CrashNotice>>,
+    pub claims: Mutex<BTreeMap<IdempotencyKey, usize>>,
+}
+
+impl Shared {
+    fn now(&self) -> Millis {
+        Millis(0) + self.started.elapsed()
+    }
+
+    pub fn set_config(&self, version: u64, cfg: Config) {
+        *self.config.lock().unwrap() = (ConfigVersion(version), cfg);
+    }
+}
+
+#[derive(Clone)]
+struct Server {
+    id: KeeperId,
+    shared: Arc<Shared>,
+    member: Arc<Mutex<Member>>,
+}
+
+pub struct Keepers {
+    pub shared: Arc<Shared>,
+    pub addresses: Vec<KeeperAddress>,
+    stops: Vec<DropGuard>,
+}
+
+impl Keepers {
+    /// Three keepers of one region.
+    pub async fn start(region: &str, cfg: Config) -> Self {
+        let shared = Arc::new(Shared {
+            started: Instant::now(),
+            config: Mutex::new((ConfigVersion(1), cfg)),
+            directory: Mutex::new(Directory::new(
+                KeeperId(1),
+                Incarnation(1),
+                DirectoryOptions::default(),
+            )),
+            crashes: Mutex::default(),
+            claims: Mutex::default(),
+        });
+        let group = [KeeperId(1), KeeperId(2), KeeperId(3)];
+        let mut keepers = Self {
+            shared: Arc::clone(&shared),
+            addresses: Vec::new(),
+            stops: Vec::new(),
+        };
+        for id in group {
+            let incarnation = Incarnation(u64::from(id.0));
+            let options = LedgerOptions::default();
+            let mut member = Member::try_new(id, &group, incarnation, options).unwrap();
+            member.replay(&Record::Whole { incarnation });
+            let server = Server {
+                id,
+                shared: Arc::clone(&shared),
+                member: Arc::new(Mutex::new(member)),
+            };
+            keepers.serve(id, region, server).await;
+        }
+        keepers
+    }
+
+    async fn serve(&mut self, id: KeeperId, region: &str, server: Server) {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        self.addresses.push(KeeperAddress {
+            id,
+            region: Region::try_new(region).unwrap(),
+            data_centre: DataCentre::try_new(&format!("{region}-1")).unwrap(),
+            control_address: listener.local_addr().unwrap(),
+        });
+        let stop = CancellationToken::new();
+        self.stops.push(stop.clone().drop_guard());
+        tokio::spawn(transport::serve(listener, stop, move |channel| {
+            answer_calls!(channel, server.clone().serve())
+        }));
+    }
+
+    /// Ends keeper `i` at once.
+    pub fn kill(&mut self, i: usize) {
+        self.stops[i] = CancellationToken::new().drop_guard();
+    }
+
+    pub fn address(&self, i: usize) -> SocketAddr {
+        self.addresses[i].control_address
+    }
+}
+
+fn unix_now() -> UnixMillis {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap();
+    UnixMillis(since.as_millis() as u64)
+}
+
+impl KeeperControl for Server {
+    async fn report(self, _: Context, req: ReportRequest) -> ReportReply {
+        let now = self.shared.now();
+        let mut directory = self.shared.directory.lock().unwrap();
+        if req.leaving {
+            directory.leave(now, &req.report.node, req.report.order());
+        } else {
+            directory.report(now, req.report);
+        }
+        self.shared.crashes.lock().unwrap().extend(req.crashes);
+        ReportReply {
+            config_version: self.shared.config.lock().unwrap().0,
+            summaries: Vec::new(),
+        }
+    }
+
+    async fn watch(self, _: Context, req: WatchRequest) -> WatchReply {
+        let until = Instant::now() + Duration::from_millis(u64::from(req.wait_ms));
+        loop {
+            let (version, cfg) = self.shared.config.lock().unwrap().clone();
+            let delta = self.shared.directory.lock().unwrap().delta(req.cursor);
+            let news = version > req.config_version || !delta.changes.is_empty();
+            if news || Instant::now() >= until {
+                let manifest = sections::manifest(&sections::split(&cfg));
+                let update = ConfigUpdate::Manifest { version, manifest };
+                return WatchReply {
+                    config: (version > req.config_version).then_some(update),
+                    config_version: version,
+                    directory: Some(delta),
+                    crashes: self.shared.crashes.lock().unwrap().clone(),
+                };
+            }
+            time::sleep(Duration::from_millis(10)).await;
+        }
+    }
+
+    async fn sections(self, _: Context, req: SectionsRequest) -> SectionsReply {
+        let (version, cfg) = self.shared.config.lock().unwrap().clone();
+        let mut all = sections::split(&cfg);
+        all.retain(|s| req.ids.contains(&s.id()));
+        SectionsReply {
+            sections: (req.version == version).then_some(all),
+            config_version: version,
+        }
+    }
+
+    async fn claim(self, _: Context, req: ClaimRequest) -> ClaimReply {
+        *self
+            .shared
+            .claims
+            .lock()
+            .unwrap()
+            .entry(req.key.clone())
+            .or_default() += 1;
+        self.member.lock().unwrap().claim(unix_now(), &req).0
+    }
+
+    async fn query_key(self, _: Context, key: IdempotencyKey) -> ClaimReply {
+        self.member.lock().unwrap().query(unix_now(), &key)
+    }
+
+    async fn withdraw(self, _: Context, req: WithdrawRequest) -> bool {
+        self.member.lock().unwrap().withdraw(&req).is_some()
+    }
+
+    async fn complete(self, _: Context, req: CompleteRequest) -> bool {
+        self.member.lock().unwrap().complete(&req).is_some()
+    }
+
+    async fn lease(self, _: Context, req: LeaseRequest) -> LeaseReply {
+        LeaseReply {
+            keeper: self.id,
+            round: req.round,
+            answer: LeaseAnswer::OverBudget,
+            budget: 0,
+        }
+    }
+
+    async fn release(self, _: Context, _: ReleaseRequest) {}
+}
--- /dev/null
+++ b/crates/shallothill-node/tests/support/mod.rs
@@ -0,0 +1,49 @@
+//! Nodes and fake keepers inside the test's process.
+
+#![allow(dead_code, reason = "each test file uses a part of the fixtures")]
+
+pub mod cluster;
+pub mod keepers;
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use hyper::Method;
+use shallothill_testing::http::{Client, Reply};
+use uuid::Uuid;
+
+/// `LONG` is far beyond what anything in a test takes.
+pub const LONG: Duration = Duration::from_secs(20);
+
+pub fn key() -> String {
+    Uuid::now_v7().to_string()
+}
+
+pub async fn get(client: &Client, at: std::net::SocketAddr, path: &str, id: &str) -> Reply {
+    let headers = [("x-request-id", id)];
+    client
+        .send(Method::GET, at, path, &headers, Bytes::new(), LONG)
+        .await
+        .unwrap()
+}
+
+pub async fn book(
+    client: &Client,
+    at: std::net::SocketAddr,
+    key: &str,
+    body: &'static str,
+) -> shallothill_testing::Result<Reply> {
+    let headers = [("idempotency-key", key)];
+    let body = Bytes::from_static(body.as_bytes());
+    client
+        .send(Method::POST, at, "/book", &headers, body, LONG)
+        .await
+}
+
+pub fn outcome(reply: &Reply) -> &str {
+    reply.header("x-shallothill-outcome").unwrap_or("none")
+}
+
+pub fn reason(reply: &Reply) -> &str {
+    reply.header("x-shallothill-reason").unwrap_or("none")
+}
--- /dev/null
+++ b/crates/shallothill-node/tests/whole_path.rs
@@ -0,0 +1,194 @@
+//! Requests from a caller through an entry node and a gate to a backend server and back.
+
+mod support;
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Empty};
+use hyper::{Method, Request};
+use hyper_util::client::legacy;
+use hyper_util::rt::TokioExecutor;
+use serde_json::Value;
+use shallothill_testing::behaviour::Behaviour;
+use shallothill_testing::http::Client;
+use support::{LONG, book, cluster, get, key, outcome, reason};
+
+/// Guards against a request that is lost or changed on the way over two nodes.
+#[tokio::test]
+async fn passes_requests_over_two_nodes() {
+    let pair = cluster::pair(cluster::config(), Behaviour::default()).await;
+    let client = Client::default();
+
+    for at in [pair.entry.caller(), pair.gate.caller()] {
+        let reply = get(&client, at, "/stock/7?x=1", "a1").await;
+        let body: Value = serde_json::from_slice(&reply.body).unwrap();
+
+        assert_eq!(reply.status, 200);
+        assert_eq!(outcome(&reply), "answered");
+        assert_eq!(body["path"], "/stock/7?x=1");
+        assert_eq!(body["id"], "a1");
+    }
+    assert_eq!(pair.standin.record().len(), 2);
+}
+
+/// Guards against an entry that speaks only one HTTP version.
+#[tokio::test]
+async fn serves_http2_callers() {
+    let pair = cluster::pair(cluster::config(), Behaviour::default()).await;
+    let client = legacy::Client::builder(TokioExecutor::new())
+        .http2_only(true)
+        .build_http::<Empty<Bytes>>();
+    let uri = format!("http://{}/stock", pair.entry.caller());
+
+    let response = client
+        .request(Request::get(uri).body(Empty::new()).unwrap())
+        .await
+        .unwrap();
+
+    assert_eq!(response.status(), 200);
+    assert_eq!(response.headers()["x-shallothill-outcome"], "answered");
+    assert!(
+        !response
+            .into_body()
+            .collect()
+            .await
+            .unwrap()
+            .to_bytes()
+            .is_empty()
+    );
+}
+
+/// Guards against large bodies that are buffered, cut or reordered in either direction.
+#[tokio::test]
+async fn streams_large_bodies() {
+    let behaviour = Behaviour {
+        answer_bytes: 3_000_000,
+        ..Behaviour::default()
+    };
+    let pair = cluster::pair(cluster::config(), behaviour).await;
+    let body = Bytes::from(vec![7; 900_000]);
+
+    let reply = Client::default()
+        .send(
+            Method::PUT,
+            pair.entry.caller(),
+            "/stock/items",
+            &[],
+            body,
+            LONG,
+        )
+        .await
+        .unwrap();
+    let answer: Value = serde_json::from_slice(&reply.body).unwrap();
+
+    assert_eq!(answer["body_bytes"], 900_000);
+    assert_eq!(answer["padding"].as_str().unwrap().len(), 3_000_000);
+}
+
+/// Guards against wrong statuses and refusals without outcome, reason or Retry-After.
+#[tokio::test]
+async fn refuses_with_the_right_status() {
+    let pair = cluster::pair(cluster::config(), Behaviour::default()).await;
+    let client = Client::default();
+    let at = pair.entry.caller();
+    let large = Bytes::from(vec![0; 1_100_000]);
+    let long = "x".repeat(17_000);
+    let limited = [("x-shallothill-caller", "limited")];
+    let cases: [(Method, &str, Vec<(&str, &str)>, Bytes, u16); 8] = [
+        (Method::GET, "/none", vec![], Bytes::new(), 404),
+        (Method::GET, "/stockings", vec![], Bytes::new(), 404),
+        (Method::PATCH, "/stock", vec![], Bytes::new(), 405),
+        (Method::POST, "/book", vec![], Bytes::new(), 400),
+        (
+            Method::POST,
+            "/book",
+            vec![("idempotency-key", "1")],
+            Bytes::new(),
+            400,
+        ),
+        (
+            Method::GET,
+            "/stock",
+            vec![("x-shallothill-deadline-ms", "x")],
+            Bytes::new(),
+            400,
+        ),
+        (Method::PUT, "/stock/items", vec![], large, 413),
+        (
+            Method::GET,
+            "/stock",
+            vec![("x-long", &long)],
+            Bytes::new(),
+            431,
+        ),
+    ];
+
+    for (method, path, headers, body, status) in cases {
+        let reply = client
+            .send(method, at, path, &headers, body, LONG)
+            .await
+            .unwrap();
+        assert_eq!(reply.status, status, "{path}");
+        assert_eq!(outcome(&reply), "refused-not-run", "{path}");
+        assert_ne!(reason(&reply), "none", "{path}");
+    }
+    let send = || client.send(Method::GET, at, "/stock", &limited, Bytes::new(), LONG);
+    let first = send().await.unwrap();
+    let second = send().await.unwrap();
+
+    assert_eq!((first.status.as_u16(), second.status.as_u16()), (200, 429));
+    assert!(second.header("retry-after").is_some());
+    assert_eq!(pair.standin.record().len(), 1);
+}
+
+/// Guards against a caller that steers the hop between nodes with its own headers.
+#[tokio::test]
+async fn drops_own_headers_of_callers() {
+    let pair = cluster::pair(cluster::config(), Behaviour::default()).await;
+    let headers = [
+        ("x-shallothill-endpoint", "e9"),
+        ("x-shallothill-service", "other"),
+        ("x-shallothill-class", "editor"),
+    ];
+
+    let client = Client::default();
+    let at = pair.entry.caller();
+    let reply = client
+        .send(Method::GET, at, "/stock", &headers, Bytes::new(), LONG)
+        .await
+        .unwrap();
+    let internal = client
+        .send(Method::GET, at, "/internal", &headers, Bytes::new(), LONG)
+        .await
+        .unwrap();
+
+    assert_eq!(
+        (reply.status.as_u16(), internal.status.as_u16()),
+        (200, 200)
+    );
+    let classes: Vec<_> = pair.standin.record().into_iter().map(|r| r.class).collect();
+    assert_eq!(
+        classes,
+        [Some("shop".to_owned()), Some("editor".to_owned())]
+    );
+}
+
+/// Guards against a non-idempotent request that is refused, or whose answer is lost on a resend.
+#[tokio::test]
+async fn books_once_and_gives_the_stored_answer_again() {
+    let pair = cluster::pair(cluster::config(), Behaviour::default()).await;
+    let client = Client::default();
+    let key = key();
+
+    let first = book(&client, pair.entry.caller(), &key, "a").await.unwrap();
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    let again = book(&client, pair.gate.caller(), &key, "a").await.unwrap();
+    let other = book(&client, pair.entry.caller(), &key, "b").await.unwrap();
+
+    assert_eq!((first.status.as_u16(), outcome(&first)), (200, "answered"));
+    assert_eq!((again.status.as_u16(), reason(&again)), (200, "stored"));
+    assert_eq!(first.body, again.body);
+    assert_eq!((other.status.as_u16(), reason(&other)), (409, "key-reused"));
+    assert_eq!(pair.standin.record().len(), 1);
+}
