--- a/crates/shallothill-testing/src/bin/demo/fleet.rs
+++ b/crates/shallothill-testing/src/bin/demo/fleet.rs
@@ -171,7 +171,8 @@
         let data_dir = self.paths.work.join(&name);
         let regions = &self.deployment.regions;
         let settings = keeper_settings(place, all, regions, &data_dir, admin);
-        let process = self.with_settings("shallothill-keeper", &name, &settings)?;
+        let process =
+            self.with_settings("shallothill-keeper", &name, &settings, &["--new-group"])?;
         Ok(Keeper {
             place: place.clone(),
             admin,
@@ -191,7 +192,7 @@
             announce_address: free[2],
         };
         let settings = node_settings(&place, keepers, &self.deployment.regions, free[3]);
-        let node = self.with_settings("shallothill-node", &place.node, &settings)?;
+        let node = self.with_settings("shallothill-node", &place.node, &settings, &[])?;
         let service = self.deployment.services[i % self.deployment.services.len()];
         let record_file = self.paths.work.join(format!("{}.record", place.node));
         let mut command = self.command("shallothill-standin");
@@ -214,11 +215,17 @@
         })
     }
 
-    fn with_settings(&self, program: &str, name: &str, text: &str) -> Result<Process, Failure> {
+    fn with_settings(
+        &self,
+        program: &str,
+        name: &str,
+        text: &str,
+        more: &[&str],
+    ) -> Result<Process, Failure> {
         let file = self.paths.work.join(format!("{name}.yaml"));
         fs::write(&file, text)?;
         let mut command = self.command(program);
-        command.arg("--settings").arg(file);
+        command.arg("--settings").arg(file).args(more);
         let log = self.paths.work.join(format!("{name}.log"));
         Ok(Process::spawn(command, &log)?)
     }
