keeper: relay silent keepers, wait for a complete directory, and test restarts and watchers

Cause: a keeper that was just started sent its empty directory as a full one, at which nodes drop all others; each change crossed every link between keepers once for each keeper that relayed it. Change: nodes get the directory once the keeper heard its nodes and the other keepers, 8 s after its start at the latest; keepers send only the nodes that they hear, and those of keepers that the reader does not hear.

--- a/crates/shallothill-keeper/src/control.rs
+++ b/crates/shallothill-keeper/src/control.rs
@@ -26,8 +26,11 @@
     fn news(&self, req: &WatchRequest) -> Option<WatchReply> {
         let published = self.0.published.load();
         let config = published.update_since(req.config_version);
-        let membership = lock(&self.0.membership);
-        let news = membership.news(self.0.timer.now(), req.cursor);
+        let news = if self.0.knows_nodes() {
+            lock(&self.0.membership).news(self.0.timer.now(), req.cursor)
+        } else {
+            None
+        };
         if config.is_none() && news.is_none() {
             return None;
         }
--- a/crates/shallothill-keeper/src/keeper.rs
+++ b/crates/shallothill-keeper/src/keeper.rs
@@ -27,6 +27,12 @@
 /// `HEARD_FOR` is how long another keeper counts as heard after its last answer.
 pub const HEARD_FOR: Duration = Duration::from_secs(6);
 
+/// `START_MIN` covers the time between two reports of a node, 2 s, with a failed one.
+const START_MIN: Duration = Duration::from_secs(5);
+
+/// `START_MAX` bounds the wait for keepers that do not answer.
+const START_MAX: Duration = Duration::from_secs(8);
+
 /// `Peer` holds the connections to another keeper.
 #[derive(Debug)]
 pub struct Peer {
@@ -187,6 +193,36 @@
         lock(&peer.heard).is_some_and(|at| now.saturating_since(at) < HEARD_FOR)
     }
 
+    /// `heard_keepers` lists the other keepers that answered lately.
+    pub fn heard_keepers(&self) -> Vec<KeeperId> {
+        let heard = self.peers.iter().filter(|(_, peer)| self.is_heard(peer));
+        heard.map(|(id, _)| *id).collect()
+    }
+
+    /// `silent_keepers` lists the other keepers that have not answered for a while; at the start
+    /// each of them gets that time.
+    pub fn silent_keepers(&self) -> Vec<KeeperId> {
+        let now = self.timer.now();
+        let last = |peer: &Peer| lock(&peer.heard).unwrap_or_default();
+        let silent = self
+            .peers
+            .iter()
+            .filter(|(_, peer)| now.saturating_since(last(peer)) >= HEARD_FOR);
+        silent.map(|(id, _)| *id).collect()
+    }
+
+    /// `knows_nodes` tells whether the directory is complete enough to be sent to nodes, which
+    /// drop everything that a full delta does not list. A keeper that was just started has to hear
+    /// its own nodes and the other keepers first; in a new group there is nothing to wait for.
+    pub fn knows_nodes(&self) -> bool {
+        if self.log.status().formed {
+            return true;
+        }
+        let age = self.timer.now().saturating_since(Millis(0));
+        let all_heard = || self.peers.values().all(|p| lock(&p.heard).is_some());
+        age >= START_MAX || age >= START_MIN && all_heard()
+    }
+
     fn budget(&self, req: &LeaseRequest) -> u32 {
         let token = &req.token;
         if token.region != self.settings.region {
--- a/crates/shallothill-keeper/src/log/driver.rs
+++ b/crates/shallothill-keeper/src/log/driver.rs
@@ -9,7 +9,7 @@
 use shallothill_core::incarnation::Incarnation;
 use shallothill_replica::{
     Action, Content, Durable, Entry, Event, HardState, Message, ProposeResult, ReadToken, Replica,
-    ReplicaOptions, ReplicaStatus, Request, RequestId, Snapshot, Standing,
+    ReplicaOptions, Request, RequestId, Snapshot, Standing,
 };
 use shallothill_runtime::timer::Timer;
 use tokio::sync::{mpsc as async_mpsc, oneshot, watch};
@@ -89,6 +89,7 @@
     proposals: BTreeMap<RequestId, (Change, ProposeAnswer)>,
     reads: BTreeMap<ReadToken, ReadAnswer>,
     next_read: u64,
+    formed: bool,
 }
 
 impl Driver {
@@ -129,6 +130,7 @@
             proposals: BTreeMap::new(),
             reads: BTreeMap::new(),
             next_read: 0,
+            formed: false,
         };
         driver.show_status();
         Ok(driver)
@@ -214,6 +216,7 @@
         let formed = self.standing == Some(Standing::Forming) && hard.standing == Standing::Whole;
         if formed {
             self.ledger.form(self.first_life).await?;
+            self.formed = true;
             info!("keeper: the new group is formed");
         }
         self.standing = Some(hard.standing);
@@ -269,23 +272,20 @@
     fn show_status(&self) {
         let replica = self.replica.status();
         self.status.send_if_modified(|shown| {
-            let changed = shown.replica.as_ref() != Some(&replica);
-            if changed {
-                *shown = status_of(replica);
+            if shown.replica.as_ref() == Some(&replica) {
+                return false;
             }
-            changed
+            *shown = LogStatus {
+                primary: replica.primary,
+                forming: replica.standing == Standing::Forming,
+                formed: self.formed,
+                replica: Some(replica),
+            };
+            true
         });
     }
 }
 
-fn status_of(replica: ReplicaStatus) -> LogStatus {
-    LogStatus {
-        primary: replica.primary,
-        forming: replica.standing == Standing::Forming,
-        replica: Some(replica),
-    }
-}
-
 fn refusal(me: KeeperId, primary: Option<KeeperId>) -> Refusal {
     match primary {
         Some(primary) if primary != me => Refusal::NotPrimary(primary),
--- a/crates/shallothill-keeper/src/log/handle.rs
+++ b/crates/shallothill-keeper/src/log/handle.rs
@@ -35,6 +35,8 @@
     pub primary: Option<KeeperId>,
     /// Whether a new group is being formed, or nothing is known yet.
     pub forming: bool,
+    /// Whether the group was formed in this life of the process.
+    pub formed: bool,
     /// Figures of the replica.
     pub replica: Option<ReplicaStatus>,
 }
@@ -44,6 +46,7 @@
         Self {
             primary: None,
             forming: true,
+            formed: false,
             replica: None,
         }
     }
--- a/crates/shallothill-keeper/src/membership.rs
+++ b/crates/shallothill-keeper/src/membership.rs
@@ -74,6 +74,28 @@
         Some((delta, crashes))
     }
 
+    /// `news_for_keeper` returns what is new for another keeper: the nodes that this keeper hears,
+    /// and those of the keepers in `relay`.
+    ///
+    /// Changes that the other keeper gets elsewhere are no news; `even_none` returns their position
+    /// all the same.
+    pub fn news_for_keeper(
+        &self,
+        now: Millis,
+        cursor: Option<Cursor>,
+        relay: &[KeeperId],
+        even_none: bool,
+    ) -> Option<(Delta, Vec<CrashNotice>)> {
+        if cursor == Some(self.directory.cursor()) {
+            return None;
+        }
+        let delta = self.directory.delta_for_keeper(cursor, relay);
+        let after = cursor.filter(|_| !delta.full).map_or(0, |c| c.change);
+        let crashes = self.crashes.since(now, after);
+        let news = delta.full || !delta.changes.is_empty() || !crashes.is_empty();
+        (news || even_none).then_some((delta, crashes))
+    }
+
     /// `node_versions` lists the nodes that report to this keeper with the version they act on.
     pub fn node_versions(&self, me: KeeperId) -> Vec<NodeVersion> {
         let own = self.directory.nodes().filter(|n| n.via == me);
--- /dev/null
+++ b/crates/shallothill-keeper/src/metrics.rs
@@ -0,0 +1,46 @@
+//! Sends the keeper's main figures.
+
+use std::sync::Arc;
+
+use cadence::{Gauged, StatsdClient};
+use shallothill_ledger::MemberStatus;
+
+use crate::keeper::{Keeper, lock};
+
+/// `run` sends the figures every `metrics_every` seconds until the process ends.
+pub async fn run(keeper: Arc<Keeper>, client: Arc<StatsdClient>) {
+    let mut ticks = keeper.timer.every(keeper.settings.process.metrics_period());
+    while ticks.recv().await.is_some() {
+        for (name, value) in gauges(&keeper) {
+            // A metric that cannot be sent is of no harm; the next one follows.
+            let _ = client.gauge(name, value);
+        }
+    }
+}
+
+fn gauges(keeper: &Keeper) -> Vec<(&'static str, u64)> {
+    let log = keeper.log.status();
+    let ledger = keeper.ledger.state();
+    let membership = lock(&keeper.membership);
+    vec![
+        ("config.version", keeper.published.load().version().0),
+        ("config.commit", log.replica.map_or(0, |r| r.commit.0)),
+        ("config.quorum", u64::from(log.primary.is_some())),
+        (
+            "config.primary",
+            u64::from(log.primary == Some(keeper.settings.id)),
+        ),
+        ("ledger.keys", ledger.keys as u64),
+        ("ledger.syncs", ledger.syncs),
+        (
+            "ledger.whole",
+            u64::from(ledger.status == MemberStatus::Whole),
+        ),
+        (
+            "directory.nodes",
+            membership.directory.nodes().count() as u64,
+        ),
+        ("crashes", membership.crashes.len() as u64),
+        ("keepers.heard", keeper.heard_keepers().len() as u64),
+    ]
+}
--- a/crates/shallothill-keeper/src/peer.rs
+++ b/crates/shallothill-keeper/src/peer.rs
@@ -26,6 +26,8 @@
     pub config_version: ConfigVersion,
     /// Its position in the asked keeper's directory.
     pub cursor: Option<Cursor>,
+    /// The keepers that the asking one does not hear and whose nodes it wants from this one.
+    pub relay: Vec<KeeperId>,
     /// Whether the sums of loads are wanted too.
     pub loads: bool,
     /// How long the asked keeper may wait before it answers without news, in milliseconds.
@@ -41,6 +43,8 @@
     pub directory: Option<Delta>,
     /// Crash notices since the cursor.
     pub crashes: Vec<CrashNotice>,
+    /// The keepers that the answering one hears.
+    pub heard: Vec<KeeperId>,
     /// Sums over the nodes that report to the answering keeper, if wanted.
     pub loads: Option<Shards>,
 }
--- a/crates/shallothill-keeper/src/peer_server.rs
+++ b/crates/shallothill-keeper/src/peer_server.rs
@@ -32,7 +32,8 @@
     fn sync_reply(&self, req: &SyncRequest, even_without_news: bool) -> Option<SyncReply> {
         let config_version = self.keeper.published.load().version();
         let membership = lock(&self.keeper.membership);
-        let news = membership.news(self.keeper.timer.now(), req.cursor);
+        let now = self.keeper.timer.now();
+        let news = membership.news_for_keeper(now, req.cursor, &req.relay, even_without_news);
         let newer = config_version > req.config_version;
         if news.is_none() && !newer && !even_without_news {
             return None;
@@ -45,6 +46,7 @@
             config_version,
             directory,
             crashes,
+            heard: self.keeper.heard_keepers(),
             loads: req.loads.then(|| membership.loads.own().clone()),
         })
     }
--- a/crates/shallothill-keeper/src/process.rs
+++ b/crates/shallothill-keeper/src/process.rs
@@ -5,12 +5,13 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use cadence::StatsdClient;
 use log::info;
 use shallothill_core::ids::KeeperId;
 use shallothill_core::incarnation::Incarnation;
 use shallothill_replica::Message;
-use shallothill_runtime::admin;
 use shallothill_runtime::timer::Timer;
+use shallothill_runtime::{admin, metrics as runtime_metrics};
 use shallothill_wire::control::KeeperControl;
 use shallothill_wire::{answer_calls, transport};
 use snafu::ResultExt;
@@ -24,7 +25,7 @@
 use crate::data::Data;
 use crate::errors;
 use crate::fatal::Fatal;
-use crate::keeper::{Keeper, lock};
+use crate::keeper::Keeper;
 use crate::ledger::LedgerHandle;
 use crate::listeners::Listeners;
 use crate::log::{Driver, Links, LogHandle, Parts};
@@ -32,7 +33,7 @@
 use crate::peer::KeeperPeer;
 use crate::peer_server::PeerServer;
 use crate::settings::Settings;
-use crate::{ledger, publisher, sync};
+use crate::{housekeeping, ledger, metrics, publisher, sync};
 
 /// `MESSAGES_MAX` bounds the messages of other keepers that wait for the config log.
 const MESSAGES_MAX: usize = 1024;
@@ -40,12 +41,6 @@
 /// `STOP_WITHIN` bounds the time that a graceful stop takes.
 const STOP_WITHIN: Duration = Duration::from_secs(5);
 
-/// `HOUSEKEEPING_EVERY` is the time between two checks for silent nodes and old notices.
-const HOUSEKEEPING_EVERY: Duration = Duration::from_secs(1);
-
-/// `FORGET_EVERY` is the number of checks between two that drop old keys; each writes a record.
-const FORGET_EVERY: u64 = 60;
-
 /// `StartOptions` holds the choices of one start.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct StartOptions {
@@ -63,6 +58,7 @@
     /// The bound admin address.
     pub admin_address: SocketAddr,
     keeper: Arc<Keeper>,
+    metrics: Arc<StatsdClient>,
     fatal: mpsc::UnboundedReceiver<String>,
     stop: CancellationToken,
     tasks: TaskTracker,
@@ -110,6 +106,8 @@
             applied,
             fatal: fatal_tx,
         })?;
+        let metrics =
+            runtime_metrics::client("shallothill.keeper", settings.process.metrics_address)?;
         let life = Incarnation(rand::random());
         let keeper = Keeper::new(settings, timer, life, state, sections, ledger, log);
         let process = Self {
@@ -117,6 +115,7 @@
             peer_address,
             admin_address,
             keeper: Arc::new(keeper),
+            metrics: Arc::new(metrics),
             fatal,
             stop,
             tasks,
@@ -182,7 +181,11 @@
         tasks.spawn(admin::serve(listeners.admin, operators, stop()));
         tasks.spawn(publisher::run(keeper(), applied, stop()));
         tasks.spawn(until_stopped(ledger::recover(keeper()), stop()));
-        tasks.spawn(housekeeping(keeper(), stop()));
+        tasks.spawn(until_stopped(housekeeping::run(keeper()), stop()));
+        tasks.spawn(until_stopped(
+            metrics::run(keeper(), self.metrics.clone()),
+            stop(),
+        ));
         for id in self.keeper.peers.keys() {
             tasks.spawn(sync::follow(keeper(), *id, stop()));
         }
@@ -196,23 +199,6 @@
     }
 }
 
-async fn housekeeping(keeper: Arc<Keeper>, stop: CancellationToken) {
-    let mut ticks = keeper.timer.every(HOUSEKEEPING_EVERY);
-    let mut count: u64 = 0;
-    loop {
-        tokio::select! {
-            _ = ticks.recv() => {}
-            () = stop.cancelled() => return,
-        }
-        count += 1;
-        keeper.with_membership(|now, membership| membership.expire(now));
-        lock(&keeper.leases).expire(keeper.timer.now());
-        if count.is_multiple_of(FORGET_EVERY) {
-            keeper.ledger.forget().await;
-        }
-    }
-}
-
 fn address(listener: &TcpListener) -> errors::Result<SocketAddr> {
     listener.local_addr().context(errors::AddressSnafu)
 }
--- a/crates/shallothill-keeper/src/sync.rs
+++ b/crates/shallothill-keeper/src/sync.rs
@@ -37,6 +37,7 @@
         peer,
         cursor: None,
         loads_at: None,
+        relay: Vec::new(),
     };
     loop {
         tokio::select! {
@@ -52,6 +53,7 @@
     peer: &'a Peer,
     cursor: Option<Cursor>,
     loads_at: Option<Millis>,
+    relay: Vec<KeeperId>,
 }
 
 impl Follower<'_> {
@@ -59,10 +61,17 @@
         let now = self.keeper.timer.now();
         let due = |at: Millis| now.saturating_since(at) >= LOADS_EVERY;
         let loads = self.loads_at.is_none_or(due);
+        let mut relay = self.keeper.silent_keepers();
+        relay.retain(|id| *id != self.id);
+        if relay != self.relay {
+            self.relay = relay;
+            self.cursor = None;
+        }
         let req = SyncRequest {
             from: self.keeper.settings.id,
             config_version: self.keeper.published.load().version(),
             cursor: self.cursor,
+            relay: self.relay.clone(),
             loads,
             wait_ms: u32::try_from(WAIT.as_millis()).unwrap_or(u32::MAX),
         };
@@ -81,7 +90,6 @@
     }
 
     fn apply(&mut self, reply: SyncReply) {
-        self.keeper.heard(self.id);
         self.keeper.learn_version(reply.config_version);
         let id = self.id;
         if reply.loads.is_some() {
@@ -95,10 +103,14 @@
                 Some(delta) => membership.directory.merge(now, id, delta),
                 None => membership.directory.keeper_heard(now, id),
             }
+            for relayed in self.relay.iter().filter(|id| reply.heard.contains(id)) {
+                membership.directory.keeper_heard(now, *relayed);
+            }
             membership.learn_crashes(now, reply.crashes);
             if let Some(shards) = reply.loads {
                 membership.loads.merge(now, id, shards);
             }
         });
+        self.keeper.heard(id);
     }
 }
--- /dev/null
+++ b/crates/shallothill-keeper/tests/restart.rs
@@ -0,0 +1,185 @@
+//! Restarts, failovers and lost data folders.
+
+mod common;
+
+use std::fs;
+use std::process::Command;
+
+use common::Group;
+use shallothill_core::hash::ContentHash;
+use shallothill_core::idempotency::IdempotencyKey;
+use shallothill_core::ids::NodeName;
+use shallothill_core::version::ConfigVersion;
+use shallothill_keeper::clock;
+use shallothill_ledger::{Answer, Claim, ClaimId, ClaimReply, ClaimRequest, MemberStatus, Refusal};
+use shallothill_testing::process::Process;
+use shallothill_wire::channel::RpcChannel;
+use shallothill_wire::control::KeeperControlClient;
+use shallothill_wire::operator::{ShowReply, SubmitReply};
+
+fn request(claim: u64) -> ClaimRequest {
+    let ms = clock::now().0 / 1000 * 1000;
+    // The same key for every claim of a test, which takes less than the time of a key's retention.
+    let key = format!("{:08x}-{:04x}-7000-8000-000000000001", ms >> 16 & !0xff, 0);
+    ClaimRequest {
+        key: IdempotencyKey::try_parse(&key).unwrap(),
+        claim: Claim {
+            id: ClaimId(0, claim),
+            body_hash: ContentHash(1, 1),
+            gate: NodeName::try_new("n1").unwrap(),
+            expires: clock::now(),
+        },
+    }
+}
+
+async fn claim(control: &RpcChannel<KeeperControlClient>, req: &ClaimRequest) -> ClaimReply {
+    let req = req.clone();
+    let call = control.call(
+        common::DEADLINE,
+        |c, cx| async move { c.claim(cx, req).await },
+    );
+    call.await.unwrap()
+}
+
+fn holder(reply: &ClaimReply) -> Option<ClaimId> {
+    match &reply.answer {
+        Answer::Holds { claim, .. } => Some(claim.id),
+        _ => None,
+    }
+}
+
+/// A resend after a restart must get the first answer, and the version must not go back.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn holds_an_accepted_configuration_survives_a_restart() {
+    let mut group = Group::start(1).await;
+    let texts = [common::text(2, 0), common::text(2, 1)];
+    for (base, text) in texts.iter().enumerate() {
+        group
+            .submit(0, base as u64, &format!("c{base}"), text)
+            .await;
+    }
+
+    group.stop_one(0).await;
+    group.start_one(0, false).await;
+    group.wait_quorum(0).await;
+
+    let resent = group.submit_until_answered(0, 0, "c0", &texts[0]).await;
+    let version = ConfigVersion(1);
+    assert_eq!(resent, SubmitReply::Accepted { version });
+    let shown: ShowReply = group.get(0, "/config/show").await;
+    assert_eq!(
+        (shown.version, shown.text.as_ref()),
+        (ConfigVersion(2), Some(&texts[1]))
+    );
+}
+
+/// When the primary stops, the others must accept changes, answer resends as the first time, and
+/// the former primary must follow when it comes back.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn holds_an_accepted_configuration_survives_its_primary() {
+    let mut group = Group::start(3).await;
+    let texts = [common::text(2, 0), common::text(2, 1)];
+    let first = group.submit_until_answered(0, 0, "c0", &texts[0]).await;
+    let primary = group.primary().await;
+
+    group.stop_one(primary).await;
+    let other = (primary + 1) % 3;
+    let resent = group.submit_until_answered(other, 0, "c0", &texts[0]).await;
+    let second = group.submit_until_answered(other, 1, "c1", &texts[1]).await;
+    group.start_one(primary, false).await;
+
+    assert_eq!(resent, first);
+    let version = ConfigVersion(2);
+    assert_eq!(second, SubmitReply::Accepted { version });
+    let keeper = group.keeper(primary);
+    common::wait("version 2", || keeper.published.load().version() == version).await;
+}
+
+/// A claim that was answered must be held after the process was killed, or the request could run
+/// twice.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn holds_a_claim_survives_a_killed_process() {
+    let group = Group::prepare(1);
+    let settings = &group.settings[0];
+    let path = group.dir.path().join("keeper.yaml");
+    let text = format!(
+        "id: 1\nregion: central\ndata_centre: central-1\ndata_dir: {}\n\
+         control_address: {c}\npeer_address: {p}\nprocess: {{admin_address: \"{}\"}}\n\
+         regions: [central]\nkeepers:\n  - {{id: 1, region: central, data_centre: central-1, \
+         control_address: \"{c}\", peer_address: \"{p}\"}}\n",
+        settings.data_dir.display(),
+        settings.process.admin_address,
+        c = settings.control_address,
+        p = settings.peer_address,
+    );
+    fs::write(&path, text).unwrap();
+    let log = group.dir.path().join("log");
+    let start = |flags: &[&str]| {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_shallothill-keeper"));
+        command.arg("--settings").arg(&path).args(flags);
+        Process::start(command, &log, common::DEADLINE).unwrap()
+    };
+    let control = group.control(0);
+    let req = request(1);
+
+    let mut process = start(&["--new-group"]);
+    while holder(&claim(&control, &req).await) != Some(ClaimId(0, 1)) {
+        tokio::time::sleep(std::time::Duration::from_millis(20)).await;
+    }
+    process.kill();
+    let restarted = start(&[]);
+
+    let control = group.control(0);
+    let reply = claim(
+        &control,
+        &ClaimRequest {
+            claim: request(2).claim,
+            ..req
+        },
+    )
+    .await;
+    assert_eq!(holder(&reply), Some(ClaimId(0, 1)));
+    assert!(restarted.terminate(common::DEADLINE).unwrap().success());
+}
+
+/// A keeper that lost its data folder must support no claim before it holds the others' claims
+/// again, also when it is started as if its group was new.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn holds_a_lost_data_folder_recovers_before_it_counts() {
+    let mut group = Group::start(3).await;
+    let text = common::text(2, 0);
+    group.submit_until_answered(0, 0, "c0", &text).await;
+    let req = request(1);
+    for i in [1, 2] {
+        assert_eq!(
+            holder(&claim(&group.control(i), &req).await),
+            Some(ClaimId(0, 1))
+        );
+    }
+    let before = group.keeper(0).ledger.state().incarnation;
+    group.stop_one(0).await;
+    fs::remove_dir_all(&group.settings[0].data_dir).unwrap();
+    group.stop_one(2).await;
+
+    group.start_one(0, true).await;
+    let other = ClaimRequest {
+        claim: request(2).claim,
+        ..req
+    };
+    let early = claim(&group.control(0), &other).await;
+    group.start_one(2, false).await;
+    let keeper = group.keeper(0);
+    common::wait("recovery", || {
+        keeper.ledger.state().status == MemberStatus::Whole
+    })
+    .await;
+
+    assert_eq!(early.answer, Answer::Refused(Refusal::Recovering));
+    let late = claim(&group.control(0), &other).await;
+    assert_eq!(holder(&late), Some(ClaimId(0, 1)));
+    assert!(late.incarnation > before);
+    common::wait("version 1", || {
+        keeper.published.load().version() == ConfigVersion(1)
+    })
+    .await;
+}
