--- a/crates/shallothill-node/src/node.rs
+++ b/crates/shallothill-node/src/node/mod.rs
@@ -1,16 +1,18 @@
 //! Starts the parts of a node and stops them gracefully.
 
+mod access;
+mod build;
+mod sockets;
+
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
 use cadence::StatsdClient;
 use log::{info, warn};
 use shallothill_core::incarnation::Incarnation;
-use shallothill_policy::limits::{CallerLimits, LimitOptions};
-use shallothill_policy::quarantine::QuarantineOptions;
 use shallothill_runtime::timer::Timer;
-use shallothill_runtime::{admin, metrics, settings};
+use shallothill_runtime::{admin, metrics};
 use tokio::net::TcpListener;
 use tokio::sync::Notify;
 use tokio::time;
@@ -22,10 +24,11 @@
 use crate::control::{ConfigFetch, Keepers, Reporter, Watcher, learn_version};
 use crate::counters::{Counters, Gauges};
 use crate::crashes::Crashes;
-use crate::entry::{Buffers, Entry, EntryParts};
+use crate::entry::Entry;
 use crate::errors;
-use crate::gate::{Gate, GateParts, Ledger};
+use crate::gate::Gate;
 use crate::listener::{Answer, Listener};
+use crate::node::sockets::Sockets;
 use crate::peer::{Links, PeerServer};
 use crate::settings::Settings;
 use crate::view::View;
@@ -79,34 +82,6 @@
     background: TaskTracker,
 }
 
-struct Sockets {
-    caller: TcpListener,
-    peer: TcpListener,
-    announce: TcpListener,
-    admin: TcpListener,
-}
-
-impl Sockets {
-    async fn bind(s: &Settings) -> errors::Result<Self> {
-        Ok(Self {
-            caller: settings::bind(s.caller_address, "callers").await?,
-            peer: settings::bind(s.peer_address, "other nodes").await?,
-            announce: settings::bind(s.announce_address, "announcements").await?,
-            admin: settings::bind(s.process.admin_address, "the admin endpoint").await?,
-        })
-    }
-
-    fn addresses(&self, s: &Settings) -> Addresses {
-        let of = |socket: &TcpListener, set: SocketAddr| socket.local_addr().unwrap_or(set);
-        Addresses {
-            caller: of(&self.caller, s.caller_address),
-            peer: of(&self.peer, s.peer_address),
-            announce: of(&self.announce, s.announce_address),
-            admin: of(&self.admin, s.process.admin_address),
-        }
-    }
-}
-
 impl Node {
     /// `start` listens and starts all parts; the node runs until `stop` is cancelled.
     ///
@@ -123,81 +98,6 @@
         Ok(node)
     }
 
-    fn build(
-        settings: Settings,
-        addresses: Addresses,
-        metrics: StatsdClient,
-        stop: CancellationToken,
-    ) -> Self {
-        let timer = Timer::start();
-        let changed = Arc::new(Notify::new());
-        let background = TaskTracker::new();
-        let zone = settings.zone();
-        let bounds = settings.bounds.clone();
-        let store = Arc::new(Store::default());
-        let keepers = Arc::new(Keepers::new(&zone, &settings.keepers));
-        let view = Arc::new(View::new(settings.node.clone(), zone));
-        let links = Arc::new(Links::new(bounds.connect_timeout()));
-        let options = QuarantineOptions::default();
-        let crashes = Arc::new(Crashes::new(options, Arc::clone(&changed)));
-        let counters = Arc::new(Counters::default());
-        let incarnation = incarnation_now();
-        let ledger = Arc::new(Ledger::new(
-            settings.node.clone(),
-            settings.regions.clone(),
-            Arc::clone(&keepers),
-            bounds.claim_timeout(),
-            timer.clone(),
-            background.clone(),
-        ));
-        let gate = Arc::new(Gate::new(GateParts {
-            node: settings.node.clone(),
-            region: settings.region.clone(),
-            incarnation,
-            bounds: bounds.clone(),
-            timer: timer.clone(),
-            store: Arc::clone(&store),
-            keepers: Arc::clone(&keepers),
-            crashes: Arc::clone(&crashes),
-            ledger,
-            changed: Arc::clone(&changed),
-            tasks: background.clone(),
-        }));
-        let entry = Arc::new(Entry::new(EntryParts {
-            node: settings.node.clone(),
-            buffers: Buffers::new(bounds.buffered_total_bytes),
-            bounds,
-            timer: timer.clone(),
-            store: Arc::clone(&store),
-            view: Arc::clone(&view),
-            links: Arc::clone(&links),
-            gate: Arc::clone(&gate),
-            crashes: Arc::clone(&crashes),
-            limits: CallerLimits::new(&LimitOptions::default()),
-            counters: Arc::clone(&counters),
-        }));
-        Self {
-            settings,
-            incarnation,
-            addresses,
-            timer,
-            store,
-            view,
-            keepers,
-            links,
-            crashes,
-            gate,
-            entry,
-            counters,
-            changed,
-            metrics,
-            stop,
-            end: CancellationToken::new(),
-            connections: TaskTracker::new(),
-            background,
-        }
-    }
-
     fn listen(self: &Arc<Self>, sockets: Sockets) {
         let b = &self.settings.bounds;
         let peers = PeerServer {
@@ -354,74 +254,4 @@
         self.end.cancel();
         info!("node: stopped");
     }
-
-    /// `stopping` tells whether the node is being stopped.
-    pub fn stopping(&self) -> bool {
-        self.stop.is_cancelled()
-    }
-
-    /// `settings` returns the settings.
-    pub fn settings(&self) -> &Settings {
-        &self.settings
-    }
-
-    /// `timer` returns the timer service.
-    pub fn timer(&self) -> &Timer {
-        &self.timer
-    }
-
-    /// `store` returns the configuration.
-    pub fn store(&self) -> &Arc<Store> {
-        &self.store
-    }
-
-    /// `view` returns the directory.
-    pub fn view(&self) -> &Arc<View> {
-        &self.view
-    }
-
-    /// `keepers` returns the keepers.
-    pub fn keepers(&self) -> &Arc<Keepers> {
-        &self.keepers
-    }
-
-    /// `links` returns the connections to peers.
-    pub fn links(&self) -> &Arc<Links> {
-        &self.links
-    }
-
-    /// `crashes` returns the quarantine.
-    pub fn crashes(&self) -> &Arc<Crashes> {
-        &self.crashes
-    }
-
-    /// `gate` returns the gate.
-    pub fn gate(&self) -> &Arc<Gate> {
-        &self.gate
-    }
-
-    /// `entry` returns the entry.
-    pub fn entry(&self) -> &Arc<Entry> {
-        &self.entry
-    }
-
-    /// `counters` returns the counters.
-    pub fn counters(&self) -> &Arc<Counters> {
-        &self.counters
-    }
-
-    /// `incarnation` returns the life of the process.
-    pub fn incarnation(&self) -> Incarnation {
-        self.incarnation
-    }
-
-    /// `addresses` returns the addresses that the node listens on.
-    pub fn addresses(&self) -> Addresses {
-        self.addresses
-    }
-}
-
-fn incarnation_now() -> Incarnation {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH);
-    Incarnation(since.map_or(0, |d| u64::try_from(d.as_millis()).unwrap_or(u64::MAX)))
 }
