--- /dev/null
+++ b/crates/shallothill-node/tests/changes.rs
@@ -0,0 +1,214 @@
+//! Configuration changes, drains, crashes and starts.
+
+mod support;
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures::future;
+use hyper::Method;
+use serde_json::json;
+use shallothill_core::ids::{RouteName, ServiceName};
+use shallothill_core::version::ConfigVersion;
+use shallothill_node::settings::Bounds;
+use shallothill_runtime::admin::AdminHandler;
+use shallothill_testing::behaviour::Behaviour;
+use shallothill_testing::http::Client;
+use shallothill_testing::process;
+use support::keepers::Keepers;
+use support::{LONG, cluster, get, outcome, reason};
+
+fn with_route(path: &str) -> shallothill_core::config::Config {
+    let mut cfg = cluster::config();
+    let name = RouteName::try_new("new").unwrap();
+    cfg.routes.insert(name, cluster::route(path, "GET", true));
+    cfg
+}
+
+async fn wait_version(node: &cluster::RunningNode, version: u64) {
+    let arrived = || async { node.node.store().version() == ConfigVersion(version) };
+    process::wait_until("the version is in force", LONG, arrived)
+        .await
+        .unwrap();
+}
+
+/// Guards against a configuration that is reverted by a keeper that is behind.
+#[tokio::test]
+async fn holds_configuration_is_never_reverted() {
+    let pair = cluster::pair(cluster::config(), Behaviour::default()).await;
+    let client = Client::default();
+    let before = get(&client, pair.entry.caller(), "/new", "a").await;
+
+    pair.keepers.shared.set_config(5, with_route("/new"));
+    wait_version(&pair.entry, 5).await;
+    let after = get(&client, pair.entry.caller(), "/new", "b").await;
+    pair.keepers.shared.set_config(3, cluster::config());
+    // A watch without news takes up to 2 s; later ones carry the old version.
+    tokio::time::sleep(Duration::from_millis(2500)).await;
+    let later = get(&client, pair.entry.caller(), "/new", "c").await;
+
+    assert_eq!((before.status.as_u16(), after.status.as_u16()), (404, 200));
+    assert_eq!(later.status, 200);
+    assert_eq!(pair.entry.node.store().version(), ConfigVersion(5));
+}
+
+/// Guards against a site without keepers that does not take a newer version from its peers.
+#[tokio::test]
+async fn takes_a_newer_version_from_a_peer() {
+    let old = cluster::pair(cluster::config(), Behaviour::default()).await;
+    let newer = Keepers::start(cluster::REGION, with_route("/new")).await;
+    newer.shared.set_config(7, with_route("/new"));
+    let ahead = cluster::RunningNode::start("n2", &newer.addresses, Bounds::default()).await;
+    wait_version(&ahead, 7).await;
+    // The gate n2 of the directory moves to the node that has the newer version.
+    let report = shallothill_directory::NodeReport {
+        peer_address: ahead.node.addresses().peer,
+        sequence: u64::MAX,
+        ..old.entry.node.view().nodes()[1].0.clone()
+    };
+    old.entry.node.view().apply(shallothill_directory::Delta {
+        full: false,
+        changes: vec![shallothill_directory::Change::Present {
+            report,
+            via: shallothill_core::ids::KeeperId(1),
+            contact: shallothill_directory::Contact::Heard,
+        }],
+        cursor: shallothill_directory::Cursor {
+            keeper: shallothill_core::ids::KeeperId(1),
+            incarnation: shallothill_core::incarnation::Incarnation(1),
+            change: 0,
+        },
+    });
+
+    let reply = get(&Client::default(), old.entry.caller(), "/stock", "a").await;
+    wait_version(&old.entry, 7).await;
+    let new = get(&Client::default(), old.entry.caller(), "/new", "b").await;
+
+    assert_eq!(outcome(&reply), "refused-not-run");
+    assert_ne!(new.status, 404);
+}
+
+/// Guards against a node that serves with a configuration below its sources', or with none.
+#[tokio::test]
+async fn refuses_until_it_has_a_configuration() {
+    let mut keepers = Keepers::start(cluster::REGION, cluster::config()).await;
+    (0..3).for_each(|i| keepers.kill(i));
+    let node = cluster::RunningNode::start("n1", &keepers.addresses, Bounds::default()).await;
+
+    let reply = get(&Client::default(), node.caller(), "/stock", "a").await;
+
+    assert_eq!((reply.status.as_u16(), reason(&reply)), (503, "no-config"));
+    assert_eq!(outcome(&reply), "refused-not-run");
+    assert!(reply.header("retry-after").is_some());
+}
+
+/// Guards against new work for a backend server that is leaving, and against cutting its requests
+/// off.
+#[tokio::test]
+async fn holds_drain_takes_no_new_work_and_cuts_nothing_off() {
+    let slow = Behaviour {
+        latency_ms: 200,
+        ..Behaviour::default()
+    };
+    let pair = cluster::pair(cluster::config(), slow).await;
+    let client = Client::default();
+    let at = pair.entry.caller();
+
+    let draining = async {
+        let standin = &pair.standin;
+        let running = || async { standin.record().len() == 4 };
+        process::wait_until("all run", LONG, running).await.unwrap();
+        standin.set_behaviour(Behaviour {
+            draining: true,
+            ..standin.behaviour()
+        });
+        let gate = pair.gate.node.gate();
+        let drained = || async {
+            let all = gate.endpoints();
+            all.values().all(|e| e.load().state.as_str() == "draining")
+        };
+        process::wait_until("the gate drains", LONG, drained)
+            .await
+            .unwrap();
+        get(&client, at, "/stock", "late").await
+    };
+    let early = future::join_all((0..4).map(|i| {
+        let client = client.clone();
+        async move { get(&client, at, "/stock", &i.to_string()).await }
+    }));
+    let (early, late) = future::join(early, draining).await;
+
+    assert!(early.iter().all(|r| r.status == 200));
+    assert_eq!(
+        (late.status.as_u16(), outcome(&late)),
+        (503, "refused-not-run")
+    );
+    assert_eq!(pair.standin.record().len(), 4);
+}
+
+/// Guards against a request that crashes one backend server after the other.
+#[tokio::test]
+async fn quarantines_a_request_that_crashes_backend_servers() {
+    let crashing = || Behaviour {
+        crash_mark: Some("poison".to_owned()),
+        ..Behaviour::default()
+    };
+    let pair = cluster::pair(cluster::config(), crashing()).await;
+    let mut others = Vec::new();
+    for name in ["e2", "e3", "e4"] {
+        others.push(cluster::standin(&pair.gate, name, crashing()).await);
+    }
+    pair.entry.ready(4).await;
+    let client = Client::default();
+
+    let first = get(&client, pair.entry.caller(), "/stock?poison", "a").await;
+    let second = get(&client, pair.entry.caller(), "/stock?poison", "b").await;
+    let at_gate = get(&client, pair.gate.caller(), "/stock?poison", "c").await;
+    let other = get(&client, pair.entry.caller(), "/stock", "d").await;
+
+    assert_eq!(outcome(&first), "unknown");
+    for refused in [&second, &at_gate] {
+        assert_eq!(
+            (refused.status.as_u16(), reason(refused)),
+            (503, "quarantined")
+        );
+        assert_eq!(outcome(refused), "refused-not-run");
+    }
+    assert_eq!(other.status, 200);
+    let crashed = others.iter().chain([&pair.standin]);
+    let ran = crashed
+        .flat_map(|s| s.record())
+        .filter(|r| r.path.contains("poison"));
+    assert_eq!(ran.count(), 2);
+    let dump = pair.entry.node.dump().await;
+    assert_eq!(dump["quarantine"][0]["crashes"], 2);
+}
+
+/// Guards against an announcement that outlives its backend server.
+#[tokio::test]
+async fn forgets_a_backend_server_that_stops_announcing() {
+    let keepers = Keepers::start(cluster::REGION, cluster::config()).await;
+    let bounds = Bounds {
+        announce_lease_ms: 300,
+        ..Bounds::default()
+    };
+    let node = cluster::RunningNode::start("n1", &keepers.addresses, bounds).await;
+    let body = json!({"address": "127.0.0.1:1", "state": "ready", "slots": 5}).to_string();
+    let at = node.node.addresses().announce;
+    let put = Client::default();
+    let put = put.send(
+        Method::PUT,
+        at,
+        "/announce/courier/e1",
+        &[],
+        Bytes::from(body),
+        LONG,
+    );
+    assert_eq!(put.await.unwrap().status, 204);
+    node.ready(1).await;
+
+    node.ready(0).await;
+
+    let name = ServiceName::try_new("courier").unwrap();
+    assert!(node.node.view().tables().service(&name).is_none());
+}
