node: share the node processes of tests

Cause: node processes are needed by more than one test file.

Change: the fixture moves to tests/support.

--- a/crates/shallothill-node/tests/at_most_once.rs
+++ b/crates/shallothill-node/tests/at_most_once.rs
@@ -3,8 +3,6 @@
 mod support;
 
 use std::collections::BTreeMap;
-use std::fs;
-use std::process::Command;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -13,9 +11,7 @@
 use serde_json::json;
 use shallothill_testing::behaviour::Behaviour;
 use shallothill_testing::http::Client;
-use shallothill_testing::options::StandinOptions;
 use shallothill_testing::process;
-use shallothill_testing::process::Process;
 use shallothill_testing::standin::Standin;
 use support::keepers::Keepers;
 use support::{LONG, book, cluster, key, outcome, reason};
@@ -151,47 +147,13 @@
     assert_eq!(second.record().len(), 1);
 }
 
-fn node_process(name: &str, keepers: &Keepers, dir: &std::path::Path) -> Process {
-    let addresses: Vec<_> = keepers
-        .addresses
-        .iter()
-        .map(|k| {
-            json!({
-                "id": k.id, "region": k.region, "data_centre": k.data_centre,
-                "control_address": k.control_address,
-            })
-        })
-        .collect();
-    let any = cluster::local();
-    let settings = json!({
-        "node": name, "region": cluster::REGION, "data_centre": "north-1",
-        "caller_address": any, "peer_address": any, "announce_address": any,
-        "process": {"admin_address": any}, "regions": [cluster::REGION], "keepers": addresses,
-    });
-    let file = dir.join(format!("{name}.yaml"));
-    fs::write(&file, settings.to_string()).unwrap();
-    let mut command = Command::new(env!("CARGO_BIN_EXE_shallothill-node"));
-    command.arg("--settings").arg(&file);
-    Process::start(command, &dir.join(format!("{name}.log")), LONG).unwrap()
-}
-
-async fn process_standin(node: &Process, behaviour: Behaviour) -> Standin {
-    let options = StandinOptions {
-        announce: node.address("announce"),
-        service: "courier".to_owned(),
-        behaviour,
-        ..StandinOptions::default()
-    };
-    Standin::start(options).await.unwrap()
-}
-
 /// Guards against a booking that runs again after its gate was killed between claim and answer.
 #[tokio::test]
 async fn holds_killed_gate_runs_nothing_twice() {
     let dir = tempfile::tempdir().unwrap();
     let keepers = Keepers::start(cluster::REGION, cluster::config()).await;
-    let mut gate = node_process("n2", &keepers, dir.path());
-    let first = process_standin(&gate, slow(1000)).await;
+    let mut gate = cluster::node_process("n2", &keepers, dir.path());
+    let first = cluster::process_standin(&gate, "e1", slow(1000)).await;
     let entry = cluster::RunningNode::start("n1", &keepers.addresses, Default::default()).await;
     entry.ready(1).await;
     let client = Client::default();
@@ -226,8 +188,8 @@
 async fn holds_sigterm_interrupts_nothing() {
     let dir = tempfile::tempdir().unwrap();
     let keepers = Keepers::start(cluster::REGION, cluster::config()).await;
-    let node = node_process("n1", &keepers, dir.path());
-    let standin = process_standin(&node, slow(300)).await;
+    let node = cluster::node_process("n1", &keepers, dir.path());
+    let standin = cluster::process_standin(&node, "e1", slow(300)).await;
     let client = Client::default();
     let at = node.address("caller").unwrap();
     let serves = || async {
--- a/crates/shallothill-node/tests/support/cluster.rs
+++ b/crates/shallothill-node/tests/support/cluster.rs
@@ -1,10 +1,13 @@
 //! Nodes with stand-in backend servers.
 
 use std::collections::BTreeMap;
+use std::fs;
 use std::net::SocketAddr;
+use std::process::Command;
 use std::sync::Arc;
 use std::time::Duration;
 
+use serde_json::json;
 use shallothill_core::class::Class;
 use shallothill_core::config::{Caller, Config, Disposition, Floor, Route, Service};
 use shallothill_core::ids::{CallerName, DataCentre, NodeName, Region, RouteName, ServiceName};
@@ -14,6 +17,7 @@
 use shallothill_testing::behaviour::Behaviour;
 use shallothill_testing::options::StandinOptions;
 use shallothill_testing::process;
+use shallothill_testing::process::Process;
 use shallothill_testing::standin::Standin;
 use tokio_util::sync::{CancellationToken, DropGuard};
 
@@ -170,3 +174,38 @@
         standin,
     }
 }
+
+pub fn node_process(name: &str, keepers: &Keepers, dir: &std::path::Path) -> Process {
+    let addresses: Vec<_> = keepers
+        .addresses
+        .iter()
+        .map(|k| {
+            json!({
+                "id": k.id, "region": k.region, "data_centre": k.data_centre,
+                "control_address": k.control_address,
+            })
+        })
+        .collect();
+    let any = local();
+    let settings = json!({
+        "node": name, "region": REGION, "data_centre": "north-1",
+        "caller_address": any, "peer_address": any, "announce_address": any,
+        "process": {"admin_address": any}, "regions": [REGION], "keepers": addresses,
+    });
+    let file = dir.join(format!("{name}.yaml"));
+    fs::write(&file, settings.to_string()).unwrap();
+    let mut command = Command::new(env!("CARGO_BIN_EXE_shallothill-node"));
+    command.arg("--settings").arg(&file);
+    Process::start(command, &dir.join(format!("{name}.log")), LONG).unwrap()
+}
+
+pub async fn process_standin(node: &Process, name: &str, behaviour: Behaviour) -> Standin {
+    let options = StandinOptions {
+        announce: node.address("announce"),
+        service: "courier".to_owned(),
+        endpoint: name.to_owned(),
+        behaviour,
+        ..StandinOptions::default()
+    };
+    Standin::start(options).await.unwrap()
+}
--- a/crates/shallothill-node/tests/support/keepers.rs
+++ b/crates/shallothill-node/tests/support/keepers.rs
@@ -117,6 +117,11 @@
         self.stops[i] = CancellationToken::new().drop_guard();
     }
 
+    pub fn report(&self, report: shallothill_directory::NodeReport) {
+        let now = self.shared.now();
+        self.shared.directory.lock().unwrap().report(now, report);
+    }
+
     pub fn address(&self, i: usize) -> SocketAddr {
         self.addresses[i].control_address
     }
