--- a/crates/shallothill-keeper/src/peer.rs
+++ b/crates/shallothill-keeper/src/peer.rs
@@ -8,6 +8,7 @@
 use shallothill_core::version::ConfigVersion;
 use shallothill_directory::{Cursor, Delta};
 use shallothill_ledger::{RecoveryReply, RecoveryRequest};
+use shallothill_replica::Message;
 use shallothill_wire::crash::CrashNotice;
 use shallothill_wire::operator::{SubmitReply, SubmitRequest};
 use shallothill_wire::watch::{ConfigUpdate, SectionsReply, SectionsRequest};
@@ -25,6 +26,8 @@
     pub config_version: ConfigVersion,
     /// Its position in the asked keeper's directory.
     pub cursor: Option<Cursor>,
+    /// The keepers that the asking one does not hear and whose nodes it wants from this one.
+    pub relay: Vec<KeeperId>,
     /// Whether the sums of loads are wanted too.
     pub loads: bool,
     /// How long the asked keeper may wait before it answers without news, in milliseconds.
@@ -40,6 +43,8 @@
     pub directory: Option<Delta>,
     /// Crash notices since the cursor.
     pub crashes: Vec<CrashNotice>,
+    /// The keepers that the answering one hears.
+    pub heard: Vec<KeeperId>,
     /// Sums over the nodes that report to the answering keeper, if wanted.
     pub loads: Option<Shards>,
 }
@@ -79,6 +84,8 @@
     async fn status() -> PeerStatus;
     /// `submit` carries an operator's submission to the primary of the config log.
     async fn submit(req: SubmitRequest) -> SubmitReply;
+    /// `replica` delivers a message of the config log; it may be dropped.
+    async fn replica(from: KeeperId, msg: Message);
     /// `recover` answers a ledger member that lost its disk; `None` while this one recovers too.
     async fn recover(req: RecoveryRequest) -> Option<RecoveryReply>;
 }
