replica: crash at every step of a repair and of the forming of a group

Cause: random crashes hit the few steps of a repair seldom; no test decoded a message. Change: a host crashes after each number of actions up to 60; messages are encoded and decoded; the isolated replica is cut off for two hours of virtual time.

--- a/crates/shallothill-replica/tests/bus/mod.rs
+++ b/crates/shallothill-replica/tests/bus/mod.rs
@@ -38,6 +38,8 @@
     pub hosts: BTreeMap<KeeperId, Host>,
     pub cuts: BTreeSet<(KeeperId, KeeperId)>,
     pub faults: Faults,
+    /// A host that crashes after some more actions.
+    pub crash_at: Option<(KeeperId, usize)>,
     pub options: ReplicaOptions,
     /// The first value applied at each position.
     pub chosen: BTreeMap<Op, Entry>,
@@ -47,7 +49,7 @@
     pub ready: BTreeMap<ReadToken, u64>,
     pub refused: BTreeSet<ReadToken>,
     /// Requests to change the members; they are repeated with other ids.
-    pub changes: BTreeSet<RequestId>,
+    pub changes: BTreeMap<RequestId, Vec<KeeperId>>,
     pub broken_rules: Vec<String>,
     pub largest_message: usize,
     /// The largest payload of a request.
@@ -77,13 +79,14 @@
             hosts: BTreeMap::new(),
             cuts: BTreeSet::new(),
             faults: Faults::default(),
+            crash_at: None,
             options,
             chosen: BTreeMap::new(),
             accepted: BTreeMap::new(),
             answers: BTreeMap::new(),
             ready: BTreeMap::new(),
             refused: BTreeSet::new(),
-            changes: BTreeSet::new(),
+            changes: BTreeMap::new(),
             broken_rules: Vec::new(),
             largest_message: 0,
             payload: 60,
@@ -194,7 +197,7 @@
     pub fn change_members(&mut self, to: KeeperId, members: Vec<KeeperId>) -> RequestId {
         self.requests += 1;
         let id = RequestId(u128::from(self.requests));
-        self.changes.insert(id);
+        self.changes.insert(id, members.clone());
         self.event(to, Event::ChangeMembers { id, members });
         id
     }
@@ -285,12 +288,19 @@
                 .push(format!("{id}: the commit position fell"));
         }
         // A crash may come between any two actions.
-        let crash = self.rng.random_range(0..1000) < self.faults.crash;
-        let last = if crash {
-            self.rng.random_range(0..=actions.len())
-        } else {
-            actions.len()
-        };
+        let mut crash = self.rng.random_range(0..1000) < self.faults.crash;
+        let mut last = actions.len();
+        if crash {
+            last = self.rng.random_range(0..=actions.len());
+        }
+        if let Some((_, left)) = self.crash_at.as_mut().filter(|(who, _)| *who == id) {
+            if *left < last {
+                (crash, last) = (true, *left);
+                self.crash_at = None;
+            } else {
+                *left -= last;
+            }
+        }
         for action in actions.into_iter().take(last) {
             self.carry_out(id, action);
         }
@@ -319,7 +329,7 @@
             }
             Action::Reply { request, result } => {
                 self.answers.insert(request, result);
-                let change = self.changes.contains(&request);
+                let change = self.changes.contains_key(&request);
                 if let (ProposeResult::Committed(op), false) = (result, change) {
                     self.accepted.insert(request, op);
                 }
@@ -344,9 +354,11 @@
             self.broken_rules
                 .push(format!("{from}: answered before it was whole"));
         }
-        if self.payload > 60 {
-            let size = rmp_serde::to_vec(&msg).map_or(usize::MAX, |b| b.len());
-            self.largest_message = self.largest_message.max(size);
+        if self.payload > 60 || self.seq.is_multiple_of(50) {
+            let bytes = rmp_serde::to_vec(&msg).expect("messages are encoded");
+            let decoded: Message = rmp_serde::from_slice(&bytes).expect("messages are decoded");
+            assert_eq!(decoded, msg);
+            self.largest_message = self.largest_message.max(bytes.len());
         }
         if self.cuts.contains(&(from, to)) || self.rng.random_range(0..1000) < self.faults.drop {
             return;
--- a/crates/shallothill-replica/tests/bus/schedule.rs
+++ b/crates/shallothill-replica/tests/bus/schedule.rs
@@ -134,9 +134,12 @@
         }
     }
 
-    /// The members according to each disk.
+    /// The members according to each disk, and those of a change that is not answered yet.
     pub fn memberships(&self) -> Vec<Vec<KeeperId>> {
-        self.hosts.values().filter_map(Host::members).collect()
+        let last = self.changes.last_key_value();
+        let waiting = last.filter(|(id, _)| !self.answers.contains_key(id));
+        let on_disk = self.hosts.values().filter_map(Host::members);
+        on_disk.chain(waiting.map(|(_, m)| m.clone())).collect()
     }
 
     /// The members according to the primary.
--- a/crates/shallothill-replica/tests/rules.rs
+++ b/crates/shallothill-replica/tests/rules.rs
@@ -33,14 +33,14 @@
     }
 }
 
-/// The number of views that a replica causes after 5 minutes without contact.
-fn views_after_isolation(broken: Broken) -> u64 {
+/// The number of views that a replica causes after some time without contact.
+fn views_after_isolation(broken: Broken, ms: u64) -> u64 {
     let mut bus = Bus::formed(4, 3, broken);
     let primary = bus.primary().expect("a primary");
     let isolated = if primary == k(1) { k(2) } else { k(1) };
     let before = bus.view();
     cut_off(&mut bus, isolated, false, false);
-    bus.run(300_000);
+    bus.run(ms);
     bus.cuts.clear();
     bus.run(5000);
     bus.view() - before
@@ -49,12 +49,13 @@
 /// Guards against a replica that was cut off and then deposes a healthy primary.
 #[test]
 fn an_isolated_replica_deposes_nobody() {
-    assert_eq!(views_after_isolation(Broken::default()), 0);
+    let two_hours = 2 * 3_600_000;
+    assert_eq!(views_after_isolation(Broken::default(), two_hours), 0);
     let no_pre_vote = Broken {
         no_pre_vote: true,
         ..Broken::default()
     };
-    assert!(views_after_isolation(no_pre_vote) > 0);
+    assert!(views_after_isolation(no_pre_vote, 60_000) > 0);
 }
 
 /// Cuts one direction of the primary's links; tells whether the group goes on within 10 s.
@@ -164,6 +165,30 @@
     }
 }
 
+/// Guards against a crash between any two actions of a repair, or of the forming of a group, that
+/// makes a replica count too early or keeps it from ever counting.
+#[test]
+fn holds_entries_at_a_crash_at_every_step_of_a_repair() {
+    for at in 0..60 {
+        let mut bus = Bus::new_group(11, 3, bus::options(11));
+        bus.crash_at = Some((k(2), at));
+        bus.run(3000);
+        let crashed_early = bus.crash_at.is_none();
+        bus.restart_if_down(k(2));
+        for _ in 0..50 {
+            bus.accept_one(20_000).expect("accepted");
+        }
+        bus.lose_disk(k(3));
+        bus.crash_at = Some((k(3), at));
+        bus.restart(k(3));
+        bus.run(3000);
+        let crashed = bus.crash_at.take().is_none();
+        bus.settle();
+        assert!(bus.broken_rules.is_empty(), "{at}: {:?}", bus.broken_rules);
+        assert!(crashed && (crashed_early || at > 40), "{at}");
+    }
+}
+
 /// Guards against a lost disk that passes for a member of a new group, with the option still set.
 #[test]
 fn a_lost_disk_never_forms_a_group() {
