replica: check members that leave during the check

Ruled out: a fault of the replica; the others were complete and the member was removed. Change: the check asks for the members each time. Equally strict for all members.

--- a/crates/shallothill-replica/tests/bus/schedule.rs
+++ b/crates/shallothill-replica/tests/bus/schedule.rs
@@ -116,14 +116,16 @@
             self.broken_rules.push("nothing is accepted".to_owned());
             return;
         };
-        let members = self.members();
+        // A change of members that was asked for before may still take effect meanwhile.
         let applied = |b: &Self| {
             let of_member = |k: &KeeperId| b.hosts.get(k).is_some_and(|h| h.applied >= op);
-            members.iter().all(of_member)
+            let members = b.members();
+            !members.is_empty() && members.iter().all(of_member)
         };
         if !self.run_until(60_000, applied) {
             self.broken_rules.push("a member stays behind".to_owned());
         }
+        let members = self.members();
         for (request, op) in &self.accepted {
             for (id, host) in self.hosts.iter().filter(|(k, _)| members.contains(k)) {
                 if host.machine.get(op) != Some(request) {
