--- a/crates/shallothill-replica/tests/bus/schedule.rs
+++ b/crates/shallothill-replica/tests/bus/schedule.rs
@@ -116,14 +116,16 @@
             self.broken_rules.push("nothing is accepted".to_owned());
             return;
         };
-        let members = self.members();
+        // A change of members that was asked for before may still take effect meanwhile.
         let applied = |b: &Self| {
             let of_member = |k: &KeeperId| b.hosts.get(k).is_some_and(|h| h.applied >= op);
-            members.iter().all(of_member)
+            let members = b.members();
+            !members.is_empty() && members.iter().all(of_member)
         };
         if !self.run_until(60_000, applied) {
             self.broken_rules.push("a member stays behind".to_owned());
         }
+        let members = self.members();
         for (request, op) in &self.accepted {
             for (id, host) in self.hosts.iter().filter(|(k, _)| members.contains(k)) {
                 if host.machine.get(op) != Some(request) {
@@ -134,9 +136,12 @@
         }
     }
 
-    /// The members according to each disk.
+    /// The members according to each disk, and those of a change that is not answered yet.
     pub fn memberships(&self) -> Vec<Vec<KeeperId>> {
-        self.hosts.values().filter_map(Host::members).collect()
+        let last = self.changes.last_key_value();
+        let waiting = last.filter(|(id, _)| !self.answers.contains_key(id));
+        let on_disk = self.hosts.values().filter_map(Host::members);
+        on_disk.chain(waiting.map(|(_, m)| m.clone())).collect()
     }
 
     /// The members according to the primary.
