directory: releases carry a round, LeaseHolder and Ejector take an incarnation; moved nodes stay

A late release freed a token that its holder had taken again, so two endpoints were ejected on one token. With a keeper lost, contenders that had split the grants renewed them for ever. A node that moved its reports to another keeper was removed everywhere after 15 s, and a node that was silent for 15 s was shut out until its content changed. A reader behind a forgotten removal kept the node. Ruled out: shorter message deadlines, which bound no delay after a restart; a new field in the removal, since a leave can carry the next sequence number instead. Change: LeaseRequest and ReleaseRequest carry the incarnation, releases also the round; split contenders wait for their grants to end, unequally long; an equal-order removal counts only for keepers that rely on its sender; cursors before a forgotten removal get the whole directory.

--- a/crates/shallothill-directory/src/directory.rs
+++ b/crates/shallothill-directory/src/directory.rs
@@ -23,7 +23,9 @@
 /// `Directory` holds the latest report of every node, heard directly or through other keepers.
 ///
 /// Reports are ordered by (incarnation, sequence). A removed node leaves a tombstone, so that late
-/// or repeated reports never bring a departed backend server back.
+/// or repeated reports never bring a departed backend server back. A node that was only silent
+/// may return with the sequence number that it had, because the number rises only with changes;
+/// a node that said that it leaves may not.
 #[derive(Clone, Debug)]
 pub struct Directory {
     me: KeeperId,
@@ -34,6 +36,7 @@
     by_change: BTreeMap<u64, NodeName>,
     keepers_heard: BTreeMap<KeeperId, Millis>,
     change: u64,
+    forgotten: u64,
 }
 
 impl Directory {
@@ -48,17 +51,19 @@
             by_change: BTreeMap::new(),
             keepers_heard: BTreeMap::new(),
             change: 0,
+            forgotten: 0,
         }
     }
 
     /// `report` applies a report that came from the node itself; returns whether it was news.
     pub fn report(&mut self, now: Millis, report: NodeReport) -> bool {
-        self.present(now, report, self.me, Contact::Heard)
+        self.present(now, report, self.me, Contact::Heard, true)
     }
 
     /// `leave` removes a node that says that it leaves.
     pub fn leave(&mut self, now: Millis, node: &NodeName, order: (Incarnation, u64)) {
-        self.remove(now, node, order);
+        // One above the last report, so that repeats of it are refused everywhere.
+        self.remove(now, node, (order.0, order.1.saturating_add(1)));
     }
 
     /// `merge` applies the changes of another keeper and notes that it was heard.
@@ -71,14 +76,15 @@
                     via,
                     contact,
                 } => {
-                    // What this keeper hears itself is never replaced by what another one relays,
-                    // unless the relayed report is newer.
+                    let first_hand = via == from && contact == Contact::Heard;
+                    // What this keeper hears itself is replaced only by a newer report, or by
+                    // the keeper that the node has moved to.
                     let own = self
                         .nodes
                         .get(&report.node)
                         .is_some_and(|e| e.via == self.me && e.report.order() >= report.order());
-                    if !own && via != self.me {
-                        self.present(now, report, via, contact);
+                    if via != self.me && (first_hand || !own) {
+                        self.present(now, report, via, contact, first_hand);
                     }
                 }
                 Change::Removed {
@@ -86,12 +92,33 @@
                     incarnation,
                     sequence,
                 } => {
-                    self.remove(now, &node, (incarnation, sequence));
+                    self.merge_removed(now, from, &node, (incarnation, sequence));
                 }
             }
         }
     }
 
+    // A removal at the order of the present entry means that `from` no longer hears the node. It
+    // counts here only if this keeper relies on `from` for the node.
+    fn merge_removed(
+        &mut self,
+        now: Millis,
+        from: KeeperId,
+        node: &NodeName,
+        order: (Incarnation, u64),
+    ) {
+        let silent = self
+            .nodes
+            .get(node)
+            .filter(|e| e.report.order() == order && e.via != from);
+        match silent {
+            None => self.remove(now, node, order),
+            // The change makes `from` take the node over from here.
+            Some(e) if e.via == self.me && e.contact == Contact::Heard => self.touch(node),
+            Some(_) => {}
+        }
+    }
+
     /// `expire` marks and removes silent nodes; call it about once a second.
     pub fn expire(&mut self, now: Millis) {
         let mut unheard = Vec::new();
@@ -132,10 +159,11 @@
     }
 
     /// `delta` returns the changes after `cursor`, or the whole directory when the cursor belongs
-    /// to another keeper or an earlier life of this one.
+    /// to another keeper or an earlier life of this one, or lies before a forgotten removal.
     pub fn delta(&self, cursor: Option<Cursor>) -> Delta {
         let after = cursor
             .filter(|c| c.keeper == self.me && c.incarnation == self.incarnation)
+            .filter(|c| c.change >= self.forgotten)
             .map(|c| c.change);
         let changes = self
             .by_change
@@ -189,10 +217,12 @@
         report: NodeReport,
         via: KeeperId,
         contact: Contact,
+        first_hand: bool,
     ) -> bool {
         let node = report.node.clone();
         let order = report.order();
-        if self.tombstones.get(&node).is_some_and(|t| order <= t.order) {
+        let late = |t: &Tombstone| order < t.order || (order == t.order && !first_hand);
+        if self.tombstones.get(&node).is_some_and(late) {
             return false;
         }
         if let Some(entry) = self.nodes.get_mut(&node) {
@@ -275,10 +305,12 @@
     fn drop_old_tombstones(&mut self, now: Millis) {
         let keep_for = self.options.tombstone_for;
         let by_change = &mut self.by_change;
+        let forgotten = &mut self.forgotten;
         self.tombstones.retain(|_, t| {
             let keep = now.saturating_since(t.since) < keep_for;
             if !keep {
                 by_change.remove(&t.change);
+                *forgotten = t.change.max(*forgotten);
             }
             keep
         });
--- a/crates/shallothill-directory/src/lease_holder.rs
+++ b/crates/shallothill-directory/src/lease_holder.rs
@@ -1,8 +1,11 @@
 //! The gate's side of ejection leases.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
+use shallothill_core::hash;
 use shallothill_core::ids::{EndpointId, KeeperId, Region};
+use shallothill_core::incarnation::Incarnation;
 use shallothill_core::time::Millis;
 
 use crate::lease_messages::{LeaseAnswer, LeaseReply, LeaseRequest, ReleaseRequest, Token};
@@ -35,6 +38,7 @@
     endpoint: EndpointId,
     region: Region,
     keepers: Vec<KeeperId>,
+    incarnation: Incarnation,
     options: LeaseOptions,
     wanted: bool,
     token: u32,
@@ -46,16 +50,21 @@
 
 impl LeaseHolder {
     /// `new` builds a holder that asks `keepers`, all keepers of `region`, for one token.
+    ///
+    /// `incarnation` must be higher than that of any earlier life of the gate's process, so that
+    /// releases of that life do not free what this one holds.
     pub fn new(
         endpoint: EndpointId,
         region: Region,
         keepers: &[KeeperId],
+        incarnation: Incarnation,
         options: LeaseOptions,
     ) -> Self {
         Self {
             endpoint,
             region,
             keepers: keepers.to_vec(),
+            incarnation,
             options,
             wanted: false,
             token: 0,
@@ -77,10 +86,7 @@
         self.wanted = false;
         self.held_until = None;
         self.round = None;
-        asked.then(|| ReleaseRequest {
-            token: self.token(),
-            endpoint: self.endpoint.clone(),
-        })
+        asked.then(|| self.release())
     }
 
     /// `poll` returns the request to send to every keeper now, if any; call it at least every
@@ -89,6 +95,10 @@
         if !self.wanted || now < self.next_round {
             return None;
         }
+        if self.is_split(now) {
+            self.back_off(now);
+            return None;
+        }
         self.rounds += 1;
         self.round = Some(Round {
             number: self.rounds,
@@ -104,6 +114,7 @@
         Some(LeaseRequest {
             token: self.token(),
             endpoint: self.endpoint.clone(),
+            incarnation: self.incarnation,
             round: self.rounds,
         })
     }
@@ -146,10 +157,7 @@
     }
 
     fn next_token(&mut self, now: Millis, budget: u32) -> ReleaseRequest {
-        let release = ReleaseRequest {
-            token: self.token(),
-            endpoint: self.endpoint.clone(),
-        };
+        let release = self.release();
         self.token = if self.token + 1 < budget {
             self.token + 1
         } else {
@@ -157,12 +165,45 @@
         };
         self.held_until = None;
         self.round = None;
-        if self.token != 0 {
-            self.next_round = now;
-        }
+        self.next_round = if self.token == 0 {
+            // All tokens were tried. Contenders that split the grants wait unequally long, so
+            // that they do not split them again.
+            now + self.options.answer_within + self.dither()
+        } else {
+            now
+        };
         release
     }
 
+    // Whether the answers to the last round are late and the present ones are split between
+    // contenders, which would block each other by renewing what they have.
+    fn is_split(&self, now: Millis) -> bool {
+        let taken = |r: &Round| r.answers.values().any(|a| *a == LeaseAnswer::Taken);
+        self.state(now) != HolderState::Holding && self.round.as_ref().is_some_and(taken)
+    }
+
+    // Lets the own grants end before the token is asked for again.
+    fn back_off(&mut self, now: Millis) {
+        self.round = None;
+        self.next_round = now + self.options.grant_for + self.dither();
+    }
+
+    // Between 0 and two answer times, different for each endpoint and round.
+    fn dither(&self) -> Duration {
+        let seed = format!("{}/{}", self.endpoint, self.rounds);
+        let part = hash::short(seed.as_bytes()) % 1024;
+        self.options.answer_within * 2 * part as u32 / 1024
+    }
+
+    fn release(&self) -> ReleaseRequest {
+        ReleaseRequest {
+            token: self.token(),
+            endpoint: self.endpoint.clone(),
+            incarnation: self.incarnation,
+            round: self.rounds,
+        }
+    }
+
     fn token(&self) -> Token {
         Token {
             service: self.endpoint.service.clone(),
--- a/crates/shallothill-directory/src/lease_member.rs
+++ b/crates/shallothill-directory/src/lease_member.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 
 use shallothill_core::ids::{EndpointId, KeeperId};
+use shallothill_core::incarnation::Incarnation;
 use shallothill_core::time::Millis;
 
 use crate::lease_messages::{LeaseAnswer, LeaseReply, LeaseRequest, ReleaseRequest, Token};
@@ -11,6 +12,7 @@
 #[derive(Clone, Debug)]
 struct Grant {
     endpoint: EndpointId,
+    order: (Incarnation, u64),
     until: Millis,
 }
 
@@ -40,12 +42,7 @@
     pub fn request(&mut self, now: Millis, req: &LeaseRequest, budget: u32) -> LeaseReply {
         let answer = self.decide(now, req, budget);
         if answer == LeaseAnswer::Granted {
-            let until = now + self.options.grant_for;
-            let grant = Grant {
-                endpoint: req.endpoint.clone(),
-                until,
-            };
-            self.grants.insert(req.token.clone(), grant);
+            self.reserve(now, req);
         }
         LeaseReply {
             keeper: self.me,
@@ -56,12 +53,13 @@
     }
 
     /// `release` frees a token that its holder gives back.
+    ///
+    /// A release that arrives after its sender has asked for the token again frees nothing: the
+    /// sender may rely on the newer grant.
     pub fn release(&mut self, req: &ReleaseRequest) {
-        if self
-            .grants
-            .get(&req.token)
-            .is_some_and(|g| g.endpoint == req.endpoint)
-        {
+        let order = (req.incarnation, req.round);
+        let given_back = |g: &Grant| g.endpoint == req.endpoint && g.order <= order;
+        if self.grants.get(&req.token).is_some_and(given_back) {
             self.grants.remove(&req.token);
         }
     }
@@ -76,6 +74,22 @@
         self.grants.iter().map(|(t, g)| (t, &g.endpoint))
     }
 
+    fn reserve(&mut self, now: Millis, req: &LeaseRequest) {
+        let mut order = (req.incarnation, req.round);
+        if let Some(g) = self.grants.get(&req.token)
+            && g.endpoint == req.endpoint
+        {
+            // A late request must not lower the order below that of a grant in use.
+            order = order.max(g.order);
+        }
+        let grant = Grant {
+            endpoint: req.endpoint.clone(),
+            order,
+            until: now + self.options.grant_for,
+        };
+        self.grants.insert(req.token.clone(), grant);
+    }
+
     fn decide(&self, now: Millis, req: &LeaseRequest, budget: u32) -> LeaseAnswer {
         if now.saturating_since(self.started) < self.options.quiet_after_start {
             return LeaseAnswer::Quiet;
--- a/crates/shallothill-directory/src/lease_messages.rs
+++ b/crates/shallothill-directory/src/lease_messages.rs
@@ -2,6 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 use shallothill_core::ids::{EndpointId, KeeperId, Region, ServiceName};
+use shallothill_core::incarnation::Incarnation;
 
 /// `Token` is one of the ejections that a service can bear in a region; numbers start at 0.
 #[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
@@ -21,6 +22,8 @@
     pub token: Token,
     /// The backend server to eject.
     pub endpoint: EndpointId,
+    /// The life of the gate's process, which orders the rounds of one life before the next.
+    pub incarnation: Incarnation,
     /// Numbers the requests of one holder, so that a late answer is not taken for a newer one.
     pub round: u64,
 }
@@ -58,4 +61,8 @@
     pub token: Token,
     /// Its holder.
     pub endpoint: EndpointId,
+    /// The life of the holder's process.
+    pub incarnation: Incarnation,
+    /// The holder's last round; grants of later rounds are not given back by a late release.
+    pub round: u64,
 }
--- /dev/null
+++ b/crates/shallothill-directory/tests/leases/main.rs
@@ -0,0 +1,5 @@
+//! Tests of ejection leases.
+
+mod messages;
+mod schedules;
+mod support;
--- a/crates/shallothill-policy/src/eject/ejector.rs
+++ b/crates/shallothill-policy/src/eject/ejector.rs
@@ -4,6 +4,7 @@
 
 use shallothill_core::health::ServingState;
 use shallothill_core::ids::{EndpointId, KeeperId, Region};
+use shallothill_core::incarnation::Incarnation;
 use shallothill_core::time::Millis;
 use shallothill_directory::{
     HolderState, LeaseHolder, LeaseOptions, LeaseReply, LeaseRequest, ReleaseRequest,
@@ -36,16 +37,19 @@
 
 impl Ejector {
     /// `new` builds the ejector of `endpoint` in `region`, whose leases `keepers` grant.
+    ///
+    /// `incarnation` is the life of the gate's process and higher than any earlier one.
     pub fn new(
         endpoint: EndpointId,
         region: Region,
         keepers: &[KeeperId],
+        incarnation: Incarnation,
         lease: LeaseOptions,
         options: EjectOptions,
     ) -> Self {
         Self {
             options,
-            holder: LeaseHolder::new(endpoint, region, keepers, lease),
+            holder: LeaseHolder::new(endpoint, region, keepers, incarnation, lease),
             phase: Phase::Serving,
             flaps: 0,
             flap_at: Millis(0),
