policy: EndpointHealth replaces separate Detector and Ejector at the gate; summarise takes a reference

Cause: trials must start from new evidence, requests from before an ejection must not clear it and a hanging trial must fail it; with separate parts every caller had to get that right. For the gate: keep one eject::EndpointHealth per endpoint (started, finished, tick, summarise, poll, on_reply, announced_anew) and send every release that it returns; on_verdict returns nothing now. Keep it across lives of the backend server with announced_anew: flaps are remembered, and a new lease holder with the same incarnation would start its rounds again. Ruled out: thresholds on single windows, which trade detection time against false ejections much worse at the low rates of one server; the sum of log-likelihood ratios needs no window.

--- a/crates/shallothill-policy/src/admit/gate.rs
+++ b/crates/shallothill-policy/src/admit/gate.rs
@@ -23,6 +23,7 @@
     draining: bool,
     trial_slots: u16,
     running: Vec<Ticket>,
+    trials: Vec<Ticket>,
     queue: Queue,
     settled: VecDeque<Start>,
     tickets: u64,
@@ -42,6 +43,7 @@
             draining: false,
             trial_slots: 0,
             running: Vec::new(),
+            trials: Vec::new(),
             queue: Queue::default(),
             settled: VecDeque::new(),
             tickets: 0,
@@ -56,12 +58,7 @@
             return self.refuse(Refusal::Draining);
         }
         if self.state == ServingState::Ejected {
-            let due = req.trial && self.running.len() < usize::from(self.trial_slots);
-            return if due {
-                self.run()
-            } else {
-                self.refuse(Refusal::Ejected)
-            };
+            return self.offer_trial(req);
         }
         if !self.can_finish(now, req.deadline, self.waves_ahead()) {
             return self.refuse(Refusal::Deadline);
@@ -72,6 +69,17 @@
         self.enqueue(req)
     }
 
+    // Requests that were running when the endpoint was ejected take no place of a trial.
+    fn offer_trial(&mut self, req: GateRequest) -> Admission {
+        if !req.trial || self.trials.len() >= usize::from(self.trial_slots) {
+            return self.refuse(Refusal::Ejected);
+        }
+        let ticket = self.ticket();
+        self.running.push(ticket);
+        self.trials.push(ticket);
+        Admission::Run(ticket)
+    }
+
     /// `finish` frees the slot of `ticket` after its attempt has ended; `served` is the latency
     /// of a successful answer. A ticket that holds no slot frees none.
     pub fn finish(&mut self, ticket: Ticket, served: Option<Duration>) {
@@ -79,6 +87,7 @@
             return;
         };
         self.running.swap_remove(i);
+        self.trials.retain(|t| *t != ticket);
         if let Some(latency) = served {
             // A weight of 1/16 follows a change of latency within some twenty answers.
             self.latency_us += (latency.as_micros() as f64 - self.latency_us) / 16.0;
@@ -110,6 +119,9 @@
                 .pop_any()
                 .map(|w| Start::Refused(w.ticket, reason));
         }
+        if let Some(expired) = self.queue.pop_expired(now) {
+            return Some(Start::Refused(expired.ticket, Refusal::Deadline));
+        }
         if !self.has_room() {
             return None;
         }
@@ -204,14 +216,17 @@
 
     fn enqueue(&mut self, req: GateRequest) -> Admission {
         let internal = req.class.is_internal();
-        let kept = usize::from(self.options.internal_queue());
-        let full = self.queue.len() >= usize::from(self.options.queue);
-        if full {
-            let may_shed = !internal && self.queue.internal_len() > kept;
-            let shed = if may_shed {
-                self.queue.shed_internal()
-            } else {
+        let places = usize::from(self.options.queue);
+        let for_callers = places - usize::from(self.options.internal_queue());
+        if !internal && self.queue.callers_len() >= for_callers {
+            return self.refuse(Refusal::QueueFull);
+        }
+        if self.queue.len() >= places {
+            // Internal work that waits beyond its own places makes room for callers.
+            let shed = if internal {
                 None
+            } else {
+                self.queue.shed_internal()
             };
             let Some(shed) = shed else {
                 return self.refuse(Refusal::QueueFull);
--- a/crates/shallothill-policy/src/admit/options.rs
+++ b/crates/shallothill-policy/src/admit/options.rs
@@ -51,10 +51,9 @@
         }
     }
 
-    /// `internal_queue` returns the places of the queue that service requests cannot take away.
+    /// `internal_queue` returns the places of the queue that callers' requests never take.
     pub fn internal_queue(&self) -> u16 {
-        (self.queue / self.internal_queue_part.max(1))
-            .max(1)
-            .min(self.queue)
+        let part = self.queue / self.internal_queue_part.max(1);
+        part.max(1).min(self.queue / 2)
     }
 }
--- a/crates/shallothill-policy/src/admit/queue.rs
+++ b/crates/shallothill-policy/src/admit/queue.rs
@@ -25,8 +25,18 @@
         self.callers.len() + self.internal.len()
     }
 
-    pub(crate) fn internal_len(&self) -> usize {
-        self.internal.len()
+    pub(crate) fn callers_len(&self) -> usize {
+        self.callers.len()
+    }
+
+    /// Takes out a request whose deadline has passed, if one stands at a front.
+    pub(crate) fn pop_expired(&mut self, now: Millis) -> Option<Waiting> {
+        for queue in [&mut self.callers, &mut self.internal] {
+            if queue.front().is_some_and(|w| w.deadline <= now) {
+                return queue.pop_front();
+            }
+        }
+        None
     }
 
     pub(crate) fn push(&mut self, internal: bool, waiting: Waiting) {
--- a/crates/shallothill-policy/src/detect/detector.rs
+++ b/crates/shallothill-policy/src/detect/detector.rs
@@ -2,7 +2,6 @@
 
 use std::time::Duration;
 
-use hdrhistogram::Histogram;
 use shallothill_core::ids::EndpointId;
 use shallothill_core::time::Millis;
 use shallothill_directory::{EndpointLoad, ServiceSummary};
@@ -10,125 +9,202 @@
 use crate::admit::Ticket;
 use crate::detect::evidence::Evidence;
 use crate::detect::options::DetectOptions;
+use crate::detect::reference::Reference;
+use crate::detect::score::Score;
 use crate::detect::verdict::{Reason, Verdict};
+use crate::detect::window::Window;
+
+// A healthy server exceeds several medians in about 2% of its requests; a sick one in half.
+const SLOW_USUAL: f64 = 0.02;
+const SLOW_SICK: f64 = 0.5;
+// Partial errors start to matter to callers at about a quarter.
+const ERRORS_SICK: f64 = 0.25;
+// A request counts again each time its age doubles; after this often it says nothing new.
+const MOST_DOUBLINGS: u32 = 5;
+
+#[derive(Clone, Copy, Debug)]
+struct Running {
+    ticket: Ticket,
+    started: Millis,
+    counted: u32,
+}
 
 /// `Detector` weighs the evidence of real requests to one backend server; probes do not count.
+///
+/// A request counts as bad when it takes, or has been running for, several times the service's
+/// median, or when it fails. Time in the gate's queue does not count.
 #[derive(Clone, Debug)]
 pub struct Detector {
     options: DetectOptions,
-    in_flight: Vec<(Ticket, Millis)>,
-    summary: Option<(Millis, ServiceSummary)>,
+    running: Vec<Running>,
+    reference: Reference,
+    slow: Score,
+    errors: Score,
     suspect_since: Option<Millis>,
-    score: f64,
-    completed: u32,
-    errors: u32,
-    latencies_us: Vec<u64>,
+    window: Window,
 }
 
 impl Detector {
     /// `new` builds a detector without evidence.
     pub fn new(options: DetectOptions) -> Self {
         Self {
+            reference: Reference::new(&options),
             options,
-            in_flight: Vec::new(),
-            summary: None,
+            running: Vec::new(),
+            slow: Score::default(),
+            errors: Score::default(),
             suspect_since: None,
-            score: 0.0,
-            completed: 0,
-            errors: 0,
-            latencies_us: Vec::new(),
+            window: Window::default(),
         }
     }
 
     /// `set_options` takes over a changed configuration.
     pub fn set_options(&mut self, options: DetectOptions) {
+        self.reference = Reference::new(&options);
         self.options = options;
     }
 
     /// `started` notes that a request was written to the backend server.
     pub fn started(&mut self, now: Millis, ticket: Ticket) {
-        self.in_flight.push((ticket, now));
+        self.running.push(Running {
+            ticket,
+            started: now,
+            counted: 0,
+        });
     }
 
     /// `finished` takes the evidence of a request that was started; an unknown ticket is ignored.
     pub fn finished(&mut self, now: Millis, ticket: Ticket, evidence: Evidence) {
-        let Some(i) = self.in_flight.iter().position(|(t, _)| *t == ticket) else {
+        self.count_old(now);
+        let Some(i) = self.running.iter().position(|r| r.ticket == ticket) else {
             return;
         };
-        let (_, started) = self.in_flight.swap_remove(i);
-        let bad = match evidence {
+        let running = self.running.swap_remove(i);
+        match evidence {
             Evidence::Served(latency) => {
-                self.completed += 1;
-                self.latencies_us.push(latency.as_micros() as u64);
-                latency > self.slow_after()
+                self.window.served(latency);
+                // An old request was counted when it became old.
+                if running.counted == 0 {
+                    let slow = latency > self.reference.slow_after(now);
+                    self.slow.count(slow, SLOW_USUAL, SLOW_SICK);
+                }
+                let usual = self.reference.error_share(now);
+                self.errors
+                    .count(false, usual, ERRORS_SICK.max(usual * 2.0));
             }
             Evidence::Failed | Evidence::Reset => {
-                self.errors += 1;
-                true
+                self.window.failed();
+                let usual = self.reference.error_share(now);
+                self.errors.count(true, usual, ERRORS_SICK.max(usual * 2.0));
             }
-            Evidence::Abandoned => now.saturating_since(started) > self.slow_after(),
-            Evidence::Shed => return,
-        };
-        self.score = (self.score + if bad { 3.0 } else { -0.5 }).max(0.0);
+            Evidence::Abandoned | Evidence::Shed => {}
+        }
     }
 
     /// `summarise` takes what is usual for the service, as a keeper returned it at `now`.
-    pub fn summarise(&mut self, now: Millis, summary: ServiceSummary) {
-        self.summary = Some((now, summary));
+    ///
+    /// Evidence that was weighed against a reference which this summary proves wrong is dropped.
+    pub fn summarise(&mut self, now: Millis, summary: &ServiceSummary) {
+        let change = self.reference.update(now, summary);
+        if change.slower {
+            self.slow = Score::default();
+        }
+        if change.failing {
+            self.errors = Score::default();
+        }
     }
 
     /// `verdict` weighs the evidence at `now`; call it after events and about every 50 ms.
     pub fn verdict(&mut self, now: Millis) -> Verdict {
-        let slow_after = self.slow_after();
-        let old = |(_, at): &&(Ticket, Millis)| now.saturating_since(*at) > slow_after;
-        let stalled = self.in_flight.iter().filter(old).count() as f64 * 3.0;
-        if self.score + stalled < self.options.threshold {
+        self.count_old(now);
+        let score = if self.slow.sum() > self.errors.sum() {
+            self.slow
+        } else {
+            self.errors
+        };
+        if score.sum() < self.options.threshold {
             self.suspect_since = None;
             return Verdict::Healthy;
         }
+        let reason = self.reason();
         let since = *self.suspect_since.get_or_insert(now);
-        let reason = if stalled > self.score {
-            Reason::Stalled
+        // Only a summary from after the fault began can tell that the service as a whole is well.
+        let confirmed = self
+            .reference
+            .updated()
+            .is_some_and(|at| at >= since + self.options.confirm_after);
+        if confirmed && score.bad() >= self.options.requests {
+            Verdict::Sick(reason)
         } else {
-            Reason::Errors
-        };
-        let confirmed = since + self.options.confirm_after;
-        match &self.summary {
-            Some((at, _)) if *at >= confirmed => Verdict::Sick(reason),
-            _ => Verdict::Suspect(reason),
+            Verdict::Suspect(reason)
+        }
+    }
+
+    /// `is_good` tells whether the evidence of a trial speaks for the server, or `None` when it
+    /// says nothing.
+    pub fn is_good(&self, now: Millis, evidence: Evidence) -> Option<bool> {
+        match evidence {
+            Evidence::Served(latency) => Some(latency <= self.reference.slow_after(now)),
+            Evidence::Failed | Evidence::Reset => Some(false),
+            Evidence::Abandoned | Evidence::Shed => None,
         }
     }
 
+    /// `slow_after` returns the age from which a request counts against its server.
+    pub fn slow_after(&self, now: Millis) -> Duration {
+        self.reference.slow_after(now)
+    }
+
     /// `load` returns the load since the last call, for the keepers' summaries.
     pub fn load(&mut self, now: Millis, id: &EndpointId, queued: u16) -> EndpointLoad {
-        let mut histogram = Histogram::<u64>::new(2).ok();
-        for us in self.latencies_us.drain(..) {
-            if let Some(h) = &mut histogram {
-                h.saturating_record(us);
-            }
-        }
-        let oldest = self.in_flight.iter().map(|(_, at)| *at).min();
+        let oldest = self.running.iter().map(|r| r.started).min();
+        let window = std::mem::take(&mut self.window);
         EndpointLoad {
             service: id.service.clone(),
             name: id.name.clone(),
-            in_flight: u16::try_from(self.in_flight.len()).unwrap_or(u16::MAX),
+            in_flight: u16::try_from(self.running.len()).unwrap_or(u16::MAX),
             queued,
-            completed: std::mem::take(&mut self.completed),
-            p50_us: histogram.map_or(0, |h| h.value_at_quantile(0.5)),
+            completed: window.completed(),
+            p50_us: window.p50_us(),
             oldest_us: oldest.map_or(0, |at| now.saturating_since(at).as_micros() as u64),
-            errors: std::mem::take(&mut self.errors),
+            errors: window.errors(),
         }
     }
 
-    /// `clear` forgets the evidence, after trials were served or a new life was announced.
+    /// `clear` forgets the evidence, when trials begin, when they were served, or when a new life
+    /// was announced.
     pub fn clear(&mut self) {
-        self.score = 0.0;
+        self.slow = Score::default();
+        self.errors = Score::default();
         self.suspect_since = None;
+        // Requests of before must not count again.
+        for running in &mut self.running {
+            running.counted = MOST_DOUBLINGS;
+        }
+    }
+
+    fn count_old(&mut self, now: Millis) {
+        let slow_after = self.reference.slow_after(now);
+        for running in &mut self.running {
+            let age = now.saturating_since(running.started);
+            while running.counted < MOST_DOUBLINGS && age > slow_after * (1 << running.counted) {
+                if running.counted == 0 {
+                    self.slow.count(true, SLOW_USUAL, SLOW_SICK);
+                } else {
+                    self.slow.count_again(SLOW_USUAL, SLOW_SICK);
+                }
+                running.counted += 1;
+            }
+        }
     }
 
-    fn slow_after(&self) -> Duration {
-        self.options
-            .expected_latency
-            .mul_f64(self.options.slow_factor)
+    fn reason(&self) -> Reason {
+        if self.errors.sum() >= self.slow.sum() {
+            Reason::Errors
+        } else if self.running.iter().any(|r| r.counted > 1) {
+            Reason::Stalled
+        } else {
+            Reason::Slow
+        }
     }
 }
--- a/crates/shallothill-policy/src/detect/mod.rs
+++ b/crates/shallothill-policy/src/detect/mod.rs
@@ -3,7 +3,10 @@
 mod detector;
 mod evidence;
 mod options;
+mod reference;
+mod score;
 mod verdict;
+mod window;
 
 pub use detector::Detector;
 pub use evidence::Evidence;
--- a/crates/shallothill-policy/src/detect/options.rs
+++ b/crates/shallothill-policy/src/detect/options.rs
@@ -11,21 +11,27 @@
     pub expected_latency: Duration,
     /// A request counts against its server when it takes longer than this many medians.
     pub slow_factor: f64,
-    /// Log-likelihood ratio at which the server becomes suspect.
+    /// Log-likelihood ratio of sick to healthy at which the server becomes suspect.
     pub threshold: f64,
+    /// Different requests that must have counted against the server before it is sick.
+    pub requests: u32,
     /// Time that a suspicion must stand, and a summary be newer, before the server is sick.
     pub confirm_after: Duration,
+    /// Age after which a summary no longer tells what is usual.
+    pub summary_fresh_for: Duration,
 }
 
 impl DetectOptions {
     /// `new` derives the thresholds from the service's expected latency and disposition.
     pub fn new(expected_latency: Duration, disposition: Disposition) -> Self {
-        let ms = |d: f64| Duration::from_micros((d * 1000.0) as u64);
         Self {
             expected_latency,
             slow_factor: disposition.between(4.0, 6.0),
-            threshold: disposition.between(8.0, 16.0),
-            confirm_after: ms(disposition.between(200.0, 1000.0)),
+            // The evidence of three and six bad requests in a row.
+            threshold: disposition.between(9.0, 19.0),
+            requests: disposition.between(2.0, 4.0).round() as u32,
+            confirm_after: Duration::from_millis(disposition.between(300.0, 1500.0) as u64),
+            summary_fresh_for: Duration::from_secs(10),
         }
     }
 
--- a/crates/shallothill-policy/src/eject/ejector.rs
+++ b/crates/shallothill-policy/src/eject/ejector.rs
@@ -38,7 +38,9 @@
 impl Ejector {
     /// `new` builds the ejector of `endpoint` in `region`, whose leases `keepers` grant.
     ///
-    /// `incarnation` is the life of the gate's process and higher than any earlier one.
+    /// `incarnation` is higher than that of any earlier ejector of the same endpoint, also one of
+    /// an earlier process. A new life of the backend server keeps its ejector, see
+    /// [`Ejector::reset`].
     pub fn new(
         endpoint: EndpointId,
         region: Region,
@@ -56,9 +58,9 @@
         }
     }
 
-    /// `on_verdict` takes the detector's verdict; returns a release to send to every keeper, if
-    /// a lease ends.
-    pub fn on_verdict(&mut self, now: Millis, verdict: Verdict) -> Option<ReleaseRequest> {
+    /// `on_verdict` takes the detector's verdict; when the endpoint becomes sick by it, a lease is
+    /// asked for and the wait for trials begins.
+    pub fn on_verdict(&mut self, now: Millis, verdict: Verdict) {
         match (self.phase, verdict) {
             (Phase::Serving, Verdict::Suspect(_)) => self.phase = Phase::Suspect,
             (Phase::Suspect, Verdict::Healthy) => self.phase = Phase::Serving,
@@ -71,16 +73,24 @@
             }
             _ => {}
         }
-        None
     }
 
-    /// `on_trial` takes the end of a request that ran while the endpoint was sick. Returns
+    /// `is_sick` tells whether the endpoint is ejected, or would be if a lease were held.
+    pub fn is_sick(&self) -> bool {
+        matches!(self.phase, Phase::Sick { .. })
+    }
+
+    /// `on_trial` takes the end of a request that was started while the endpoint was sick. Returns
     /// whether the endpoint is cleared: the owner then calls `Detector::clear` and sends the
     /// release of [`Ejector::take_release`].
     pub fn on_trial(&mut self, now: Millis, served: bool) -> bool {
-        let Phase::Sick { step, passed, .. } = self.phase else {
+        let Phase::Sick { step, passed, next } = self.phase else {
             return false;
         };
+        // Requests from before the wait, and others of a failed step, say nothing new.
+        if now < next {
+            return false;
+        }
         if !served {
             self.flaps += 1;
             self.flap_at = now;
--- /dev/null
+++ b/crates/shallothill-policy/src/eject/health.rs
@@ -0,0 +1,136 @@
+//! The health of one endpoint at its gate: evidence, ejection and trials together.
+
+use shallothill_core::health::ServingState;
+use shallothill_core::ids::EndpointId;
+use shallothill_core::time::Millis;
+use shallothill_directory::{
+    EndpointLoad, LeaseReply, LeaseRequest, ReleaseRequest, ServiceSummary,
+};
+
+use crate::admit::Ticket;
+use crate::detect::{Detector, Evidence, Verdict};
+use crate::eject::ejector::Ejector;
+
+/// `EndpointHealth` feeds a detector's verdicts to an ejector and its trials back.
+///
+/// Every request that is written to a sick endpoint is a trial, whether the endpoint is ejected
+/// or only demoted.
+#[derive(Clone, Debug)]
+pub struct EndpointHealth {
+    detector: Detector,
+    ejector: Ejector,
+    trials: Vec<(Ticket, Millis)>,
+    verdict: Verdict,
+}
+
+impl EndpointHealth {
+    /// `new` joins the two parts, both without history.
+    pub fn new(detector: Detector, ejector: Ejector) -> Self {
+        Self {
+            detector,
+            ejector,
+            trials: Vec::new(),
+            verdict: Verdict::Healthy,
+        }
+    }
+
+    /// `detector` gives access to the detector, to change its options.
+    pub fn detector(&mut self) -> &mut Detector {
+        &mut self.detector
+    }
+
+    /// `verdict` returns the verdict of the last [`EndpointHealth::tick`].
+    pub fn verdict(&self) -> Verdict {
+        self.verdict
+    }
+
+    /// `started` notes that a request was written to the backend server.
+    pub fn started(&mut self, now: Millis, ticket: Ticket) {
+        if self.ejector.is_sick() {
+            self.trials.push((ticket, now));
+        }
+        self.detector.started(now, ticket);
+    }
+
+    /// `finished` takes the evidence of a request that was started. A release that it returns is
+    /// to be sent to every keeper of the region.
+    pub fn finished(
+        &mut self,
+        now: Millis,
+        ticket: Ticket,
+        evidence: Evidence,
+    ) -> Option<ReleaseRequest> {
+        let good = self.detector.is_good(now, evidence);
+        self.detector.finished(now, ticket, evidence);
+        let i = self.trials.iter().position(|(t, _)| *t == ticket)?;
+        self.trials.swap_remove(i);
+        self.trial_ended(now, good?)
+    }
+
+    /// `tick` weighs the evidence; call it about every 50 ms. A release that it returns is to be
+    /// sent to every keeper of the region.
+    pub fn tick(&mut self, now: Millis) -> Option<ReleaseRequest> {
+        self.verdict = self.detector.verdict(now);
+        if !self.ejector.is_sick() {
+            self.ejector.on_verdict(now, self.verdict);
+            if self.ejector.is_sick() {
+                // Trials start from new evidence.
+                self.detector.clear();
+            }
+            return None;
+        }
+        let slow_after = self.detector.slow_after(now);
+        let hangs = |(_, at): &(Ticket, Millis)| now.saturating_since(*at) > slow_after;
+        if self.trials.iter().any(hangs) {
+            self.trials.retain(|t| !hangs(t));
+            return self.trial_ended(now, false);
+        }
+        None
+    }
+
+    /// `summarise` takes what is usual for the service.
+    pub fn summarise(&mut self, now: Millis, summary: &ServiceSummary) {
+        self.detector.summarise(now, summary);
+    }
+
+    /// `load` returns the load since the last call, for the keepers' summaries.
+    pub fn load(&mut self, now: Millis, id: &EndpointId, queued: u16) -> EndpointLoad {
+        self.detector.load(now, id, queued)
+    }
+
+    /// `poll` returns the lease request to send to every keeper of the region now, if any.
+    pub fn poll(&mut self, now: Millis) -> Option<LeaseRequest> {
+        self.ejector.poll(now)
+    }
+
+    /// `on_reply` takes a keeper's reply; returns a release to send to every keeper, if any.
+    pub fn on_reply(&mut self, now: Millis, reply: &LeaseReply) -> Option<ReleaseRequest> {
+        self.ejector.on_reply(now, reply)
+    }
+
+    /// `announced_anew` starts over for a new life of the backend server.
+    pub fn announced_anew(&mut self) -> Option<ReleaseRequest> {
+        self.detector.clear();
+        self.trials.clear();
+        self.ejector.reset()
+    }
+
+    /// `state` returns the serving state at `now`: `Ready`, `Demoted` or `Ejected`.
+    pub fn state(&self, now: Millis) -> ServingState {
+        self.ejector.state(now)
+    }
+
+    /// `trial_slots` returns how many trials may run at a time at `now`.
+    pub fn trial_slots(&self, now: Millis) -> u16 {
+        self.ejector.trial_slots(now)
+    }
+
+    fn trial_ended(&mut self, now: Millis, served: bool) -> Option<ReleaseRequest> {
+        if !self.ejector.on_trial(now, served) {
+            return None;
+        }
+        self.detector.clear();
+        self.trials.clear();
+        self.ejector.take_release()
+    }
+}
--- /dev/null
+++ b/crates/shallothill-policy/tests/detect.rs
@@ -0,0 +1,286 @@
+//! Tests of detection and of the way back from an ejection.
+
+use std::time::Duration;
+
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use shallothill_core::config::Disposition;
+use shallothill_core::health::ServingState;
+use shallothill_core::ids::{EndpointId, EndpointName, KeeperId, NodeName, Region, ServiceName};
+use shallothill_core::incarnation::Incarnation;
+use shallothill_core::time::Millis;
+use shallothill_directory::{LeaseMember, LeaseOptions, ServiceSummary};
+use shallothill_policy::admit::Ticket;
+use shallothill_policy::detect::{DetectOptions, Detector, Evidence, Verdict};
+use shallothill_policy::eject::{EjectOptions, Ejector, EndpointHealth};
+
+const USUAL: Duration = Duration::from_millis(40);
+
+fn service() -> ServiceName {
+    ServiceName::try_new("courier").unwrap()
+}
+
+fn detector(disposition: Disposition) -> Detector {
+    Detector::new(DetectOptions::new(USUAL, disposition))
+}
+
+fn summary(p50: Duration, oldest: Duration, errors: u64) -> ServiceSummary {
+    ServiceSummary {
+        service: service(),
+        endpoints: 12,
+        p50_us: p50.as_micros() as u64,
+        oldest_us: oldest.as_micros() as u64,
+        completed: 1000,
+        errors,
+    }
+}
+
+/// Runs requests one after the other, with a summary every second; returns the first time at
+/// which the verdict is sick.
+fn first_sick(
+    d: &mut Detector,
+    summary: &ServiceSummary,
+    mut next: impl FnMut(u64) -> Evidence,
+) -> Option<u64> {
+    let mut now = Millis(1000);
+    for n in 0..2000 {
+        let evidence = next(n);
+        let took = match evidence {
+            Evidence::Served(latency) => latency,
+            _ => Duration::from_millis(10),
+        };
+        d.started(now, Ticket(n));
+        for _ in 0..took.as_millis().div_ceil(10) {
+            now = now + Duration::from_millis(10);
+            if now.0.is_multiple_of(1000) {
+                d.summarise(now, summary);
+            }
+            if matches!(d.verdict(now), Verdict::Sick(_)) {
+                return Some(now.0 - 1000);
+            }
+        }
+        d.finished(now, Ticket(n), evidence);
+    }
+    None
+}
+
+fn well() -> ServiceSummary {
+    summary(USUAL, Duration::ZERO, 0)
+}
+
+/// Guards against a server that answers probes and stalls real work: it is found by the age of its
+/// requests, sooner with the quick disposition.
+#[test]
+fn a_stall_is_found_by_the_age_of_requests() {
+    let found = |disposition| {
+        let mut d = detector(disposition);
+        for n in 0..5 {
+            d.started(Millis(1000), Ticket(n));
+        }
+        (1000..20_000u64).step_by(50).find(|ms| {
+            if ms.is_multiple_of(1000) {
+                d.summarise(Millis(*ms), &well());
+            }
+            matches!(d.verdict(Millis(*ms)), Verdict::Sick(_))
+        })
+    };
+    let (quick, cautious) = (found(Disposition::QUICK), found(Disposition::CAUTIOUS));
+    assert!(quick.is_some_and(|ms| ms <= 3000), "{quick:?}");
+    assert!(cautious.is_some_and(|ms| ms <= 6000), "{cautious:?}");
+    assert!(quick < cautious);
+}
+
+/// Guards against faults that leave part of the answers good, or all of them slow.
+#[test]
+fn slowness_and_partial_errors_are_found() {
+    for disposition in [Disposition::QUICK, Disposition::CAUTIOUS] {
+        let slow = first_sick(&mut detector(disposition), &well(), |_| {
+            Evidence::Served(USUAL * 8)
+        });
+        let errors = first_sick(&mut detector(disposition), &well(), |n| match n % 3 {
+            0 => Evidence::Failed,
+            _ => Evidence::Served(USUAL),
+        });
+        assert!(slow.is_some() && errors.is_some(), "{slow:?} {errors:?}");
+    }
+}
+
+/// Guards against ejections of servers that are slow or failing because all of them are.
+#[test]
+fn what_the_whole_service_shares_is_not_held_against_a_server() {
+    let all_slow = summary(USUAL * 8, USUAL * 8, 0);
+    let all_failing = summary(USUAL, Duration::ZERO, 400);
+    let stalled = summary(USUAL, Duration::from_secs(30), 0);
+
+    let mut d = detector(Disposition::QUICK);
+    let slow = first_sick(&mut d, &all_slow, |_| Evidence::Served(USUAL * 8));
+    let mut d = detector(Disposition::QUICK);
+    let failing = first_sick(&mut d, &all_failing, |n| match n % 7 {
+        0 | 3 => Evidence::Failed,
+        _ => Evidence::Served(USUAL),
+    });
+    let mut d = detector(Disposition::QUICK);
+    let hanging = first_sick(&mut d, &stalled, |_| {
+        Evidence::Served(Duration::from_secs(20))
+    });
+
+    assert_eq!((slow, failing, hanging), (None, None, None));
+}
+
+/// Guards against an ejection without a comparison: with all keepers out of reach the server is
+/// only suspect, and so demoted.
+#[test]
+fn without_a_fresh_summary_a_server_is_only_suspect() {
+    let mut d = detector(Disposition::QUICK);
+    d.summarise(Millis(0), &well());
+    for n in 0..5 {
+        d.started(Millis(1000), Ticket(n));
+    }
+    for ms in (1000..60_000).step_by(50) {
+        assert!(!matches!(d.verdict(Millis(ms)), Verdict::Sick(_)));
+    }
+    assert!(matches!(d.verdict(Millis(60_000)), Verdict::Suspect(_)));
+}
+
+/// Guards against ejections by the usual spread of latencies and single errors.
+#[test]
+fn usual_variation_is_not_sickness() {
+    let mut rng = SmallRng::seed_from_u64(7);
+    for disposition in [Disposition::QUICK, Disposition::CAUTIOUS] {
+        let sick = first_sick(&mut detector(disposition), &well(), |_| {
+            if rng.random_ratio(1, 500) {
+                return Evidence::Failed;
+            }
+            // Exponential, with a median of the usual latency.
+            let x: f64 = rng.random_range(0.0f64..1.0);
+            Evidence::Served(USUAL.mul_f64(-(1.0 - x).log2()))
+        });
+        assert_eq!(sick, None);
+    }
+}
+
+struct Site {
+    health: EndpointHealth,
+    member: LeaseMember,
+    budget: u32,
+}
+
+fn site(budget: u32) -> Site {
+    let id = EndpointId {
+        service: service(),
+        node: NodeName::try_new("n1").unwrap(),
+        name: EndpointName::try_new("a").unwrap(),
+    };
+    let ejector = Ejector::new(
+        id,
+        Region::try_new("ege").unwrap(),
+        &[KeeperId(1)],
+        Incarnation(1),
+        LeaseOptions::default(),
+        EjectOptions::default(),
+    );
+    Site {
+        health: EndpointHealth::new(detector(Disposition::QUICK), ejector),
+        member: LeaseMember::new(KeeperId(1), Millis(0), LeaseOptions::default()),
+        budget,
+    }
+}
+
+impl Site {
+    fn tick(&mut self, now: Millis) {
+        if now.0.is_multiple_of(1000) {
+            self.health.summarise(now, &well());
+        }
+        if let Some(release) = self.health.tick(now) {
+            self.member.release(&release);
+        }
+        if let Some(req) = self.health.poll(now) {
+            let reply = self.member.request(now, &req, self.budget);
+            self.health.on_reply(now, &reply);
+        }
+    }
+
+    /// Lets requests hang until the server is no longer ready; returns the time.
+    fn make_sick(&mut self, from: u64, tickets: u64) -> u64 {
+        for n in 0..4 {
+            self.health.started(Millis(from), Ticket(tickets + n));
+        }
+        let sick = (from..from + 10_000).step_by(50).find(|ms| {
+            self.tick(Millis(*ms));
+            self.health.trial_slots(Millis(*ms)) == 0
+                && matches!(self.health.verdict(), Verdict::Sick(_))
+        });
+        sick.expect("the stall was not found")
+    }
+
+    /// Serves trials as they are due; returns when the server is ready again.
+    fn serve_trials(&mut self, from: u64, mut ticket: u64) -> u64 {
+        for ms in (from..from + 300_000).step_by(50) {
+            let now = Millis(ms);
+            self.tick(now);
+            if self.health.trial_slots(now) > 0 {
+                self.health.started(now, Ticket(ticket));
+                let served = Evidence::Served(USUAL);
+                if let Some(release) = self.health.finished(now, Ticket(ticket), served) {
+                    self.member.release(&release);
+                }
+                ticket += 1;
+            }
+            if self.health.state(now) == ServingState::Ready {
+                return ms;
+            }
+        }
+        panic!("the server did not come back");
+    }
+}
+
+/// Guards against an ejection without a lease: beyond the budget a sick server is demoted only.
+#[test]
+fn holds_ejection_floor_by_demoting_without_a_lease() {
+    for (budget, expected) in [(1, ServingState::Ejected), (0, ServingState::Demoted)] {
+        let mut s = site(budget);
+        let sick = s.make_sick(10_000, 0);
+        for ms in (sick + 50..sick + 2000).step_by(50) {
+            s.tick(Millis(ms));
+        }
+        assert_eq!(s.health.state(Millis(sick + 2000)), expected);
+    }
+}
+
+/// Guards against a flapping server that comes back as fast each time, and against one that is
+/// shut out for good.
+#[test]
+fn a_flapping_server_waits_longer_each_time() {
+    let mut s = site(1);
+    let mut now = 10_000;
+    let mut waits = Vec::new();
+    for life in 0..4 {
+        let sick = s.make_sick(now, life * 10_000);
+        let back = s.serve_trials(sick, life * 10_000 + 100);
+        waits.push(back - sick);
+        now = back + 1000;
+    }
+    assert!(waits.is_sorted_by(|a, b| a < b), "{waits:?}");
+
+    let sick = s.make_sick(now + 600_000, 90_000);
+    let back = s.serve_trials(sick, 90_100);
+    assert!(back - sick <= waits[0] + 100, "flaps are not forgotten");
+}
+
+/// Guards against a server that is cleared by an answer from before its ejection or by a slow one.
+#[test]
+fn only_served_trials_clear_a_server() {
+    let mut s = site(1);
+    let sick = s.make_sick(10_000, 0);
+    let later = Millis(sick + 2000);
+    for n in 0..4 {
+        s.health.finished(later, Ticket(n), Evidence::Served(USUAL));
+    }
+    assert_ne!(s.health.state(later), ServingState::Ready);
+    for n in 10..30 {
+        s.health.started(later, Ticket(n));
+        s.health
+            .finished(later, Ticket(n), Evidence::Served(USUAL * 20));
+    }
+    assert_ne!(s.health.state(later), ServingState::Ready);
+}
--- /dev/null
+++ b/crates/shallothill-policy/tests/pick.rs
@@ -0,0 +1,229 @@
+//! Tests of the pick.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use shallothill_core::health::ServingState;
+use shallothill_core::ids::{
+    DataCentre, EndpointId, EndpointName, NodeName, Region, ServiceName, Zone,
+};
+use shallothill_core::time::Millis;
+use shallothill_policy::pick::{
+    ByteBudget, EndpointInfo, EndpointKey, PickOptions, PickRequest, ReportedLoad, ServiceTable,
+    Tables, Tier,
+};
+
+const NOW: Millis = Millis(1000);
+
+fn zone(region: &str, dc: &str) -> Zone {
+    Zone {
+        region: Region::try_new(region).unwrap(),
+        data_centre: DataCentre::try_new(dc).unwrap(),
+    }
+}
+
+fn service() -> ServiceName {
+    ServiceName::try_new("courier").unwrap()
+}
+
+fn info(n: usize, zone: Zone, state: ServingState) -> EndpointInfo {
+    EndpointInfo {
+        id: EndpointId {
+            service: service(),
+            node: NodeName::try_new(&format!("n{n}")).unwrap(),
+            name: EndpointName::try_new("a").unwrap(),
+        },
+        zone,
+        peer_address: "127.0.0.1:1".parse().unwrap(),
+        slots: 5,
+        state,
+        heard: true,
+    }
+}
+
+/// Two endpoints in each of six data centres of three regions; seen from the first one.
+fn infos() -> Vec<EndpointInfo> {
+    let dc = |n: usize| zone(["r1", "r2", "r3"][n / 4], &format!("d{}", n / 2));
+    (0..12)
+        .map(|n| info(n, dc(n), ServingState::Ready))
+        .collect()
+}
+
+fn tables(infos: Vec<EndpointInfo>) -> Tables {
+    let me = zone("r1", "d0");
+    Tables::default().with(&me, vec![(service(), infos)], &PickOptions::default())
+}
+
+fn request(avoid: &[EndpointKey]) -> PickRequest<'_> {
+    PickRequest {
+        idempotent: true,
+        avoid,
+        cross_region_bytes_per_s: None,
+    }
+}
+
+/// Counts 1000 picks by node and by (tier, trial).
+fn picks(
+    table: &ServiceTable,
+    req: &PickRequest<'_>,
+) -> (BTreeMap<String, u32>, BTreeMap<(Tier, bool), u32>) {
+    let mut rng = SmallRng::seed_from_u64(1);
+    let mut nodes = BTreeMap::new();
+    let mut tiers = BTreeMap::new();
+    for _ in 0..1000 {
+        if let Some(p) = table.pick(NOW, &mut rng, req) {
+            let node = p.endpoint.info.id.node.to_string();
+            *nodes.entry(node).or_default() += 1;
+            *tiers.entry((p.tier, p.trial)).or_default() += 1;
+        }
+    }
+    (nodes, tiers)
+}
+
+fn fill(table: &ServiceTable, nodes: std::ops::Range<usize>, in_flight: u16, queued: u16) {
+    for e in &table.endpoints()[nodes] {
+        let load = ReportedLoad {
+            in_flight,
+            slots: 5,
+            queued,
+            state: ServingState::Ready,
+        };
+        e.stats.report(NOW, load);
+    }
+}
+
+/// Guards against traffic that leaves the own data centre without need.
+#[test]
+fn near_endpoints_come_first() {
+    let t = tables(infos());
+    let (_, tiers) = picks(t.service(&service()).unwrap(), &request(&[]));
+    assert_eq!(tiers, BTreeMap::from([((Tier::DataCentre, false), 1000)]));
+}
+
+/// Guards against work for leaving servers, usual work for ejected ones, and trials with requests
+/// that must not run twice.
+#[test]
+fn states_decide_who_is_picked() {
+    let mut all = infos();
+    all.truncate(4);
+    all[0].state = ServingState::Draining;
+    all[1].state = ServingState::Ejected;
+    all[2].state = ServingState::Demoted;
+    let t = tables(all);
+    let table = t.service(&service()).unwrap();
+
+    let (nodes, tiers) = picks(table, &request(&[]));
+    let mut req = request(&[]);
+    req.idempotent = false;
+    let (binding, _) = picks(table, &req);
+
+    assert!(!nodes.contains_key("n0"));
+    assert!(!nodes.contains_key("n2"), "demoted before ready");
+    assert_eq!(tiers.get(&(Tier::DataCentre, true)), Some(&1));
+    assert_eq!(binding, BTreeMap::from([("n3".to_owned(), 1000)]));
+}
+
+/// Guards against a service without an answer although demoted or unheard endpoints are left.
+#[test]
+fn demoted_and_unheard_endpoints_are_a_last_resort() {
+    let mut all = infos();
+    all.truncate(2);
+    all[0].state = ServingState::Demoted;
+    all[1].heard = false;
+    let (nodes, _) = picks(tables(all).service(&service()).unwrap(), &request(&[]));
+    assert_eq!(nodes.values().sum::<u32>(), 1000);
+    assert_eq!(nodes.len(), 2);
+}
+
+/// Guards against a retry that returns to the failed endpoint or crosses a region although a
+/// nearer endpoint can serve it.
+#[test]
+fn retries_avoid_the_failed_endpoint_and_stay_near() {
+    let t = tables(infos());
+    let table = t.service(&service()).unwrap();
+    let failed: Vec<EndpointKey> = table.endpoints()[..2].iter().map(|e| e.key).collect();
+    let (nodes, tiers) = picks(table, &request(&failed));
+    assert!(!nodes.contains_key("n0") && !nodes.contains_key("n1"));
+    assert_eq!(tiers, BTreeMap::from([((Tier::Region, false), 1000)]));
+}
+
+/// Guards against a link fault that keeps being used, or that hides the endpoint for good.
+#[test]
+fn a_failed_path_is_avoided_and_probed() {
+    let t = tables(infos());
+    let table = t.service(&service()).unwrap();
+    table.endpoints()[0].path.failed(NOW);
+    let (nodes, _) = picks(table, &request(&[]));
+    assert!(!nodes.contains_key("n0"));
+
+    let mut rng = SmallRng::seed_from_u64(1);
+    let later = NOW + Duration::from_millis(250);
+    let probes = (0..1000)
+        .filter_map(|_| table.pick(later, &mut rng, &request(&[])))
+        .filter(|p| p.endpoint.info.id.node.as_str() == "n0")
+        .count();
+    assert_eq!(probes, 1);
+}
+
+/// Guards against full endpoints that keep all traffic, against spill-over that comes and goes
+/// with every report, and against traffic that never returns.
+#[test]
+fn load_spills_over_with_hysteresis() {
+    let t = tables(infos());
+    let table = t.service(&service()).unwrap();
+    fill(table, 0..2, 5, 0);
+    (0..5).for_each(|_| table.refresh(NOW));
+    assert_eq!(table.spill(), (500, 0));
+    let (_, tiers) = picks(table, &request(&[]));
+    let near = tiers[&(Tier::DataCentre, false)];
+    assert!((400..600).contains(&near), "{near} of 1000 stay");
+
+    fill(table, 0..2, 4, 0);
+    table.refresh(NOW);
+    assert_eq!(table.spill(), (500, 0), "changed inside the gap");
+    fill(table, 0..2, 1, 0);
+    (0..20).for_each(|_| table.refresh(NOW));
+    assert_eq!(table.spill(), (0, 0));
+}
+
+/// Guards against a busy endpoint that gets as much as an idle one.
+#[test]
+fn the_less_loaded_of_two_is_picked() {
+    let t = tables(infos());
+    let table = t.service(&service()).unwrap();
+    let _held: Vec<_> = (0..3).map(|_| table.endpoints()[0].stats.begin()).collect();
+    let (nodes, _) = picks(table, &request(&[]));
+    assert_eq!(nodes, BTreeMap::from([("n1".to_owned(), 1000)]));
+}
+
+/// Guards against counters that are lost when the directory changes.
+#[test]
+fn counters_survive_a_new_snapshot() {
+    let t = tables(infos());
+    let held = t.service(&service()).unwrap().endpoints()[0].stats.begin();
+    let me = zone("r1", "d0");
+    let next = t.with(&me, vec![(service(), infos())], &PickOptions::default());
+    let table = next.service(&service()).unwrap();
+    assert_eq!(table.endpoints()[0].stats.own_in_flight(), 1);
+    drop(held);
+    assert_eq!(table.endpoints()[0].stats.own_in_flight(), 0);
+}
+
+/// Guards against a billed link that carries more than its limit allows.
+#[test]
+fn bytes_across_regions_are_limited() {
+    let budget = ByteBudget::default();
+    let limit = Some(1000);
+    let mut sent = 0;
+    for ms in 0..10_000 {
+        if budget.allows(Millis(ms), limit) {
+            budget.charge(Millis(ms), 100, limit);
+            sent += 100;
+        }
+    }
+    // Ten seconds of the limit, one second of burst and the request that passed it.
+    assert!(sent <= 11_100, "{sent} bytes");
+    assert_eq!(budget.total(), sent);
+}
--- /dev/null
+++ b/crates/shallothill-policy/tests/quarantine.rs
@@ -0,0 +1,118 @@
+//! Tests of the quarantine and of the callers' limits.
+
+use std::time::Duration;
+
+use shallothill_core::class::Class;
+use shallothill_core::config::Caller;
+use shallothill_core::hash::Fingerprint;
+use shallothill_core::ids::CallerName;
+use shallothill_core::time::Millis;
+use shallothill_policy::limits::{CallerLimits, LimitOptions};
+use shallothill_policy::pick::EndpointKey;
+use shallothill_policy::quarantine::{CrashId, Entrance, Quarantine, QuarantineOptions};
+
+const POISON: Fingerprint = Fingerprint(7);
+
+fn crash(n: u64) -> CrashId {
+    CrashId {
+        endpoint: EndpointKey(n),
+        crash: 1,
+    }
+}
+
+fn caller(rate: Option<u32>, concurrent: Option<u32>) -> Caller {
+    Caller {
+        class: Class::Shop,
+        requests_per_s: rate,
+        concurrent,
+    }
+}
+
+fn name(n: usize) -> CallerName {
+    CallerName::try_new(&format!("shop-{n}")).unwrap()
+}
+
+/// Guards against a request that crashes server after server: after one crash one attempt at a
+/// time, after two none until the release.
+#[test]
+fn holds_two_crashes_per_request() {
+    let mut q = Quarantine::new(QuarantineOptions::default());
+    let now = Millis(1_000_000);
+    let zero = Duration::ZERO;
+    assert_eq!(q.enter(now, POISON), Entrance::Free);
+
+    assert!(q.crashed(now, POISON, crash(1), zero));
+    assert!(!q.crashed(now, POISON, crash(1), zero), "a repeat counted");
+    assert_eq!(q.enter(now, POISON), Entrance::Single);
+    assert_eq!(q.enter(now, POISON), Entrance::Busy);
+    q.finish(POISON);
+    assert_eq!(q.enter(now, POISON), Entrance::Single);
+    assert!(q.crashed(now, POISON, crash(2), zero));
+    q.finish(POISON);
+
+    assert!(matches!(q.enter(now, POISON), Entrance::Quarantined(_)));
+    let later = now + Duration::from_secs(599);
+    assert!(matches!(q.enter(later, POISON), Entrance::Quarantined(_)));
+    let released = now + Duration::from_secs(600);
+    assert_eq!(q.enter(released, POISON), Entrance::Free);
+}
+
+/// Guards against notices that arrive late and extend a quarantine beyond its time.
+#[test]
+fn an_old_crash_is_released_by_its_own_age() {
+    let mut q = Quarantine::new(QuarantineOptions::default());
+    let now = Millis(1_000_000);
+    q.crashed(now, POISON, crash(1), Duration::from_secs(590));
+    q.crashed(now, POISON, crash(2), Duration::from_secs(595));
+    assert!(matches!(q.enter(now, POISON), Entrance::Quarantined(_)));
+    let later = now + Duration::from_secs(10);
+    assert_eq!(q.enter(later, POISON), Entrance::Free);
+}
+
+/// Guards against memory that grows with the number of crashing requests.
+#[test]
+fn the_quarantine_is_bounded() {
+    let mut q = Quarantine::new(QuarantineOptions {
+        most: 100,
+        ..QuarantineOptions::default()
+    });
+    for n in 0..1000 {
+        q.crashed(Millis(n), Fingerprint(n), crash(n), Duration::ZERO);
+    }
+    let listed = q.listed();
+    assert_eq!(listed.len(), 100);
+    assert_eq!(listed[0].fingerprint, Fingerprint(900));
+}
+
+/// Guards against a caller that exceeds its rate or concurrency, and against a permit that is
+/// counted on after its request ended.
+#[test]
+fn holds_caller_limits() {
+    let limits = CallerLimits::new(&LimitOptions::default());
+    let rate = caller(Some(50), None);
+    let mut accepted = 0;
+    for ms in 0..=10_000 {
+        accepted += u32::from(limits.try_start(Millis(ms), &name(1), &rate).is_ok());
+    }
+    // Ten whole seconds of the rate and one second of burst.
+    assert_eq!(accepted, 550);
+
+    let concurrent = caller(None, Some(2));
+    let a = limits.try_start(Millis(0), &name(2), &concurrent);
+    let b = limits.try_start(Millis(0), &name(2), &concurrent);
+    assert!(a.is_ok() && b.is_ok());
+    assert!(limits.try_start(Millis(0), &name(2), &concurrent).is_err());
+    drop(a);
+    assert!(limits.try_start(Millis(0), &name(2), &concurrent).is_ok());
+}
+
+/// Guards against memory that grows with the number of callers.
+#[test]
+fn the_limits_are_bounded() {
+    let limits = CallerLimits::new(&LimitOptions { most_callers: 640 });
+    let c = caller(Some(1000), None);
+    for n in 0..20_000 {
+        let _ = limits.try_start(Millis(n as u64), &name(n), &c);
+    }
+    assert!(limits.len() <= 640, "{} callers", limits.len());
+}
--- /dev/null
+++ b/crates/shallothill-policy/tests/retry.rs
@@ -0,0 +1,173 @@
+//! Tests of retries, hedges and their budget.
+
+use std::time::Duration;
+
+use arbtest::arbitrary::{Result, Unstructured};
+use arbtest::arbtest;
+use shallothill_core::outcome::Outcome;
+use shallothill_core::time::Millis;
+use shallothill_policy::pick::EndpointKey;
+use shallothill_policy::retry::{Attempts, Budget, Next, RetryOptions};
+
+const SEEDS: [u64; 4] = [
+    0x51ed_270b_0001_0000,
+    0x2545_f491_0001_0000,
+    0x9e37_79b9_0001_0000,
+    0x1b87_3593_0001_0000,
+];
+
+const FAILURES: [Outcome; 3] = [
+    Outcome::RefusedNotRun,
+    Outcome::RanAndFailed,
+    Outcome::Unknown,
+];
+
+fn options() -> RetryOptions {
+    RetryOptions {
+        hedge_after: Some(Duration::from_millis(50)),
+        ..RetryOptions::default()
+    }
+}
+
+struct Run {
+    attempts: u32,
+    ran: u32,
+}
+
+/// Follows one request to its end; a rule of the test decides whether it may be sent again.
+fn follow(
+    u: &mut Unstructured<'_>,
+    budget: &Budget,
+    idempotent: bool,
+    allows: impl Fn(Outcome) -> bool,
+) -> Result<Run> {
+    let options = options();
+    let mut attempts = Attempts::new(idempotent, Millis(1000));
+    let mut run = Run {
+        attempts: 0,
+        ran: 0,
+    };
+    let mut now = Millis(0);
+    loop {
+        run.attempts += 1;
+        attempts.started(EndpointKey(u.arbitrary()?), &options, budget);
+        let sent = now;
+        now = now + Duration::from_millis(u.int_in_range(0..=200)?);
+        let mut running = 1;
+        if attempts.hedge(now, sent, &options, budget) {
+            assert!(idempotent, "a non-idempotent request was hedged");
+            attempts.started(EndpointKey(u.arbitrary()?), &options, budget);
+            run.attempts += 1;
+            running += 1;
+        }
+        for i in 0..running {
+            let outcome = *u.choose(&FAILURES)?;
+            run.ran += u32::from(outcome != Outcome::RefusedNotRun);
+            match attempts.ended(now, outcome, &options, budget) {
+                Next::Wait => assert_eq!(i + 1, 1),
+                Next::Retry => assert!(allows(outcome), "sent again after {outcome}"),
+                Next::Return(_) => return Ok(run),
+            }
+        }
+    }
+}
+
+/// Guards against duplicated work: a non-idempotent request is sent again only when it certainly
+/// did not run, so at most one attempt of it may have run.
+#[test]
+fn holds_at_most_one_run_of_non_idempotent() {
+    for seed in SEEDS {
+        arbtest(|u| {
+            for _ in 0..300 {
+                let budget = Budget::default();
+                let run = follow(u, &budget, false, |o| o == Outcome::RefusedNotRun)?;
+                assert!(run.ran <= 1, "{} attempts may have run", run.ran);
+                assert!(run.attempts <= 3);
+            }
+            Ok(())
+        })
+        .seed(seed)
+        .run();
+    }
+}
+
+/// Guards against retries that multiply an overload: all attempts beyond the first ones stay
+/// within the budget.
+#[test]
+fn holds_retry_budget() {
+    for seed in SEEDS {
+        arbtest(|u| {
+            let budget = Budget::default();
+            let mut extra = 0;
+            for first in 1..=1000 {
+                let idempotent = u.arbitrary()?;
+                let run = follow(u, &budget, idempotent, |_| true)?;
+                assert!(run.attempts <= 3);
+                extra += run.attempts - 1;
+                assert!(extra <= 10 + first / 10, "{extra} retries of {first}");
+            }
+            Ok(())
+        })
+        .seed(seed)
+        .run();
+    }
+}
+
+/// Guards against a property that would pass anything: a budget that is not shared between
+/// requests must break the bound of `holds_retry_budget`.
+#[test]
+fn an_unshared_budget_is_caught() {
+    arbtest(|u| {
+        let mut extra = 0;
+        for _ in 0..1000 {
+            extra += follow(u, &Budget::default(), true, |_| true)?.attempts - 1;
+        }
+        assert!(extra > 10 + 100, "only {extra} retries");
+        Ok(())
+    })
+    .seed(SEEDS[0])
+    .run();
+}
+
+/// Guards against a second response after the first byte of one was sent to the caller.
+#[test]
+fn nothing_is_sent_again_once_the_response_began() {
+    let budget = Budget::default();
+    let mut attempts = Attempts::new(true, Millis(1000));
+    attempts.started(EndpointKey(1), &options(), &budget);
+    attempts.responding();
+
+    let hedge = attempts.hedge(Millis(500), Millis(0), &options(), &budget);
+    let next = attempts.ended(Millis(500), Outcome::Unknown, &options(), &budget);
+
+    assert!(!hedge);
+    assert_eq!(next, Next::Return(Outcome::Unknown));
+}
+
+/// Guards against a caller that is told that its request did not run when one attempt did.
+#[test]
+fn holds_refused_as_not_run() {
+    let budget = Budget::default();
+    let mut attempts = Attempts::new(true, Millis(1000));
+    let mut last = Next::Retry;
+    for outcome in [
+        Outcome::Unknown,
+        Outcome::RefusedNotRun,
+        Outcome::RefusedNotRun,
+    ] {
+        assert_eq!(last, Next::Retry);
+        attempts.started(EndpointKey(1), &options(), &budget);
+        last = attempts.ended(Millis(1), outcome, &options(), &budget);
+    }
+    assert_eq!(last, Next::Return(Outcome::Unknown));
+}
+
+/// Guards against retries that no caller waits for.
+#[test]
+fn nothing_is_sent_again_after_the_deadline() {
+    let budget = Budget::default();
+    let mut attempts = Attempts::new(true, Millis(1000));
+    attempts.started(EndpointKey(1), &options(), &budget);
+    let next = attempts.ended(Millis(1000), Outcome::Unknown, &options(), &budget);
+    assert_eq!(next, Next::Return(Outcome::Unknown));
+}
