policy: Tables::path finds the evidence of a node; common hangs are seen through deadlines

Ruled out: weak references, which would keep dead entries. Change: paths are kept while an endpoint uses them; oldest_us covers requests given up in the window and fades over summaries; EndpointHealth::wants_summary tells when an early report decides on a suspicion; internal work keeps one start in twenty, not ten.

--- a/crates/shallothill-directory/src/endpoint_load.rs
+++ b/crates/shallothill-directory/src/endpoint_load.rs
@@ -18,7 +18,8 @@
     pub completed: u32,
     /// Median latency of the completed requests, in microseconds.
     pub p50_us: u64,
-    /// Age of the oldest request in flight, in microseconds.
+    /// Greatest age of a request without an answer, in flight or given up in the window, in
+    /// microseconds.
     pub oldest_us: u64,
     /// Errors in the window.
     pub errors: u32,
--- a/crates/shallothill-policy/src/admit/options.rs
+++ b/crates/shallothill-policy/src/admit/options.rs
@@ -31,8 +31,8 @@
             connections: 300,
             expected_latency: Duration::from_millis(40),
             cold_start_requests: 50,
-            // A tenth keeps invoices moving and costs callers at most a tenth of the capacity.
-            internal_every: 10,
+            // A twentieth keeps invoices moving and costs callers little of the capacity.
+            internal_every: 20,
             internal_queue_part: 8,
         }
     }
--- a/crates/shallothill-policy/src/detect/detector.rs
+++ b/crates/shallothill-policy/src/detect/detector.rs
@@ -97,7 +97,10 @@
                 let usual = self.reference.error_share(now);
                 self.errors.count(true, usual, ERRORS_SICK.max(usual * 2.0));
             }
-            Evidence::Abandoned | Evidence::Shed => {}
+            Evidence::Abandoned => {
+                self.window.abandoned(now.saturating_since(running.started));
+            }
+            Evidence::Shed => {}
         }
     }
 
@@ -140,6 +143,14 @@
         }
     }
 
+    /// `wants_summary` tells whether a suspicion has stood long enough and only a summary is missing.
+    pub fn wants_summary(&self, now: Millis) -> bool {
+        self.suspect_since.is_some_and(|since| {
+            let confirm = since + self.options.confirm_after;
+            now >= confirm && self.reference.updated().is_none_or(|at| at < confirm)
+        })
+    }
+
     /// `is_good` tells whether the evidence of a trial speaks for the server, or `None` when it
     /// says nothing.
     pub fn is_good(&self, now: Millis, evidence: Evidence) -> Option<bool> {
@@ -166,7 +177,7 @@
             queued,
             completed: window.completed(),
             p50_us: window.p50_us(),
-            oldest_us: oldest.map_or(0, |at| now.saturating_since(at).as_micros() as u64),
+            oldest_us: window.oldest_us(oldest.map(|at| now.saturating_since(at))),
             errors: window.errors(),
         }
     }
--- a/crates/shallothill-policy/src/detect/reference.rs
+++ b/crates/shallothill-policy/src/detect/reference.rs
@@ -29,6 +29,7 @@
     slow_factor: f64,
     fresh_for: Duration,
     updated: Option<Millis>,
+    oldest: Duration,
     slow_after: Duration,
     error_share: f64,
 }
@@ -40,6 +41,7 @@
             slow_factor: options.slow_factor,
             fresh_for: options.summary_fresh_for,
             updated: None,
+            oldest: Duration::ZERO,
             slow_after: Duration::ZERO,
             error_share: FEWEST_ERRORS,
         }
@@ -75,8 +77,9 @@
         };
         // While most servers hold requests of some age, the answers that would move the median
         // are still missing: the age itself shows the common slowdown.
-        let oldest = Duration::from_micros(summary.oldest_us);
-        self.slow_after = median.mul_f64(self.slow_factor).max(oldest * 2);
+        // It fades over several summaries, because each one shows a moment only.
+        self.oldest = Duration::from_micros(summary.oldest_us).max(self.oldest / 2);
+        self.slow_after = median.mul_f64(self.slow_factor).max(self.oldest * 2);
         let ended = summary.completed + summary.errors;
         let share = summary.errors as f64 / ended.max(1) as f64;
         self.error_share = (share * 1.5).clamp(FEWEST_ERRORS, MOST_ERRORS);
--- a/crates/shallothill-policy/src/detect/window.rs
+++ b/crates/shallothill-policy/src/detect/window.rs
@@ -12,6 +12,7 @@
     completed: u32,
     errors: u32,
     latencies_us: Vec<u64>,
+    abandoned: Duration,
 }
 
 impl Window {
@@ -30,6 +31,18 @@
         self.errors = self.errors.saturating_add(1);
     }
 
+    pub(crate) fn abandoned(&mut self, age: Duration) {
+        self.abandoned = self.abandoned.max(age);
+    }
+
+    /// Returns the greatest age of a request without an answer: of those that were given up in
+    /// the window, or the `running` one. Deadlines end hanging requests, so that the running
+    /// ones alone look young from time to time.
+    pub(crate) fn oldest_us(&self, running: Option<Duration>) -> u64 {
+        let oldest = running.unwrap_or_default().max(self.abandoned);
+        u64::try_from(oldest.as_micros()).unwrap_or(u64::MAX)
+    }
+
     pub(crate) fn completed(&self) -> u32 {
         self.completed
     }
--- a/crates/shallothill-policy/src/eject/health.rs
+++ b/crates/shallothill-policy/src/eject/health.rs
@@ -88,6 +88,12 @@
         None
     }
 
+    /// `wants_summary` tells whether a fresh summary would decide on a suspicion; the node then
+    /// reports to its keeper before the usual time.
+    pub fn wants_summary(&self, now: Millis) -> bool {
+        !self.ejector.is_sick() && self.detector.wants_summary(now)
+    }
+
     /// `summarise` takes what is usual for the service.
     pub fn summarise(&mut self, now: Millis, summary: &ServiceSummary) {
         self.detector.summarise(now, summary);
--- a/crates/shallothill-policy/src/pick/tables.rs
+++ b/crates/shallothill-policy/src/pick/tables.rs
@@ -54,8 +54,11 @@
             let table = ServiceTable::build(me, endpoints, previous, paths, options.clone());
             next.services.insert(service, Arc::new(table));
         }
-        // A path that no endpoint of the new snapshot uses is held by `next` and `self` only.
-        next.paths.retain(|_, path| Arc::strong_count(path) > 2);
+        // A path that no endpoint uses is held by the snapshots' maps only.
+        next.paths.retain(|node, path| {
+            let maps = 1 + usize::from(self.paths.contains_key(node));
+            Arc::strong_count(path) > maps
+        });
         next
     }
 }
--- a/crates/shallothill-policy/tests/pick.rs
+++ b/crates/shallothill-policy/tests/pick.rs
@@ -198,6 +198,28 @@
     assert_eq!(nodes, BTreeMap::from([("n1".to_owned(), 1000)]));
 }
 
+/// Guards against evidence on a path that is recorded nowhere, or lost when the directory changes.
+#[test]
+fn paths_are_found_by_node_and_survive_a_new_snapshot() {
+    let me = zone("r1", "d0");
+    let first = tables(infos());
+    let node = NodeName::try_new("n0").unwrap();
+    first.path(&node).unwrap().failed(NOW);
+
+    let next = first.with(&me, vec![(service(), infos())], &PickOptions::default());
+    let table = next.service(&service()).unwrap();
+    assert!(table.endpoints()[0].path.penalised(NOW));
+
+    let fewer = next.with(
+        &me,
+        vec![(service(), infos().split_off(1))],
+        &PickOptions::default(),
+    );
+    drop((first, next));
+    let last = fewer.with(&me, vec![], &PickOptions::default());
+    assert!(last.path(&node).is_none(), "unused paths are kept");
+}
+
 /// Guards against counters that are lost when the directory changes.
 #[test]
 fn counters_survive_a_new_snapshot() {
