--- a/crates/shallothill-bench/src/lib.rs
+++ b/crates/shallothill-bench/src/lib.rs
@@ -1,1 +1,7 @@
-//! Benchmarks of the decisions and the log, with regression bounds.
+//! Comparison of the decisions with a naive version, under virtual time and fixed seeds.
+
+pub mod args;
+pub mod deployment;
+pub mod report;
+pub mod scenarios;
+pub mod sim;
--- a/crates/shallothill-bench/src/main.rs
+++ b/crates/shallothill-bench/src/main.rs
@@ -1,3 +1,34 @@
-//! Benchmarks of the decisions and the log, with regression bounds.
+//! The bench: tables, or JSON, and with `--check` an exit code for the bounds.
 
-fn main() {}
+use std::process::ExitCode;
+
+use shallothill_bench::args;
+use shallothill_bench::report::Report;
+
+fn main() -> ExitCode {
+    let matches = args::command().get_matches();
+    let seed = matches.get_one("seed").copied().unwrap_or(1);
+    let mut report = Report::default();
+    for scenario in args::selected(&matches) {
+        if let Err(e) = (scenario.run)(seed, &mut report) {
+            eprintln!("bench: the scenario `{}` failed: {e}", scenario.name);
+            return ExitCode::from(2);
+        }
+    }
+    if matches.get_flag("json") {
+        match serde_json::to_string_pretty(&report) {
+            Ok(json) => println!("{json}"),
+            Err(e) => {
+                eprintln!("bench: the report has no JSON form: {e}");
+                return ExitCode::from(2);
+            }
+        }
+    } else {
+        report.print();
+    }
+    if matches.get_flag("check") && !report.is_met() {
+        eprintln!("bench: a bound is broken; see the bounds marked BROKEN");
+        return ExitCode::FAILURE;
+    }
+    ExitCode::SUCCESS
+}
--- /dev/null
+++ b/crates/shallothill-bench/src/scenarios/drain.rs
@@ -0,0 +1,74 @@
+//! New work at a server that leaves.
+
+use crate::deployment;
+use crate::report::{Report, Table};
+use crate::scenarios::Result;
+use crate::sim::{Micros, Naive, Ours, Plan, SECOND, Totals, Workload};
+
+const AT: Micros = 10 * SECOND;
+const LEAVES: usize = 5;
+const LATEST: Micros = 3 * SECOND;
+
+pub(super) fn run(seed: u64, report: &mut Report) -> Result<()> {
+    let columns = [
+        "deployment",
+        "version",
+        "new work after",
+        "last (s)",
+        "after 3 s",
+        "done",
+    ];
+    let mut table = Table::new("drain: one server leaves at 70% load", &columns);
+    for d in [deployment::texas(), deployment::kopukcu()] {
+        let plan = Plan {
+            deployment: d.clone(),
+            workload: Workload::steady(0.7),
+            faults: Vec::new(),
+            end: 25 * SECOND,
+            seed,
+        };
+        let mut ours = Ours::try_new(plan.clone())?;
+        ours.drain_at(LEAVES, AT);
+        let ours = ours.run();
+        let mut naive = Naive::new(plan);
+        naive.drain_at(LEAVES, AT);
+        let naive = naive.run();
+        table.row(row(d.name, "naive", &naive));
+        table.row(row(d.name, "ours", &ours));
+        let late = ours.after_drain.iter().filter(|t| **t > LATEST).count();
+        report.bound(
+            format!("drain {}: no new work 3 s after the drain", d.name),
+            format!("{late} requests"),
+            late == 0,
+        );
+        let (done, _) = completed(&ours);
+        let (naive_done, offered) = completed(&naive);
+        report.bound(
+            format!("drain {}: the drain interrupts no request", d.name),
+            format!("{done}, naive {naive_done} of {offered}"),
+            done >= 0.999,
+        );
+    }
+    report.tables.push(table);
+    Ok(())
+}
+
+// The share of requests of the seconds around the drain that were answered, and their number.
+fn completed(t: &Totals) -> (f64, u64) {
+    let offered = Totals::of_class(&t.offered, 5, 20, |_| true);
+    let done = Totals::of_class(&t.completed, 5, 20, |_| true);
+    (done as f64 / offered.max(1) as f64, offered)
+}
+
+fn row(deployment: &str, version: &str, t: &Totals) -> Vec<String> {
+    let last = t.after_drain.iter().max().copied().unwrap_or(0);
+    let late = t.after_drain.iter().filter(|t| **t > LATEST).count();
+    vec![
+        deployment.to_owned(),
+        version.to_owned(),
+        t.after_drain.len().to_string(),
+        format!("{:.2}", last as f64 / SECOND as f64),
+        late.to_string(),
+        format!("{:.4}", completed(t).0),
+    ]
+}
--- /dev/null
+++ b/crates/shallothill-bench/src/scenarios/regions.rs
@@ -0,0 +1,81 @@
+//! Spill-over to other regions and return, and the bytes that it costs.
+
+use crate::deployment;
+use crate::report::{Report, Table};
+use crate::scenarios::Result;
+use crate::sim::{Naive, Ours, Plan, SECOND, Totals, Workload};
+
+// Seven in ten callers are in the first region.
+const SHARES: [f64; deployment::DATA_CENTRES] = [0.35, 0.35, 0.075, 0.075, 0.075, 0.075];
+const PHASES: [(&str, u64, f64); 3] = [
+    ("own region suffices", 0, 0.3),
+    ("first region overloaded", 20, 0.7),
+    ("load is gone", 40, 0.3),
+];
+const END: u64 = 70;
+// Time after a change of the load in which picks move outward or back.
+const SETTLE: u64 = 8;
+
+pub(super) fn run(seed: u64, report: &mut Report) -> Result<()> {
+    for d in [deployment::texas(), deployment::kopukcu()] {
+        let plan = Plan {
+            deployment: d.clone(),
+            workload: Workload {
+                phases: PHASES.iter().map(|(_, s, l)| (s * SECOND, *l)).collect(),
+                shares: SHARES,
+                ..Workload::steady(0.3)
+            },
+            faults: Vec::new(),
+            end: END * SECOND,
+            seed,
+        };
+        let ours = Ours::try_new(plan.clone())?.run();
+        let naive = Naive::new(plan).run();
+        let columns = ["phase", "version", "KB across regions/1000 req", "done"];
+        let mut table = Table::new(format!("regions: {}", d.name), &columns);
+        for (i, (name, from, _)) in PHASES.iter().enumerate() {
+            let until = PHASES.get(i + 1).map_or(END - 3, |(_, s, _)| *s);
+            let at = |t: &Totals| measure(t, from + SETTLE, until);
+            let (a, b) = (at(&ours), at(&naive));
+            table.row(row(name, "naive", b));
+            table.row(row(name, "ours", a));
+            let label = format!("regions {}: {name}", d.name);
+            report.bound(
+                format!("{label}: fewer bytes across regions than round robin"),
+                format!("{:.0} KB, naive {:.0} KB per 1000", a.0, b.0),
+                a.0 < b.0,
+            );
+            if i != 1 {
+                report.bound(
+                    format!("{label}: requests stay in their region"),
+                    format!("{:.1} KB per 1000", a.0),
+                    a.0 == 0.0,
+                );
+            }
+            report.bound(
+                format!("{label}: completed requests do not suffer"),
+                format!("{:.4}, naive {:.4}", a.1, b.1),
+                a.1 >= b.1 - 0.005,
+            );
+        }
+        report.tables.push(table);
+    }
+    Ok(())
+}
+
+// Kilobytes across regions per 1000 requests, and the share of requests completed.
+fn measure(t: &Totals, from: u64, to: u64) -> (f64, f64) {
+    let offered = Totals::of_class(&t.offered, from, to, |_| true).max(1) as f64;
+    let done = Totals::of_class(&t.completed, from, to, |_| true) as f64;
+    let bytes = Totals::between(&t.bytes_across, from, to) as f64;
+    (bytes / offered, done / offered)
+}
+
+fn row(phase: &str, version: &str, (kilobytes, done): (f64, f64)) -> Vec<String> {
+    vec![
+        phase.to_owned(),
+        version.to_owned(),
+        format!("{kilobytes:.0}"),
+        format!("{done:.4}"),
+    ]
+}
--- /dev/null
+++ b/crates/shallothill-bench/src/sim/mod.rs
@@ -0,0 +1,46 @@
+//! Discrete-event fakes of backend servers, entry nodes, gates and keepers under virtual time.
+
+mod events;
+mod fault;
+mod naive;
+mod ours;
+mod ours_control;
+mod ours_request;
+mod server;
+mod totals;
+mod workload;
+
+pub use events::Events;
+pub use fault::{Fault, FaultKind};
+pub use naive::Naive;
+pub use ours::Ours;
+pub use server::{MEAN_TO_MEDIAN, Server};
+pub use totals::{Ejection, Totals};
+pub use workload::{Plan, Workload};
+
+/// `Micros` is virtual time in microseconds.
+pub type Micros = u64;
+
+/// `MS` is one millisecond.
+pub const MS: Micros = 1000;
+/// `SECOND` is one second.
+pub const SECOND: Micros = 1_000_000;
+
+use crate::deployment;
+
+/// `one_way` returns the latency between two data centres.
+pub fn one_way(from: usize, to: usize) -> Micros {
+    if from == to {
+        // Hosts of one data centre.
+        200
+    } else if deployment::region_of(from) == deployment::region_of(to) {
+        MS
+    } else {
+        20 * MS
+    }
+}
+
+/// `millis` converts to the time of the decisions.
+pub fn millis(now: Micros) -> shallothill_core::time::Millis {
+    shallothill_core::time::Millis(now / MS)
+}
--- a/crates/shallothill-policy/src/pick/options.rs
+++ b/crates/shallothill-policy/src/pick/options.rs
@@ -26,8 +26,10 @@
         Self {
             spill_above: 0.9,
             return_below: 0.7,
-            spill_step: 100,
-            return_step: 50,
+            // Larger steps overshoot, since utilisation is smoothed over about a second; smaller
+            // ones keep traffic away for too long. See docs/weighed/pick.md.
+            spill_step: 40,
+            return_step: 25,
             load_fresh_for: Duration::from_secs(1),
             // Half of the default retry budget: a refused trial costs one retry.
             trial_share: 50,
--- a/crates/shallothill-policy/src/pick/service_table.rs
+++ b/crates/shallothill-policy/src/pick/service_table.rs
@@ -31,6 +31,8 @@
     ejected: Vec<u32>,
     tiers: Vec<Tier>,
     spill: Arc<[AtomicU32; 2]>,
+    // Smoothed utilisation in thousandths.
+    busy: Arc<[AtomicU32; 2]>,
     bytes: Arc<ByteBudget>,
     options: PickOptions,
 }
@@ -56,6 +58,7 @@
             ejected: Vec::new(),
             tiers: Vec::with_capacity(endpoints.len()),
             spill: previous.map_or_else(Arc::default, |t| Arc::clone(&t.spill)),
+            busy: previous.map_or_else(Arc::default, |t| Arc::clone(&t.busy)),
             bytes: previous.map_or_else(Arc::default, |t| Arc::clone(&t.bytes)),
             options,
         };
@@ -250,15 +253,27 @@
     pub fn refresh(&self, now: Millis) {
         for tier in 0..2 {
             let share = self.spill[tier].load(Ordering::Relaxed);
-            let next = match self.utilisation(tier, now) {
-                Some(u) if u > self.options.spill_above => share + self.options.spill_step,
-                Some(u) if u >= self.options.return_below => share,
-                _ => share.saturating_sub(self.options.return_step),
+            let busy = self.smoothed(tier, now);
+            let next = if busy > self.options.spill_above {
+                share + self.options.spill_step
+            } else if busy >= self.options.return_below {
+                share
+            } else {
+                share.saturating_sub(self.options.return_step)
             };
             self.spill[tier].store(next.min(ALL_PICKS), Ordering::Relaxed);
         }
     }
 
+    // A few slots are all busy now and then by chance; only lasting load is to spill over.
+    fn smoothed(&self, tier: usize, now: Millis) -> f64 {
+        let now = self.utilisation(tier, now).unwrap_or(0.0) * f64::from(ALL_PICKS);
+        let before = f64::from(self.busy[tier].load(Ordering::Relaxed));
+        let next = before + (now - before) / 4.0;
+        self.busy[tier].store(next.round() as u32, Ordering::Relaxed);
+        next / f64::from(ALL_PICKS)
+    }
+
     /// `spill` returns the shares of picks, in thousandths, that leave the own data centre and
     /// the own region.
     pub fn spill(&self) -> (u32, u32) {
--- a/crates/shallothill-policy/src/quarantine/store.rs
+++ b/crates/shallothill-policy/src/quarantine/store.rs
@@ -46,6 +46,7 @@
 struct Entry {
     crashes: BTreeSet<CrashId>,
     last: Millis,
+    noted: Millis,
     running: bool,
 }
 
@@ -108,11 +109,15 @@
         let entry = self.entries.entry(fingerprint).or_insert_with(|| Entry {
             crashes: BTreeSet::new(),
             last: at,
+            noted: now,
             running: false,
         });
         // More crashes than the limit change nothing, so they take no memory.
         let room = entry.crashes.len() < self.options.crashes.max(1) as usize;
         let new = room && entry.crashes.insert(crash);
+        if new {
+            entry.noted = now;
+        }
         self.by_time.remove(&(entry.last, fingerprint));
         entry.last = entry.last.max(at);
         self.by_time.insert((entry.last, fingerprint), ());
@@ -124,6 +129,14 @@
         new
     }
 
+    /// `withhold` returns how long any failure or refusal of the fingerprint is still to be
+    /// withheld from its caller, so that every node has heard of its last crash before a resend
+    /// can arrive there. Without a crash it is zero.
+    pub fn withhold(&self, now: Millis, fingerprint: Fingerprint) -> Duration {
+        let left = |e: &Entry| (e.noted + self.options.hold_response).saturating_since(now);
+        self.entries.get(&fingerprint).map_or(Duration::ZERO, left)
+    }
+
     /// `hold_response` returns how long the failure of a crashed request is withheld.
     pub fn hold_response(&self) -> Duration {
         self.options.hold_response
