policy: evidence is dropped when a summary corrects what it was compared with

Cause: a reference that crept up in small steps left evidence standing that its first value had produced. Change: each score remembers what its first bad request was compared with.

--- a/crates/shallothill-bench/src/scenarios/detection.rs
+++ b/crates/shallothill-bench/src/scenarios/detection.rs
@@ -126,20 +126,47 @@
     })
 }
 
+// Runs of different seeds share nothing, so that they may run side by side; they are added in
+// the order of their seeds.
+fn side_by_side<T: Send>(seeds: std::ops::Range<u64>, run: impl Fn(u64) -> T + Sync) -> Vec<T> {
+    std::thread::scope(|scope| {
+        let handles: Vec<_> = seeds
+            .map(|seed| {
+                scope.spawn({
+                    let run = &run;
+                    move || run(seed)
+                })
+            })
+            .collect();
+        let joined = handles.into_iter().map(|h| h.join());
+        // A panic of a run is a fault of the bench and goes on here.
+        joined
+            .map(|r| r.unwrap_or_else(|panic| std::panic::resume_unwind(panic)))
+            .collect()
+    })
+}
+
 fn ours(case: &Case, d: &Deployment, seeds: std::ops::Range<u64>) -> Result<Found> {
     let mut found = Found::default();
-    for seed in seeds {
+    let one = |seed| {
         let plan = case.plan(d, seed);
-        found.add(case, &plan, &Ours::try_new(plan.clone())?.run());
+        Ok((plan.clone(), Ours::try_new(plan)?.run()))
+    };
+    for run in side_by_side(seeds, one) {
+        let (plan, totals) = run?;
+        found.add(case, &plan, &totals);
     }
     Ok(found)
 }
 
 fn naive(case: &Case, d: &Deployment, seeds: std::ops::Range<u64>) -> Found {
     let mut found = Found::default();
-    for seed in seeds {
+    let one = |seed| {
         let plan = case.plan(d, seed);
-        found.add(case, &plan, &Naive::new(plan.clone()).run());
+        (plan.clone(), Naive::new(plan).run())
+    };
+    for (plan, totals) in side_by_side(seeds, one) {
+        found.add(case, &plan, &totals);
     }
     found
 }
--- a/crates/shallothill-policy/src/detect/detector.rs
+++ b/crates/shallothill-policy/src/detect/detector.rs
@@ -88,21 +88,20 @@
                 self.window.served(latency);
                 // An old request was counted when it became old.
                 if running.counted == 0 {
-                    let slow = latency > self.reference.slow_after(now);
-                    self.slow.count(slow, SLOW_USUAL, SLOW_SICK);
+                    let slow_after = self.reference.slow_after(now);
+                    let slow = latency > slow_after;
+                    let measure = slow_after.as_secs_f64();
+                    self.slow.count(slow, SLOW_USUAL, SLOW_SICK, measure);
                     if slow {
                         self.suspicion.bad(now);
                     }
                 }
-                let usual = self.reference.error_share(now);
-                self.errors
-                    .count(false, usual, ERRORS_SICK.max(usual * 2.0));
+                self.count_error(now, false);
             }
             Evidence::Failed | Evidence::Reset => {
                 self.window.failed();
                 self.suspicion.bad(now);
-                let usual = self.reference.error_share(now);
-                self.errors.count(true, usual, ERRORS_SICK.max(usual * 2.0));
+                self.count_error(now, true);
             }
             Evidence::Abandoned => {
                 self.window.abandoned(now.saturating_since(running.started));
@@ -115,13 +114,10 @@
     ///
     /// Evidence that was weighed against a reference which this summary proves wrong is dropped.
     pub fn summarise(&mut self, now: Millis, summary: &ServiceSummary) {
-        let change = self.reference.update(now, summary);
-        if change.slower {
-            self.slow = Score::default();
-        }
-        if change.failing {
-            self.errors = Score::default();
-        }
+        self.reference.update(now, summary);
+        let slow_after = self.reference.slow_after(now).as_secs_f64();
+        self.slow.correct(slow_after, 1.5);
+        self.errors.correct(self.reference.error_share(now), 2.0);
     }
 
     /// `verdict` weighs the evidence at `now`; call it after events and about every 50 ms.
@@ -207,15 +203,22 @@
         }
     }
 
+    fn count_error(&mut self, now: Millis, bad: bool) {
+        let usual = self.reference.error_share(now);
+        let sick = ERRORS_SICK.max(usual * 2.0);
+        self.errors.count(bad, usual, sick, usual);
+    }
+
     fn count_old(&mut self, now: Millis) {
         let slow_after = self.reference.slow_after(now);
+        let measure = slow_after.as_secs_f64();
         for running in &mut self.running {
             let age = now.saturating_since(running.started);
             while running.counted < MOST_DOUBLINGS && age > slow_after * (1 << running.counted) {
                 if running.counted == 0 {
-                    self.slow.count(true, SLOW_USUAL, SLOW_SICK);
+                    self.slow.count(true, SLOW_USUAL, SLOW_SICK, measure);
                 } else {
-                    self.slow.count_again(SLOW_USUAL, SLOW_SICK);
+                    self.slow.count_again(SLOW_USUAL, SLOW_SICK, measure);
                 }
                 running.counted += 1;
                 self.suspicion.bad(now);
--- a/crates/shallothill-policy/src/detect/reference.rs
+++ b/crates/shallothill-policy/src/detect/reference.rs
@@ -18,12 +18,6 @@
 // The usual time between reports, in which a common age that is no longer seen halves.
 const FADE: Duration = Duration::from_secs(2);
 
-/// `Change` tells which evidence a new summary makes worthless.
-pub(crate) struct Change {
-    pub(crate) slower: bool,
-    pub(crate) failing: bool,
-}
-
 /// `Reference` is the measure for requests: the service's summary while it is fresh, else the
 /// expected latency of the configuration.
 #[derive(Clone, Debug)]
@@ -70,8 +64,7 @@
         }
     }
 
-    pub(crate) fn update(&mut self, now: Millis, summary: &ServiceSummary) -> Change {
-        let before = (self.slow_after(now), self.error_share(now));
+    pub(crate) fn update(&mut self, now: Millis, summary: &ServiceSummary) {
         let known = summary.completed >= ENOUGH_COMPLETED;
         let median = if known {
             Duration::from_micros(summary.p50_us).max(self.expected / LOWEST_PART)
@@ -91,10 +84,6 @@
         let share = summary.errors as f64 / ended.max(1) as f64;
         self.error_share = (share * 1.5).clamp(FEWEST_ERRORS, MOST_ERRORS);
         self.updated = Some(now);
-        Change {
-            slower: self.slow_after > before.0.mul_f64(1.5),
-            failing: self.error_share > before.1 * 2.0,
-        }
     }
 
     fn is_fresh(&self, now: Millis) -> bool {
--- a/crates/shallothill-policy/src/detect/score.rs
+++ b/crates/shallothill-policy/src/detect/score.rs
@@ -6,13 +6,15 @@
 pub(crate) struct Score {
     sum: f64,
     bad: u32,
+    measure: f64,
 }
 
 impl Score {
     /// Counts a request: `usual` is the share of bad requests at a healthy server, `sick` that at
-    /// a sick one.
-    pub(crate) fn count(&mut self, bad: bool, usual: f64, sick: f64) {
+    /// a sick one. `measure` is what the request was compared with.
+    pub(crate) fn count(&mut self, bad: bool, usual: f64, sick: f64, measure: f64) {
         if bad {
+            self.compared_with(measure);
             self.sum += (sick / usual).ln();
             self.bad += 1;
         } else {
@@ -24,10 +26,25 @@
     }
 
     /// Counts that a request which already counted as bad has become twice as old.
-    pub(crate) fn count_again(&mut self, usual: f64, sick: f64) {
+    pub(crate) fn count_again(&mut self, usual: f64, sick: f64, measure: f64) {
+        self.compared_with(measure);
         self.sum += (sick / usual).ln();
     }
 
+    /// Drops the sum when `measure` proves the one wrong that its first bad request was compared
+    /// with.
+    pub(crate) fn correct(&mut self, measure: f64, tolerance: f64) {
+        if self.sum > 0.0 && measure > self.measure * tolerance {
+            *self = Self::default();
+        }
+    }
+
+    fn compared_with(&mut self, measure: f64) {
+        if self.sum <= 0.0 {
+            self.measure = measure;
+        }
+    }
+
     pub(crate) fn sum(&self) -> f64 {
         self.sum
     }
