policy: corrected evidence restarts the suspicion

The new test failed first. Change: a correction ends the suspicion, so that a newer summary must confirm what follows.

--- a/crates/shallothill-policy/src/detect/detector.rs
+++ b/crates/shallothill-policy/src/detect/detector.rs
@@ -116,8 +116,12 @@
     pub fn summarise(&mut self, now: Millis, summary: &ServiceSummary) {
         self.reference.update(now, summary);
         let slow_after = self.reference.slow_after(now).as_secs_f64();
-        self.slow.correct(slow_after, 1.5);
-        self.errors.correct(self.reference.error_share(now), 2.0);
+        let was_slow = self.slow.correct(slow_after, 1.5);
+        let was_failing = self.errors.correct(self.reference.error_share(now), 2.0);
+        if was_slow || was_failing {
+            // What follows needs a summary of its own.
+            self.suspicion = Suspicion::default();
+        }
     }
 
     /// `verdict` weighs the evidence at `now`; call it after events and about every 50 ms.
--- a/crates/shallothill-policy/src/detect/score.rs
+++ b/crates/shallothill-policy/src/detect/score.rs
@@ -32,11 +32,13 @@
     }
 
     /// Drops the sum when `measure` proves the one wrong that its first bad request was compared
-    /// with.
-    pub(crate) fn correct(&mut self, measure: f64, tolerance: f64) {
-        if self.sum > 0.0 && measure > self.measure * tolerance {
+    /// with; returns whether it was dropped.
+    pub(crate) fn correct(&mut self, measure: f64, tolerance: f64) -> bool {
+        let wrong = self.sum > 0.0 && measure > self.measure * tolerance;
+        if wrong {
             *self = Self::default();
         }
+        wrong
     }
 
     fn compared_with(&mut self, measure: f64) {
--- a/crates/shallothill-policy/tests/detect.rs
+++ b/crates/shallothill-policy/tests/detect.rs
@@ -142,6 +142,26 @@
     assert!(matches!(d.verdict(Millis(60_000)), Verdict::Suspect(_)));
 }
 
+/// Guards against an ejection by a summary from before the evidence: when a summary shows that all
+/// servers hang, what follows needs a newer one.
+#[test]
+fn evidence_after_a_correction_needs_a_summary_of_its_own() {
+    let mut d = detector(Disposition::QUICK);
+    (0..5).for_each(|n| d.started(Millis(1000), Ticket(n)));
+    for ms in (1000..6000u64).step_by(50) {
+        if ms == 2000 {
+            let common = summary(USUAL, Duration::from_millis(600), 0);
+            d.summarise(Millis(ms), &common);
+        }
+        if ms == 3000 {
+            (0..5).for_each(|n| d.finished(Millis(ms), Ticket(n), Evidence::Abandoned));
+            (5..10).for_each(|n| d.started(Millis(ms), Ticket(n)));
+        }
+        let verdict = d.verdict(Millis(ms));
+        assert!(!matches!(verdict, Verdict::Sick(_)), "sick at {ms} ms");
+    }
+}
+
 /// Guards against an ejection for a short pause: a server that is picked last gets no requests
 /// that would clear it, so old evidence must not stand for ever.
 #[test]
