--- a/crates/shallothill-keeper/tests/nodes.rs
+++ b/crates/shallothill-keeper/tests/nodes.rs
@@ -8,6 +8,7 @@
 use shallothill_core::hash::Fingerprint;
 use shallothill_core::health::ServingState;
 use shallothill_core::ids::{EndpointId, EndpointName, NodeName, ServiceName};
+use shallothill_core::incarnation::Incarnation;
 use shallothill_core::version::ConfigVersion;
 use shallothill_directory::{
     Change, EndpointLoad, EndpointStatus, LeaseAnswer, LeaseRequest, Token,
@@ -76,6 +77,7 @@
     let req = LeaseRequest {
         token,
         endpoint: endpoint(node),
+        incarnation: Incarnation(1),
         round: 1,
     };
     let call = control.call(
--- a/crates/shallothill-node/src/gate/watchdog.rs
+++ b/crates/shallothill-node/src/gate/watchdog.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 
 use log::warn;
-use shallothill_core::health::ServingState;
 use shallothill_directory::{LeaseRequest, ReleaseRequest, ServiceSummary};
 use tokio::time;
 
@@ -13,6 +12,9 @@
 /// `CALL_TIMEOUT` bounds a call for a lease; a later answer belongs to a past round.
 const CALL_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// `SUMMARY_EVERY` is the least time between two reports that only fetch a summary.
+const SUMMARY_EVERY: Duration = Duration::from_millis(250);
+
 /// `RELEASE_TRIES` bounds the repeats of a release; the lease ends by itself after that.
 const RELEASE_TRIES: u32 = 3;
 
@@ -34,39 +36,37 @@
                 .iter()
                 .filter(|s| s.service == endpoint.id.service);
             if let Some(summary) = found.next() {
-                endpoint.lock().detector.summarise(now, summary.clone());
+                endpoint.lock().health.summarise(now, summary);
             }
         }
     }
 
     fn judge(self: &Arc<Self>, endpoint: &Arc<Endpoint>) {
         let now = endpoint.now();
-        let (before, after, release, request) = {
-            let mut inner = endpoint.lock();
-            let before = inner.gate.state();
-            let verdict = inner.detector.verdict(now);
-            let release = inner.ejector.on_verdict(now, verdict);
-            let request = inner.ejector.poll(now);
-            inner.refresh(now);
-            (before, inner.gate.state(), release, request)
-        };
+        let mut inner = endpoint.lock();
+        let before = inner.gate.state();
+        let release = inner.health.tick(now);
+        inner.releases.extend(release);
+        let request = inner.health.poll(now);
+        inner.refresh(now);
+        let after = inner.gate.state();
+        let releases = std::mem::take(&mut inner.releases);
+        let asks = inner.health.wants_summary(now)
+            && now.saturating_since(inner.summary_asked) >= SUMMARY_EVERY;
+        if asks {
+            inner.summary_asked = now;
+        }
+        drop(inner);
         if before != after {
             warn!("gate: {} is now {}", endpoint.id, after.as_str());
-            self.parts.changed.notify_one();
         }
-        if let Some(release) = release {
-            self.release(release);
+        if asks || before != after {
+            self.parts.changed.notify_one();
         }
+        releases.into_iter().for_each(|r| self.release(r));
         if let Some(request) = request {
             self.ask_lease(endpoint, &request);
         }
-        let cleared = after == ServingState::Ready || after == ServingState::Cold;
-        if cleared && before != after {
-            let release = endpoint.lock().ejector.take_release();
-            if let Some(release) = release {
-                self.release(release);
-            }
-        }
     }
 
     fn ask_lease(self: &Arc<Self>, endpoint: &Arc<Endpoint>, req: &LeaseRequest) {
@@ -80,7 +80,7 @@
                 let now = endpoint.now();
                 let release = {
                     let mut inner = endpoint.lock();
-                    let release = inner.ejector.on_reply(now, &reply);
+                    let release = inner.health.on_reply(now, &reply);
                     inner.refresh(now);
                     release
                 };
