--- a/crates/shallothill-node/src/config/store.rs
+++ b/crates/shallothill-node/src/config/store.rs
@@ -1,9 +1,10 @@
 //! The configuration that the node acts on, which only ever moves to higher versions.
 
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 
-use arc_swap::{ArcSwap, Guard};
+use arc_swap::{ArcSwap, ArcSwapOption, Guard};
 use shallothill_core::sections;
 use shallothill_core::sections::{Manifest, Section, SectionId};
 use shallothill_core::version::ConfigVersion;
@@ -32,6 +33,7 @@
     current: ArcSwap<Snapshot>,
     apply: Mutex<()>,
     heard: AtomicU64,
+    source: ArcSwapOption<SocketAddr>,
     behind: Notify,
 }
 
@@ -64,6 +66,19 @@
         }
     }
 
+    /// `note_from` is [`Self::note`] for a version of the peer at `address`.
+    pub fn note_from(&self, version: ConfigVersion, address: SocketAddr) {
+        if version > self.version() {
+            self.source.store(Some(Arc::new(address)));
+            self.note(version);
+        }
+    }
+
+    /// `source` returns the peer that the highest version was last heard from, if any.
+    pub fn source(&self) -> Option<SocketAddr> {
+        self.source.load().as_deref().copied()
+    }
+
     /// `wait_behind` waits until a higher version was heard of.
     pub async fn wait_behind(&self) {
         self.behind.notified().await;
--- a/crates/shallothill-node/src/control/config_fetch.rs
+++ b/crates/shallothill-node/src/control/config_fetch.rs
@@ -61,7 +61,8 @@
                 () = stop.cancelled() => return,
             }
             while self.store.version() < self.store.heard() {
-                for address in self.view.peers(PEERS_ASKED) {
+                let peers = self.view.peers(PEERS_ASKED);
+                for address in self.store.source().into_iter().chain(peers) {
                     if self.all_from_peer(address).await == Some(Applied::InForce) {
                         gate.reconfigure();
                         let version = self.store.version();
--- a/crates/shallothill-node/src/control/mod.rs
+++ b/crates/shallothill-node/src/control/mod.rs
@@ -2,12 +2,14 @@
 
 mod config_fetch;
 mod keepers;
+mod probe;
 mod report;
 mod startup;
 mod watch;
 
 pub use config_fetch::ConfigFetch;
 pub use keepers::{Keeper, Keepers};
+pub use probe::{Move, Probe};
 pub use report::Reporter;
 pub use startup::learn_version;
 pub use watch::Watcher;
--- /dev/null
+++ b/crates/shallothill-node/src/control/probe.rs
@@ -0,0 +1,106 @@
+//! Notices that the followed keeper is behind the others.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use futures::stream::{FuturesUnordered, StreamExt};
+use shallothill_core::version::ConfigVersion;
+use shallothill_runtime::timer::Timer;
+use shallothill_wire::watch::SectionsRequest;
+use tokio::sync::Notify;
+use tokio_util::sync::CancellationToken;
+
+use crate::config::Store;
+use crate::control::{Keeper, Keepers};
+
+/// `PROBE_EVERY` is the time between two rounds. With the time that the followed keeper is given
+/// and the transfer it stays under the 5 s in which a version must be in force.
+const PROBE_EVERY: Duration = Duration::from_millis(1500);
+
+/// `PROBED` is the number of keepers asked in a round; a majority has every accepted version.
+const PROBED: usize = 3;
+
+/// `GRACE` is the time in which the followed keeper usually brings a version itself.
+const GRACE: Duration = Duration::from_millis(700);
+
+/// `TIMEOUT` bounds the wait for one keeper.
+const TIMEOUT: Duration = Duration::from_millis(700);
+
+/// `Move` tells the watch to follow another keeper.
+#[derive(Debug, Default)]
+pub struct Move {
+    to: AtomicUsize,
+    asked: Notify,
+}
+
+impl Move {
+    /// `wait` waits until another keeper is to be followed, and returns its place in the list.
+    pub async fn wait(&self) -> usize {
+        self.asked.notified().await;
+        self.to.load(Ordering::Relaxed)
+    }
+}
+
+/// `Probe` asks other keepers for their version. A keeper that is cut off from the others gives no
+/// sign of it: it answers watches and has no news.
+#[derive(Debug)]
+pub struct Probe {
+    /// The keepers.
+    pub keepers: Arc<Keepers>,
+    /// The configuration.
+    pub store: Arc<Store>,
+    /// Told which keeper has more.
+    pub moves: Arc<Move>,
+    /// The timer service.
+    pub timer: Timer,
+}
+
+impl Probe {
+    /// `run` probes until `stop` is cancelled.
+    pub async fn run(self, stop: CancellationToken) {
+        let mut every = self.timer.every(PROBE_EVERY);
+        let mut first = 1;
+        loop {
+            tokio::select! {
+                _ = every.recv() => {}
+                () = stop.cancelled() => return,
+            }
+            let all = self.keepers.all();
+            let places = (0..PROBED.min(all.len())).map(|i| (first + i) % all.len());
+            let found = self.ask(places).await;
+            first = (first + PROBED) % all.len().max(1);
+            let Some((version, place)) = found.filter(|(v, _)| *v > self.store.version()) else {
+                continue;
+            };
+            self.store.note(version);
+            // The service ends only with the process.
+            let _ = self.timer.after(GRACE).await;
+            if version > self.store.version() {
+                self.moves.to.store(place, Ordering::Relaxed);
+                self.moves.asked.notify_one();
+            }
+        }
+    }
+
+    async fn ask(&self, places: impl Iterator<Item = usize>) -> Option<(ConfigVersion, usize)> {
+        let asked: FuturesUnordered<_> = places
+            .filter_map(|i| Some((i, self.keepers.all().get(i)?)))
+            .map(|(i, keeper)| async move { Some((version_of(keeper, TIMEOUT).await?, i)) })
+            .collect();
+        let answers: Vec<Option<(ConfigVersion, usize)>> = asked.collect().await;
+        answers.into_iter().flatten().max()
+    }
+}
+
+/// `version_of` asks a keeper for its configuration version.
+pub async fn version_of(keeper: &Keeper, timeout: Duration) -> Option<ConfigVersion> {
+    let req = SectionsRequest {
+        version: ConfigVersion(0),
+        ids: Vec::new(),
+    };
+    let call = keeper
+        .channel()
+        .call(timeout, |c, cx| async move { c.sections(cx, req).await });
+    call.await.ok().map(|reply| reply.config_version)
+}
--- a/crates/shallothill-node/src/control/startup.rs
+++ b/crates/shallothill-node/src/control/startup.rs
@@ -5,8 +5,8 @@
 
 use futures::stream::{FuturesUnordered, StreamExt};
 use shallothill_core::version::ConfigVersion;
-use shallothill_wire::watch::SectionsRequest;
 
+use crate::control::probe;
 use crate::control::{Keeper, Keepers};
 
 /// `TIMEOUT` bounds the wait for one source.
@@ -18,16 +18,7 @@
 /// `learn_version` asks several keepers for their version and returns the highest, or `None` when
 /// none of them answers.
 pub async fn learn_version(keepers: &Keepers) -> Option<ConfigVersion> {
-    let ask = |keeper: Arc<Keeper>| async move {
-        let req = SectionsRequest {
-            version: ConfigVersion(0),
-            ids: Vec::new(),
-        };
-        let call = keeper
-            .channel()
-            .call(TIMEOUT, |c, cx| async move { c.sections(cx, req).await });
-        call.await.ok().map(|reply| reply.config_version)
-    };
+    let ask = |keeper: Arc<Keeper>| async move { probe::version_of(&keeper, TIMEOUT).await };
     let sources = keepers.all().iter().take(SOURCES_MAX).cloned();
     let asked: FuturesUnordered<_> = sources.map(ask).collect();
     let answers: Vec<Option<ConfigVersion>> = asked.collect().await;
--- a/crates/shallothill-node/src/control/watch.rs
+++ b/crates/shallothill-node/src/control/watch.rs
@@ -12,7 +12,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::config::{Applied, Store};
-use crate::control::{ConfigFetch, Keeper, Keepers};
+use crate::control::{ConfigFetch, Keeper, Keepers, Move};
 use crate::crashes::Crashes;
 use crate::gate::Gate;
 use crate::view::View;
@@ -46,6 +46,8 @@
     pub gate: Arc<Gate>,
     /// Fetches sections.
     pub fetch: Arc<ConfigFetch>,
+    /// Tells to follow another keeper.
+    pub moves: Arc<Move>,
     /// The timer service.
     pub timer: Timer,
 }
@@ -75,6 +77,12 @@
             };
             let watched = tokio::select! {
                 watched = self.watch(keeper, &mut position) => watched,
+                to = self.moves.wait() => {
+                info!("watch: keeper {} is behind the others", keeper.id());
+                at = to;
+                moved = now;
+                continue;
+            }
                 () = stop.cancelled() => return,
             };
             keeper.note(watched);
--- a/crates/shallothill-node/src/entry/prepare.rs
+++ b/crates/shallothill-node/src/entry/prepare.rs
@@ -73,7 +73,7 @@
             return Err(NOT_READY.into());
         }
         let (parts, incoming) = req.into_parts();
-        self.check_size(&parts)?;
+        self.check_parts(&parts)?;
         let cfg = self.parts.store.load_full();
         let named = match cfg.routes().find(parts.method.as_str(), parts.uri.path()) {
             Lookup::Found(named) => named,
@@ -110,11 +110,20 @@
         })
     }
 
-    fn check_size(&self, parts: &request::Parts) -> Result<(), Refusal> {
+    fn check_parts(&self, parts: &request::Parts) -> Result<(), Refusal> {
         let line = parts.uri.path_and_query().map_or(0, |p| p.as_str().len());
         if header_filter::size(&parts.headers) + line > self.parts.bounds.header_bytes {
             return Err(HEADERS_TOO_LARGE);
         }
+        // A backend server might resolve such a path to another route than the one chosen here,
+        // and a non-idempotent request would then run without a claim.
+        let dots = |segment: &str| {
+            let plain = segment.to_ascii_lowercase().replace("%2e", ".");
+            plain == "." || plain == ".."
+        };
+        if parts.uri.path().split('/').any(dots) {
+            return Err(BAD_PATH);
+        }
         Ok(())
     }
 
@@ -272,6 +281,11 @@
     "unknown-route",
     "no route has a prefix of this path; check the path",
 );
+const BAD_PATH: Refusal = Refusal::invalid(
+    400,
+    "bad-path",
+    "the path has `.` or `..` segments; send the resolved path",
+);
 const OTHER_METHOD: Refusal = Refusal::invalid(
     405,
     "method",
--- a/crates/shallothill-node/src/entry/send.rs
+++ b/crates/shallothill-node/src/entry/send.rs
@@ -37,7 +37,7 @@
             Ok(Ok(response)) => match peer::read_reply(response, deadline) {
                 Some((reply, version)) => {
                     path.succeeded();
-                    self.parts.store.note(version);
+                    self.parts.store.note_from(version, address);
                     return reply;
                 }
                 None => BAD_REPLY,
--- a/crates/shallothill-node/src/node/mod.rs
+++ b/crates/shallothill-node/src/node/mod.rs
@@ -21,7 +21,7 @@
 
 use crate::announce::AnnounceServer;
 use crate::config::Store;
-use crate::control::{ConfigFetch, Keepers, Reporter, Watcher, learn_version};
+use crate::control::{ConfigFetch, Keepers, Move, Probe, Reporter, Watcher, learn_version};
 use crate::counters::{Counters, Gauges};
 use crate::crashes::Crashes;
 use crate::entry::Entry;
@@ -152,6 +152,13 @@
             view: Arc::clone(&self.view),
             timer: self.timer.clone(),
         });
+        let moves = Arc::new(Move::default());
+        let probe = Probe {
+            keepers: Arc::clone(&self.keepers),
+            store: Arc::clone(&self.store),
+            moves: Arc::clone(&moves),
+            timer: self.timer.clone(),
+        };
         let watcher = Watcher {
             node: self.settings.node.clone(),
             keepers: Arc::clone(&self.keepers),
@@ -160,6 +167,7 @@
             crashes: Arc::clone(&self.crashes),
             gate: Arc::clone(&self.gate),
             fetch: Arc::clone(&fetch),
+            moves,
             timer: self.timer.clone(),
         };
         let reporter = Reporter {
@@ -176,6 +184,7 @@
             timer: self.timer.clone(),
         };
         tokio::spawn(watcher.run(self.end.clone()));
+        tokio::spawn(probe.run(self.end.clone()));
         tokio::spawn(fetch.run(Arc::clone(&self.gate), self.end.clone()));
         self.connections.spawn(reporter.run(self.stop.clone()));
     }
--- a/crates/shallothill-node/tests/support/keepers.rs
+++ b/crates/shallothill-node/tests/support/keepers.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -13,7 +14,8 @@
 use shallothill_core::time::{Millis, UnixMillis};
 use shallothill_core::version::ConfigVersion;
 use shallothill_directory::{
-    Directory, DirectoryOptions, LeaseAnswer, LeaseReply, LeaseRequest, ReleaseRequest,
+    Directory, DirectoryOptions, EndpointLoad, LeaseAnswer, LeaseReply, LeaseRequest,
+    ReleaseRequest, ServiceSummary,
 };
 use shallothill_ledger::{
     ClaimReply, ClaimRequest, CompleteRequest, LedgerOptions, Member, Record, WithdrawRequest,
@@ -34,6 +36,10 @@
 pub struct Shared {
     started: Instant,
     pub config: Mutex<(ConfigVersion, Config)>,
+    /// A keeper that is cut off from the others, with what it has.
+    pub behind: Mutex<Option<(KeeperId, ConfigVersion, Config)>>,
+    /// Whether ejections are granted.
+    pub grants: AtomicBool,
     directory: Mutex<Directory>,
     crashes: Mutex<Vec<CrashNotice>>,
     pub claims: Mutex<BTreeMap<IdempotencyKey, usize>>,
@@ -44,6 +50,13 @@
         Millis(0) + self.started.elapsed()
     }
 
+    fn config_of(&self, id: KeeperId) -> (ConfigVersion, Config) {
+        match &*self.behind.lock().unwrap() {
+            Some((behind, version, cfg)) if *behind == id => (*version, cfg.clone()),
+            _ => self.config.lock().unwrap().clone(),
+        }
+    }
+
     pub fn set_config(&self, version: u64, cfg: Config) {
         *self.config.lock().unwrap() = (ConfigVersion(version), cfg);
     }
@@ -68,6 +81,8 @@
         let shared = Arc::new(Shared {
             started: Instant::now(),
             config: Mutex::new((ConfigVersion(1), cfg)),
+            behind: Mutex::default(),
+            grants: AtomicBool::new(false),
             directory: Mutex::new(Directory::new(
                 KeeperId(1),
                 Incarnation(1),
@@ -135,6 +150,15 @@
 impl KeeperControl for Server {
     async fn report(self, _: Context, req: ReportRequest) -> ReportReply {
         let now = self.shared.now();
+        let usual = |l: &EndpointLoad| ServiceSummary {
+            service: l.service.clone(),
+            endpoints: 12,
+            p50_us: 2000,
+            oldest_us: 2000,
+            completed: 1000,
+            errors: 0,
+        };
+        let summaries = req.loads.iter().map(usual).take(1).collect();
         let mut directory = self.shared.directory.lock().unwrap();
         if req.leaving {
             directory.leave(now, &req.report.node, req.report.order());
@@ -143,15 +167,15 @@
         }
         self.shared.crashes.lock().unwrap().extend(req.crashes);
         ReportReply {
-            config_version: self.shared.config.lock().unwrap().0,
-            summaries: Vec::new(),
+            config_version: self.shared.config_of(self.id).0,
+            summaries,
         }
     }
 
     async fn watch(self, _: Context, req: WatchRequest) -> WatchReply {
         let until = Instant::now() + Duration::from_millis(u64::from(req.wait_ms));
         loop {
-            let (version, cfg) = self.shared.config.lock().unwrap().clone();
+            let (version, cfg) = self.shared.config_of(self.id);
             let delta = self.shared.directory.lock().unwrap().delta(req.cursor);
             let news = version > req.config_version || !delta.changes.is_empty();
             if news || Instant::now() >= until {
@@ -169,7 +193,7 @@
     }
 
     async fn sections(self, _: Context, req: SectionsRequest) -> SectionsReply {
-        let (version, cfg) = self.shared.config.lock().unwrap().clone();
+        let (version, cfg) = self.shared.config_of(self.id);
         let mut all = sections::split(&cfg);
         all.retain(|s| req.ids.contains(&s.id()));
         SectionsReply {
@@ -205,8 +229,11 @@
         LeaseReply {
             keeper: self.id,
             round: req.round,
-            answer: LeaseAnswer::OverBudget,
-            budget: 0,
+            answer: match self.shared.grants.load(Ordering::Relaxed) {
+                true => LeaseAnswer::Granted,
+                false => LeaseAnswer::OverBudget,
+            },
+            budget: 1,
         }
     }
 
--- a/crates/shallothill-node/tests/whole_path.rs
+++ b/crates/shallothill-node/tests/whole_path.rs
@@ -100,6 +100,13 @@
         (Method::GET, "/stockings", ("x-a", "1"), Bytes::new(), 404),
         (Method::PATCH, "/stock", ("x-a", "1"), Bytes::new(), 405),
         (Method::POST, "/book", ("x-a", "1"), Bytes::new(), 400),
+        (
+            Method::PUT,
+            "/stock/items/%2E./../book",
+            ("x-a", "1"),
+            Bytes::new(),
+            400,
+        ),
         (
             Method::POST,
             "/book",
