--- a/crates/shallothill-node/src/body.rs
+++ b/crates/shallothill-node/src/body.rs
@@ -117,6 +117,11 @@
         self
     }
 
+    /// `is_whole` tells whether all of the content is in memory.
+    pub fn is_whole(&self) -> bool {
+        self.rest.is_none()
+    }
+
     /// `take_whole` returns the content when all of it is in memory.
     pub fn take_whole(&mut self) -> Option<Bytes> {
         if self.rest.is_some() {
--- a/crates/shallothill-node/src/entry/mod.rs
+++ b/crates/shallothill-node/src/entry/mod.rs
@@ -1,7 +1,6 @@
 //! The entry role: takes callers' requests and sends them to gates.
 
 mod attempts;
-mod buffers;
 mod handler;
 mod in_flight;
 mod prepare;
@@ -16,6 +15,7 @@
 use shallothill_policy::retry::Budget;
 use shallothill_runtime::timer::Timer;
 
+use crate::buffers::Buffers;
 use crate::config::Store;
 use crate::counters::Counters;
 use crate::crashes::Crashes;
@@ -24,7 +24,6 @@
 use crate::settings::Bounds;
 use crate::view::View;
 
-pub use buffers::Buffers;
 pub use in_flight::InFlight;
 
 /// `EntryParts` is what an entry is built from.
--- a/crates/shallothill-node/src/entry/prepare.rs
+++ b/crates/shallothill-node/src/entry/prepare.rs
@@ -23,9 +23,9 @@
 
 use crate::attempt::Head;
 use crate::body::Body;
+use crate::buffers::Reserved;
 use crate::config::{Lookup, NamedRoute, Snapshot};
 use crate::entry::Entry;
-use crate::entry::buffers::Reserved;
 use crate::gate::{BODY_INCOMPLETE, BODY_TOO_LARGE, BODY_TOO_SLOW};
 use crate::header_filter;
 use crate::refusal::Refusal;
--- a/crates/shallothill-node/src/gate/mod.rs
+++ b/crates/shallothill-node/src/gate/mod.rs
@@ -22,6 +22,8 @@
 use tokio_util::task::TaskTracker;
 
 use crate::attempt::{Attempt, Reply};
+use crate::body::Body;
+use crate::buffers::Buffers;
 use crate::config::Store;
 use crate::control::Keepers;
 use crate::crashes::Crashes;
@@ -61,6 +63,8 @@
     pub ledger: Arc<Ledger>,
     /// Woken when the state of a backend server changes.
     pub changed: Arc<Notify>,
+    /// The bound on request bodies in memory, shared with the entry role.
+    pub buffers: Buffers,
     /// Tracks requests that outlive their caller.
     pub tasks: TaskTracker,
 }
@@ -136,9 +140,14 @@
         let Some(key) = head.key.clone() else {
             return Err(NO_KEY);
         };
+        let expected = expected_bytes(&attempt.body, head.max_body);
+        // Held until the request has been written.
+        let reserved = self.parts.buffers.reserve(expected).ok_or(NO_MEMORY)?;
         let body = exchange::read_whole(&mut attempt.body, head.deadline).await?;
         let slot = endpoint.admit(head.class, false, head.deadline).await?;
-        self.run_claimed(slot, head, key, body, place).await
+        let reply = self.run_claimed(slot, head, key, body, place).await;
+        drop(reserved);
+        reply
     }
 }
 
@@ -153,6 +162,15 @@
     }
 }
 
+// A body that is in memory already was counted where it was read.
+fn expected_bytes(body: &Body, max: u64) -> usize {
+    if body.is_whole() {
+        return 0;
+    }
+    let upper = http_body::Body::size_hint(body).upper().unwrap_or(max);
+    usize::try_from(upper.min(max)).unwrap_or(usize::MAX)
+}
+
 fn load(endpoint: &Endpoint) -> ReportedLoad {
     let mut load = endpoint.load();
     if !endpoint.is_up() {
@@ -166,6 +184,11 @@
     "the backend server is not announced here; send the request again",
 );
 
+const NO_MEMORY: Refusal = Refusal::not_run(
+    "memory",
+    "the node holds too many request bodies; send the request again",
+);
+
 const NO_KEY: Refusal = Refusal::invalid(
     400,
     "no-key",
--- a/crates/shallothill-node/src/lib.rs
+++ b/crates/shallothill-node/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod announce;
 pub mod attempt;
 pub mod body;
+pub mod buffers;
 pub mod config;
 pub mod control;
 pub mod counters;
--- a/crates/shallothill-node/src/listener.rs
+++ b/crates/shallothill-node/src/listener.rs
@@ -33,6 +33,9 @@
 /// and the size at which reading stops.
 const HEADER_SLACK: usize = 4;
 
+/// `HEADERS_MAX` is the number of headers at which reading stops.
+const HEADERS_MAX: usize = 1024;
+
 /// `ACCEPT_PAUSE` is the pause after a connection could not be accepted.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 
@@ -122,6 +125,7 @@
             .http1()
             .timer(TokioTimer::new())
             .header_read_timeout(self.bounds.header_timeout())
+            .max_headers(HEADERS_MAX)
             .max_buf_size(header_bytes.max(8192));
         builder
             .http2()
--- a/crates/shallothill-node/src/node/build.rs
+++ b/crates/shallothill-node/src/node/build.rs
@@ -12,11 +12,12 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+use crate::buffers::Buffers;
 use crate::config::Store;
 use crate::control::Keepers;
 use crate::counters::Counters;
 use crate::crashes::Crashes;
-use crate::entry::{Buffers, Entry, EntryParts};
+use crate::entry::{Entry, EntryParts};
 use crate::gate::{Gate, GateParts, Ledger};
 use crate::node::{Addresses, Node};
 use crate::peer::Links;
@@ -43,6 +44,7 @@
         let options = QuarantineOptions::default();
         let crashes = Arc::new(Crashes::new(options, Arc::clone(&changed)));
         let counters = Arc::new(Counters::default());
+        let buffers = Buffers::new(bounds.buffered_total_bytes);
         let incarnation = incarnation_now();
         let ledger = Arc::new(Ledger::new(
             settings.node.clone(),
@@ -63,11 +65,12 @@
             crashes: Arc::clone(&crashes),
             ledger,
             changed: Arc::clone(&changed),
+            buffers: buffers.clone(),
             tasks: background.clone(),
         }));
         let entry = Arc::new(Entry::new(EntryParts {
             node: settings.node.clone(),
-            buffers: Buffers::new(bounds.buffered_total_bytes),
+            buffers,
             bounds,
             timer: timer.clone(),
             store: Arc::clone(&store),
