--- /dev/null
+++ b/crates/shallothill-keeper/src/peer_server.rs
@@ -0,0 +1,101 @@
+//! The server of other keepers' calls.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use shallothill_core::ids::KeeperId;
+use shallothill_core::version::ConfigVersion;
+use shallothill_ledger::{RecoveryReply, RecoveryRequest};
+use shallothill_replica::Message;
+use shallothill_wire::operator::{SubmitReply, SubmitRequest};
+use shallothill_wire::watch::{ConfigUpdate, SectionsReply, SectionsRequest};
+use tarpc::context::Context;
+use tokio::sync::mpsc;
+
+use crate::keeper::{Keeper, lock};
+use crate::peer::{KeeperPeer, PeerStatus, SyncReply, SyncRequest};
+use crate::{status, submit};
+
+/// `WAIT_MAX` bounds a long poll of another keeper.
+const WAIT_MAX: Duration = Duration::from_secs(10);
+
+/// `PeerServer` answers other keepers.
+#[derive(Clone, Debug)]
+pub struct PeerServer {
+    /// The shared state.
+    pub keeper: Arc<Keeper>,
+    /// Where messages of the config log go.
+    pub messages: mpsc::Sender<(KeeperId, Message)>,
+}
+
+impl PeerServer {
+    fn sync_reply(&self, req: &SyncRequest, even_without_news: bool) -> Option<SyncReply> {
+        let config_version = self.keeper.published.load().version();
+        let membership = lock(&self.keeper.membership);
+        let now = self.keeper.timer.now();
+        let news = membership.news_for_keeper(now, req.cursor, &req.relay, even_without_news);
+        let newer = config_version > req.config_version;
+        if news.is_none() && !newer && !even_without_news {
+            return None;
+        }
+        let (directory, crashes) = match news {
+            Some((delta, crashes)) => (Some(delta), crashes),
+            None => (None, Vec::new()),
+        };
+        Some(SyncReply {
+            config_version,
+            directory,
+            crashes,
+            heard: self.keeper.heard_keepers(),
+            loads: req.loads.then(|| membership.loads.own().clone()),
+        })
+    }
+}
+
+impl KeeperPeer for PeerServer {
+    async fn sync(self, _: Context, req: SyncRequest) -> SyncReply {
+        self.keeper.learn_version(req.config_version);
+        let wait = Duration::from_millis(u64::from(req.wait_ms)).min(WAIT_MAX);
+        let mut end = self.keeper.timer.after(wait);
+        let mut news = self.keeper.news();
+        let mut ended = false;
+        loop {
+            news.mark_unchanged();
+            if let Some(reply) = self.sync_reply(&req, ended) {
+                return reply;
+            }
+            tokio::select! {
+                _ = news.changed() => {}
+                _ = &mut end => ended = true,
+            }
+        }
+    }
+
+    async fn config(self, _: Context, from: ConfigVersion) -> Option<ConfigUpdate> {
+        self.keeper.learn_version(from);
+        self.keeper.published.load().update_since(from)
+    }
+
+    async fn sections(self, _: Context, req: SectionsRequest) -> SectionsReply {
+        self.keeper.sections(&req)
+    }
+
+    async fn status(self, _: Context) -> PeerStatus {
+        status::own(&self.keeper)
+    }
+
+    async fn submit(self, _: Context, req: SubmitRequest) -> SubmitReply {
+        submit::submit(&self.keeper, req, false).await
+    }
+
+    async fn replica(self, _: Context, from: KeeperId, msg: Message) {
+        if self.keeper.peers.contains_key(&from) {
+            // The replica repeats what is dropped while the driver is busy.
+            let _ = self.messages.try_send((from, msg));
+        }
+    }
+
+    async fn recover(self, _: Context, req: RecoveryRequest) -> Option<RecoveryReply> {
+        self.keeper.ledger.recover(req).await
+    }
+}
--- /dev/null
+++ b/crates/shallothill-keeper/src/process.rs
@@ -0,0 +1,204 @@
+//! Starts and stops a keeper.
+
+use std::future::Future;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use cadence::StatsdClient;
+use log::info;
+use shallothill_core::ids::KeeperId;
+use shallothill_core::incarnation::Incarnation;
+use shallothill_replica::Message;
+use shallothill_runtime::timer::Timer;
+use shallothill_runtime::{admin, metrics as runtime_metrics};
+use shallothill_wire::control::KeeperControl;
+use shallothill_wire::{answer_calls, transport};
+use snafu::ResultExt;
+use tokio::net::TcpListener;
+use tokio::sync::{mpsc, watch};
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+use crate::config_state::{ConfigState, SectionHistory};
+use crate::control::ControlServer;
+use crate::data::Data;
+use crate::errors;
+use crate::fatal::Fatal;
+use crate::keeper::Keeper;
+use crate::ledger::LedgerHandle;
+use crate::listeners::Listeners;
+use crate::log::{Driver, Links, LogHandle, Parts};
+use crate::operators::Operators;
+use crate::peer::KeeperPeer;
+use crate::peer_server::PeerServer;
+use crate::settings::Settings;
+use crate::{housekeeping, ledger, metrics, publisher, sync};
+
+/// `MESSAGES_MAX` bounds the messages of other keepers that wait for the config log.
+const MESSAGES_MAX: usize = 1024;
+
+/// `STOP_WITHIN` bounds the time that a graceful stop takes.
+const STOP_WITHIN: Duration = Duration::from_secs(5);
+
+/// `StartOptions` holds the choices of one start.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct StartOptions {
+    /// Whether this is the first start of a new group.
+    pub new_group: bool,
+}
+
+/// `Process` is a running keeper.
+#[derive(Debug)]
+pub struct Process {
+    /// The bound address for nodes.
+    pub control_address: SocketAddr,
+    /// The bound address for other keepers.
+    pub peer_address: SocketAddr,
+    /// The bound admin address.
+    pub admin_address: SocketAddr,
+    keeper: Arc<Keeper>,
+    metrics: Arc<StatsdClient>,
+    fatal: mpsc::UnboundedReceiver<String>,
+    stop: CancellationToken,
+    tasks: TaskTracker,
+}
+
+impl Process {
+    /// `start` serves on `listeners`.
+    ///
+    /// Fails when the settings contradict themselves or the data folder cannot be used.
+    pub async fn start(
+        settings: Settings,
+        listeners: Listeners,
+        options: StartOptions,
+    ) -> errors::Result<Self> {
+        settings.check()?;
+        let control_address = address(&listeners.control)?;
+        let peer_address = address(&listeners.peer)?;
+        let admin_address = address(&listeners.admin)?;
+        let (fatal_tx, fatal) = Fatal::new();
+        let stop = CancellationToken::new();
+        let tasks = TaskTracker::new();
+        let timer = Timer::start();
+        let data = Data::try_open(&settings)?;
+        let ledger = LedgerHandle::start(data.member, data.journal, fatal_tx.clone());
+        let state = Arc::new(Mutex::new(ConfigState::default()));
+        let sections = Arc::new(Mutex::new(SectionHistory::default()));
+        let (log, commands, status) = LogHandle::new();
+        let (applied, applied_rx) = watch::channel(());
+        let (messages_tx, messages) = mpsc::channel(MESSAGES_MAX);
+        let others = settings.others().map(|k| (k.id, k.peer_address));
+        let driver = Driver::try_new(Parts {
+            me: settings.id,
+            members: settings.members(),
+            new_group: options.new_group,
+            timer: timer.clone(),
+            disk: data.disk,
+            durable: data.durable,
+            state: Arc::clone(&state),
+            sections: Arc::clone(&sections),
+            ledger: ledger.clone(),
+            commands,
+            messages,
+            links: Links::start(settings.id, others, &tasks, &stop),
+            status,
+            applied,
+            fatal: fatal_tx,
+        })?;
+        let metrics =
+            runtime_metrics::client("shallothill.keeper", settings.process.metrics_address)?;
+        let life = Incarnation(rand::random());
+        let keeper = Keeper::new(settings, timer, life, state, sections, ledger, log);
+        let process = Self {
+            control_address,
+            peer_address,
+            admin_address,
+            keeper: Arc::new(keeper),
+            metrics: Arc::new(metrics),
+            fatal,
+            stop,
+            tasks,
+        };
+        // What the last snapshot holds is served before the log goes on from it, so that the
+        // history of sections has no gap there.
+        publisher::publish_applied(&process.keeper).await;
+        process.tasks.spawn(driver.run(process.stop.clone()));
+        process.spawn(listeners, messages_tx, applied_rx);
+        Ok(process)
+    }
+
+    /// `run` waits until `stop` is cancelled and then stops gracefully.
+    ///
+    /// Fails with `Fatal` when the keeper cannot go on, such as after a failed sync.
+    pub async fn run(mut self, stop: CancellationToken) -> errors::Result<()> {
+        let ended = tokio::select! {
+            () = stop.cancelled() => Ok(()),
+            message = self.fatal.recv() => {
+                let message = message.unwrap_or_default();
+                errors::FatalSnafu { message }.fail()
+            }
+        };
+        self.stop.cancel();
+        self.tasks.close();
+        if tokio::time::timeout(STOP_WITHIN, self.tasks.wait())
+            .await
+            .is_err()
+        {
+            info!("keeper: some tasks did not end in time");
+        }
+        ended
+    }
+
+    /// `keeper` returns the shared state.
+    pub fn keeper(&self) -> &Arc<Keeper> {
+        &self.keeper
+    }
+
+    fn spawn(
+        &self,
+        listeners: Listeners,
+        messages: mpsc::Sender<(KeeperId, Message)>,
+        applied: watch::Receiver<()>,
+    ) {
+        let tasks = &self.tasks;
+        let stop = || self.stop.clone();
+        let keeper = || Arc::clone(&self.keeper);
+        let server = ControlServer(keeper());
+        tasks.spawn(transport::serve(
+            listeners.control,
+            stop(),
+            move |channel| answer_calls!(channel, server.clone().serve()),
+        ));
+        let server = PeerServer {
+            keeper: keeper(),
+            messages,
+        };
+        tasks.spawn(transport::serve(listeners.peer, stop(), move |channel| {
+            answer_calls!(channel, server.clone().serve())
+        }));
+        let operators = Arc::new(Operators(keeper()));
+        tasks.spawn(admin::serve(listeners.admin, operators, stop()));
+        tasks.spawn(publisher::run(keeper(), applied, stop()));
+        tasks.spawn(until_stopped(ledger::recover(keeper()), stop()));
+        tasks.spawn(until_stopped(housekeeping::run(keeper()), stop()));
+        tasks.spawn(until_stopped(
+            metrics::run(keeper(), self.metrics.clone()),
+            stop(),
+        ));
+        for id in self.keeper.peers.keys() {
+            tasks.spawn(sync::follow(keeper(), *id, stop()));
+        }
+    }
+}
+
+async fn until_stopped(task: impl Future<Output = ()>, stop: CancellationToken) {
+    tokio::select! {
+        () = task => {}
+        () = stop.cancelled() => {}
+    }
+}
+
+fn address(listener: &TcpListener) -> errors::Result<SocketAddr> {
+    listener.local_addr().context(errors::AddressSnafu)
+}
--- /dev/null
+++ b/crates/shallothill-node/src/node/mod.rs
@@ -0,0 +1,266 @@
+//! Starts the parts of a node and stops them gracefully.
+
+mod access;
+mod build;
+mod sockets;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use cadence::StatsdClient;
+use log::{info, warn};
+use shallothill_core::incarnation::Incarnation;
+use shallothill_runtime::timer::Timer;
+use shallothill_runtime::{admin, metrics};
+use tokio::net::TcpListener;
+use tokio::sync::Notify;
+use tokio::time;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+use crate::announce::AnnounceServer;
+use crate::config::Store;
+use crate::control::{ConfigFetch, Keepers, Move, Probe, Reporter, Watcher, learn_version};
+use crate::counters::{Counters, Gauges};
+use crate::crashes::Crashes;
+use crate::entry::Entry;
+use crate::errors;
+use crate::gate::Gate;
+use crate::listener::{Answer, Listener};
+use crate::node::sockets::Sockets;
+use crate::peer::{Links, PeerServer};
+use crate::settings::Settings;
+use crate::view::View;
+
+/// `JUDGE_EVERY` is the time between two looks at the evidence on backend servers.
+const JUDGE_EVERY: Duration = Duration::from_millis(50);
+
+/// `REFRESH_EVERY` is the time between two adjustments of the picks.
+const REFRESH_EVERY: Duration = Duration::from_millis(250);
+
+/// `TIDY_EVERY` is the time between two searches for idle peers.
+const TIDY_EVERY: Duration = Duration::from_secs(30);
+
+/// `LEARN_AGAIN` is the pause before sources are asked for the version again.
+const LEARN_AGAIN: Duration = Duration::from_millis(200);
+
+/// `Addresses` are the addresses that a started node listens on.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Addresses {
+    /// For callers.
+    pub caller: SocketAddr,
+    /// For other nodes.
+    pub peer: SocketAddr,
+    /// For backend servers.
+    pub announce: SocketAddr,
+    /// For operators.
+    pub admin: SocketAddr,
+}
+
+/// `Node` is a running node.
+#[derive(Debug)]
+pub struct Node {
+    settings: Settings,
+    incarnation: Incarnation,
+    addresses: Addresses,
+    timer: Timer,
+    store: Arc<Store>,
+    view: Arc<View>,
+    keepers: Arc<Keepers>,
+    links: Arc<Links>,
+    crashes: Arc<Crashes>,
+    gate: Arc<Gate>,
+    entry: Arc<Entry>,
+    counters: Arc<Counters>,
+    changed: Arc<Notify>,
+    metrics: StatsdClient,
+    stop: CancellationToken,
+    /// Ends what goes on until all requests are answered.
+    end: CancellationToken,
+    connections: TaskTracker,
+    background: TaskTracker,
+}
+
+impl Node {
+    /// `start` listens and starts all parts; the node runs until `stop` is cancelled.
+    ///
+    /// Fails with `Runtime` when an address is taken.
+    pub async fn start(settings: Settings, stop: CancellationToken) -> errors::Result<Arc<Self>> {
+        let sockets = Sockets::bind(&settings).await?;
+        let addresses = sockets.addresses(&settings);
+        let metrics = metrics::client("shallothill.node", settings.process.metrics_address)?;
+        let node = Arc::new(Self::build(settings, addresses, metrics, stop));
+        node.listen(sockets);
+        node.follow_keepers();
+        tokio::spawn(Arc::clone(&node).tick());
+        tokio::spawn(Arc::clone(&node).become_ready());
+        Ok(node)
+    }
+
+    fn listen(self: &Arc<Self>, sockets: Sockets) {
+        let b = &self.settings.bounds;
+        let peers = PeerServer {
+            node: self.settings.node.clone(),
+            gate: Arc::clone(&self.gate),
+            store: Arc::clone(&self.store),
+            counters: Arc::clone(&self.counters),
+        };
+        let announcements = AnnounceServer {
+            gate: Arc::clone(&self.gate),
+        };
+        self.accept(
+            sockets.caller,
+            b.caller_connections,
+            Arc::clone(&self.entry),
+        );
+        self.accept(sockets.peer, b.peer_connections, Arc::new(peers));
+        // Backend servers keep these connections open; the stop does not wait for them.
+        let announce = Listener {
+            stop: self.end.clone(),
+            tasks: TaskTracker::new(),
+            ..self.listener(sockets.announce, b.announce_connections)
+        };
+        tokio::spawn(announce.run(Arc::new(announcements)));
+        tokio::spawn(admin::serve(
+            sockets.admin,
+            Arc::clone(self),
+            self.end.clone(),
+        ));
+    }
+
+    fn accept<A: Answer>(&self, socket: TcpListener, connections: usize, answer: Arc<A>) {
+        let listener = self.listener(socket, connections);
+        self.connections.spawn(listener.run(answer));
+    }
+
+    fn listener(&self, socket: TcpListener, connections: usize) -> Listener {
+        Listener {
+            socket,
+            connections,
+            bounds: self.settings.bounds.clone(),
+            timer: self.timer.clone(),
+            stop: self.stop.clone(),
+            tasks: self.connections.clone(),
+        }
+    }
+
+    fn follow_keepers(&self) {
+        let fetch = Arc::new(ConfigFetch {
+            store: Arc::clone(&self.store),
+            links: Arc::clone(&self.links),
+            view: Arc::clone(&self.view),
+            timer: self.timer.clone(),
+        });
+        let moves = Arc::new(Move::default());
+        let probe = Probe {
+            keepers: Arc::clone(&self.keepers),
+            store: Arc::clone(&self.store),
+            moves: Arc::clone(&moves),
+            timer: self.timer.clone(),
+        };
+        let watcher = Watcher {
+            node: self.settings.node.clone(),
+            keepers: Arc::clone(&self.keepers),
+            store: Arc::clone(&self.store),
+            view: Arc::clone(&self.view),
+            crashes: Arc::clone(&self.crashes),
+            gate: Arc::clone(&self.gate),
+            fetch: Arc::clone(&fetch),
+            moves,
+            timer: self.timer.clone(),
+        };
+        let reporter = Reporter {
+            node: self.settings.node.clone(),
+            zone: self.settings.zone(),
+            peer_address: self.addresses.peer,
+            incarnation: self.incarnation,
+            gate: Arc::clone(&self.gate),
+            view: Arc::clone(&self.view),
+            keepers: Arc::clone(&self.keepers),
+            store: Arc::clone(&self.store),
+            crashes: Arc::clone(&self.crashes),
+            changed: Arc::clone(&self.changed),
+            timer: self.timer.clone(),
+        };
+        tokio::spawn(watcher.run(self.end.clone()));
+        tokio::spawn(probe.run(self.end.clone()));
+        tokio::spawn(fetch.run(Arc::clone(&self.gate), self.end.clone()));
+        self.connections.spawn(reporter.run(self.stop.clone()));
+    }
+
+    async fn tick(self: Arc<Self>) {
+        let mut judge = self.timer.every(JUDGE_EVERY);
+        let mut refresh = self.timer.every(REFRESH_EVERY);
+        let mut tidy = self.timer.every(TIDY_EVERY);
+        let mut send = self.timer.every(self.settings.process.metrics_period());
+        let mut sent = [0; 7];
+        loop {
+            tokio::select! {
+                () = self.end.cancelled() => return,
+                _ = judge.recv() => self.gate.watch_endpoints(),
+                _ = refresh.recv() => {
+                    self.view.refresh(self.timer.now());
+                    self.gate.expire();
+                }
+                _ = tidy.recv() => self.links.drop_idle(),
+                _ = send.recv() => self.counters.send(&self.metrics, &mut sent, self.gauges()),
+            }
+        }
+    }
+
+    fn gauges(&self) -> Gauges {
+        Gauges {
+            config_version: self.store.version().0,
+            endpoints: self.gate.endpoints().len() as u64,
+            buffered: self.entry.buffered() as u64,
+            claims: self.gate.ledger().in_flight().0 as u64,
+        }
+    }
+
+    // A node serves only at or above the highest version that its sources have, so that a restart
+    // never brings an old configuration back into force.
+    async fn become_ready(self: Arc<Self>) {
+        let mut reported = false;
+        loop {
+            if let Some(version) = learn_version(&self.keepers).await {
+                self.store.note(version);
+                break;
+            }
+            if !reported {
+                warn!("node: no keeper answers; requests are refused as not run until one does");
+                reported = true;
+            }
+            tokio::select! {
+                _ = self.timer.after(LEARN_AGAIN) => {}
+                () = self.end.cancelled() => return,
+            }
+        }
+        while self.store.version() < self.store.heard() {
+            tokio::select! {
+                _ = self.timer.after(LEARN_AGAIN / 10) => {}
+                () = self.end.cancelled() => return,
+            }
+        }
+        self.entry.serve_now();
+        info!("node: serving with configuration {}", self.store.version());
+    }
+
+    /// `run_until_stopped` waits for the stop and finishes what is in flight.
+    pub async fn run_until_stopped(&self) {
+        self.stop.cancelled().await;
+        self.gate.drain_all();
+        self.connections.close();
+        self.background.close();
+        let finished = async {
+            self.connections.wait().await;
+            self.background.wait().await;
+        };
+        let timeout = self.settings.bounds.stop_timeout();
+        if time::timeout(timeout, finished).await.is_err() {
+            warn!("node: requests are still in flight after {timeout:?}; ending them");
+        }
+        self.end.cancel();
+        info!("node: stopped");
+    }
+}
