policy: the quick disposition ejects after one second of suspicion, not 0.7 s

Ruled out: a higher threshold, which would also delay the demotion. Change: quick confirms after 1.0 s.

--- a/crates/shallothill-policy/src/detect/options.rs
+++ b/crates/shallothill-policy/src/detect/options.rs
@@ -30,8 +30,8 @@
             // The evidence of three and six bad requests in a row.
             threshold: disposition.between(9.0, 19.0),
             requests: disposition.between(2.0, 4.0).round() as u32,
-            // Pauses of half a second, such as for a collection of garbage, are no sickness.
-            confirm_after: Duration::from_millis(disposition.between(700.0, 1500.0) as u64),
+            // Pauses of up to about a second, such as for a collection of garbage, are no sickness.
+            confirm_after: Duration::from_millis(disposition.between(1000.0, 1500.0) as u64),
             summary_fresh_for: Duration::from_secs(10),
         }
     }
