policy: the test of stalls asks for summaries as a node does

The bounds (quick within 3 s, cautious within 6 s, quick sooner) are unchanged. Ruled out: a shorter interval of summaries, which no node has. Change: the test feeds a summary each two seconds and when wants_summary asks, as the node does.

--- a/crates/shallothill-policy/tests/detect.rs
+++ b/crates/shallothill-policy/tests/detect.rs
@@ -78,7 +78,8 @@
             d.started(Millis(1000), Ticket(n));
         }
         (1000..20_000u64).step_by(50).find(|ms| {
-            if ms.is_multiple_of(1000) {
+            // A node reports each two seconds and when a suspicion waits for a summary.
+            if ms.is_multiple_of(2000) || d.wants_summary(Millis(*ms)) {
                 d.summarise(Millis(*ms), &well());
             }
             matches!(d.verdict(Millis(*ms)), Verdict::Sick(_))
