--- a/crates/shallothill-node/src/gate/lifecycle.rs
+++ b/crates/shallothill-node/src/gate/lifecycle.rs
@@ -9,11 +9,12 @@
 use shallothill_core::config::Disposition;
 use shallothill_core::health::ServingState;
 use shallothill_core::ids::{EndpointId, EndpointName, KeeperId, ServiceName};
+use shallothill_core::incarnation::Incarnation;
 use shallothill_directory::{EndpointLoad, EndpointStatus, LeaseOptions};
 use shallothill_policy::admit;
 use shallothill_policy::admit::GateOptions;
 use shallothill_policy::detect::{DetectOptions, Detector};
-use shallothill_policy::eject::{EjectOptions, Ejector};
+use shallothill_policy::eject::{EjectOptions, Ejector, EndpointHealth};
 use shallothill_wire::crash::CrashNotice;
 use tokio::time;
 
@@ -129,7 +130,7 @@
         let load = |e: &Arc<Endpoint>| {
             let mut inner = e.lock();
             let queued = inner.gate.load().queued;
-            inner.detector.load(now, &e.id, queued)
+            inner.health.load(now, &e.id, queued)
         };
         endpoints.values().map(load).collect()
     }
@@ -209,23 +210,23 @@
         };
         let (options, detect) = self.options(service, a.slots);
         let number = self.lives.fetch_add(1, Ordering::Relaxed);
-        let ejector = match former {
+        let crash = (self.parts.incarnation.0 << LIVES_BITS) | number;
+        let health = match former {
             // Flaps are remembered over a restart.
             Some(former) => {
-                let mut ejector = former.lock().ejector.clone();
-                if let Some(release) = ejector.reset() {
+                let mut health = former.lock().health.clone();
+                if let Some(release) = health.announced_anew() {
                     self.release(release);
                 }
-                ejector
+                health
             }
-            None => self.ejector(&id),
+            None => self.new_health(&id, Incarnation(crash), detect),
         };
         let life = Life {
             id,
-            crash: (self.parts.incarnation.0 << LIVES_BITS) | number,
+            crash,
             gate: admit::Gate::new(options, a.state == Announced::Cold),
-            detector: Detector::new(detect),
-            ejector,
+            health,
             announced_until: self.parts.timer.now() + self.parts.bounds.announce_lease(),
             announced_slots: a.slots,
         };
@@ -234,17 +235,24 @@
         Endpoint::new(life, pool, self.parts.timer.clone())
     }
 
-    fn ejector(&self, id: &EndpointId) -> Ejector {
+    fn new_health(
+        &self,
+        id: &EndpointId,
+        incarnation: Incarnation,
+        detect: DetectOptions,
+    ) -> EndpointHealth {
         let region = self.parts.region.clone();
         let keepers = self.parts.keepers.group(&region);
         let ids: Vec<KeeperId> = keepers.iter().map(|k| k.id()).collect();
-        Ejector::new(
+        let ejector = Ejector::new(
             id.clone(),
             region,
             &ids,
+            incarnation,
             LeaseOptions::default(),
             EjectOptions::default(),
-        )
+        );
+        EndpointHealth::new(Detector::new(detect), ejector)
     }
 
     fn options(&self, service: &ServiceName, slots: u16) -> (GateOptions, DetectOptions) {
