node: a gate without a configuration refuses as not run

Cause: only the entry role waited for a configuration; the gate of a starting node ran requests of peers with defaults.

Change: the peer server refuses until the node serves.

--- a/crates/shallothill-node/src/entry/mod.rs
+++ b/crates/shallothill-node/src/entry/mod.rs
@@ -25,6 +25,7 @@
 use crate::view::View;
 
 pub use in_flight::InFlight;
+pub(crate) use prepare::NOT_READY;
 
 /// `EntryParts` is what an entry is built from.
 #[derive(Debug)]
--- a/crates/shallothill-node/src/entry/prepare.rs
+++ b/crates/shallothill-node/src/entry/prepare.rs
@@ -272,7 +272,8 @@
     }
 }
 
-const NOT_READY: Refusal = Refusal::not_run(
+/// `NOT_READY` refuses requests until the node has a current configuration.
+pub(crate) const NOT_READY: Refusal = Refusal::not_run(
     "no-config",
     "the node has no current configuration yet; send the request again",
 );
--- a/crates/shallothill-node/src/node/mod.rs
+++ b/crates/shallothill-node/src/node/mod.rs
@@ -103,6 +103,7 @@
         let peers = PeerServer {
             node: self.settings.node.clone(),
             gate: Arc::clone(&self.gate),
+            entry: Arc::clone(&self.entry),
             store: Arc::clone(&self.store),
             counters: Arc::clone(&self.counters),
         };
--- a/crates/shallothill-node/src/peer/server.rs
+++ b/crates/shallothill-node/src/peer/server.rs
@@ -15,6 +15,7 @@
 use crate::body::Body;
 use crate::config::Store;
 use crate::counters::Counters;
+use crate::entry::{Entry, NOT_READY};
 use crate::gate::Gate;
 use crate::listener::Answer;
 use crate::peer;
@@ -33,6 +34,8 @@
     pub node: NodeName,
     /// The gate.
     pub gate: Arc<Gate>,
+    /// The entry, which knows whether the node serves yet.
+    pub entry: Arc<Entry>,
     /// The configuration.
     pub store: Arc<Store>,
     /// Counters for metrics.
@@ -44,6 +47,9 @@
         if !req.headers().contains_key(headers::ENDPOINT) {
             return self.config(req).await;
         }
+        if !self.entry.serving() {
+            return peer::write_reply(NOT_READY.reply(), self.store.version());
+        }
         let route = |name: &RouteName| {
             let snapshot = self.store.load();
             snapshot
