--- a/crates/shallothill-node/tests/changes.rs
+++ b/crates/shallothill-node/tests/changes.rs
@@ -8,10 +8,8 @@
 use futures::future;
 use hyper::Method;
 use serde_json::json;
-use shallothill_core::ids::{KeeperId, RouteName, ServiceName};
-use shallothill_core::incarnation::Incarnation;
+use shallothill_core::ids::{RouteName, ServiceName};
 use shallothill_core::version::ConfigVersion;
-use shallothill_directory::{Change, Contact, Cursor, Delta, NodeReport};
 use shallothill_node::settings::Bounds;
 use shallothill_runtime::admin::AdminHandler;
 use shallothill_testing::behaviour::Behaviour;
@@ -34,36 +32,6 @@
         .unwrap();
 }
 
-/// Lets the directory of `entry` lead to `to` for the gate n2.
-fn move_gate(entry: &cluster::RunningNode, to: &cluster::RunningNode) {
-    let nodes = entry.node.view().nodes();
-    let (known, _) = nodes
-        .into_iter()
-        .find(|(r, _)| r.node.as_str() == "n2")
-        .unwrap();
-    let report = NodeReport {
-        peer_address: to.node.addresses().peer,
-        sequence: u64::MAX,
-        ..known
-    };
-    let via = KeeperId(1);
-    let cursor = Cursor {
-        keeper: via,
-        incarnation: Incarnation(1),
-        change: 0,
-    };
-    let contact = Contact::Heard;
-    entry.node.view().apply(Delta {
-        full: false,
-        changes: vec![Change::Present {
-            report,
-            via,
-            contact,
-        }],
-        cursor,
-    });
-}
-
 /// Guards against a configuration that is reverted by a keeper that is behind.
 #[tokio::test]
 async fn holds_configuration_is_never_reverted() {
@@ -92,7 +60,7 @@
     newer.shared.set_config(7, with_route("/new"));
     let ahead = cluster::RunningNode::start("n2", &newer.addresses, Bounds::default()).await;
     wait_version(&ahead, 7).await;
-    move_gate(&old.entry, &ahead);
+    cluster::move_gate(&old.entry, ahead.node.addresses().peer);
 
     let reply = get(&Client::default(), old.entry.caller(), "/stock", "a").await;
     wait_version(&old.entry, 7).await;
@@ -124,7 +92,7 @@
     (0..3).for_each(|i| gone.kill(i));
     let starting = cluster::RunningNode::start("n2", &gone.addresses, Bounds::default()).await;
     let standin = cluster::standin(&starting, "e1", Behaviour::default()).await;
-    move_gate(&pair.entry, &starting);
+    cluster::move_gate(&pair.entry, starting.node.addresses().peer);
 
     let reply = get(&Client::default(), pair.entry.caller(), "/stock", "a").await;
 
--- a/crates/shallothill-node/tests/support/cluster.rs
+++ b/crates/shallothill-node/tests/support/cluster.rs
@@ -10,7 +10,11 @@
 use serde_json::json;
 use shallothill_core::class::Class;
 use shallothill_core::config::{Caller, Config, Disposition, Floor, Route, Service};
-use shallothill_core::ids::{CallerName, DataCentre, NodeName, Region, RouteName, ServiceName};
+use shallothill_core::ids::{
+    CallerName, DataCentre, KeeperId, NodeName, Region, RouteName, ServiceName,
+};
+use shallothill_core::incarnation::Incarnation;
+use shallothill_directory::{Change, Contact, Cursor, Delta, NodeReport};
 use shallothill_node::node::Node;
 use shallothill_node::settings::{Bounds, KeeperAddress, Settings};
 use shallothill_runtime::settings::Common;
@@ -209,3 +213,33 @@
     };
     Standin::start(options).await.unwrap()
 }
+
+/// Lets the directory of `entry` lead to `to` for the gate n2.
+pub fn move_gate(entry: &RunningNode, peer_address: SocketAddr) {
+    let nodes = entry.node.view().nodes();
+    let (known, _) = nodes
+        .into_iter()
+        .find(|(r, _)| r.node.as_str() == "n2")
+        .unwrap();
+    let report = NodeReport {
+        peer_address,
+        sequence: u64::MAX,
+        ..known
+    };
+    let via = KeeperId(1);
+    let cursor = Cursor {
+        keeper: via,
+        incarnation: Incarnation(1),
+        change: 0,
+    };
+    let contact = Contact::Heard;
+    entry.node.view().apply(Delta {
+        full: false,
+        changes: vec![Change::Present {
+            report,
+            via,
+            contact,
+        }],
+        cursor,
+    });
+}
