keeper: fetch higher versions from nodes too, and go on above versions in force

Cause: a keeper that is behind could fetch only from other keepers; after the loss of all data folders a new group would have used versions that nodes refuse because they act on higher ones.

--- a/crates/shallothill-keeper/src/config_state/change.rs
+++ b/crates/shallothill-keeper/src/config_state/change.rs
@@ -15,6 +15,9 @@
     pub operator: String,
     /// The version that the patch applies to.
     pub base: ConfigVersion,
+    /// The highest version that nodes act on, as the proposing keeper knows it; the new version is
+    /// above it. It exceeds the log's version only where all data folders were lost.
+    pub in_force: ConfigVersion,
     /// Hash of the whole new text, to tell a resend from another text under the same id.
     pub text_hash: ContentHash,
     /// When it was proposed, by the proposing keeper's wall clock.
--- a/crates/shallothill-keeper/src/config_state/state.rs
+++ b/crates/shallothill-keeper/src/config_state/state.rs
@@ -100,24 +100,17 @@
 
     /// `text_at` returns the text of `version` while the way back to it is kept.
     pub fn text_at(&self, version: ConfigVersion) -> Option<String> {
-        let mut text = self.text.as_ref().to_owned();
         if version == ConfigVersion(0) {
             return Some(String::new());
         }
-        if version > self.version {
-            return None;
-        }
+        let mut text = self.text.as_ref().to_owned();
         for accepted in self.history.iter().rev() {
-            if accepted.item.version <= version {
-                break;
+            if accepted.item.version == version {
+                return Some(text);
             }
             text = accepted.undo.as_ref()?.apply(&text).ok()?;
         }
-        let oldest = self
-            .history
-            .front()
-            .map_or(self.version, |a| a.item.version);
-        (version >= oldest).then_some(text)
+        None
     }
 
     /// `history` returns up to `limit` accepted changes, newest first.
@@ -156,7 +149,7 @@
     }
 
     fn accept(&mut self, change: &Change, text: String) -> Outcome {
-        self.version = self.version.next();
+        self.version = self.version.max(change.in_force).next();
         let undo = TextPatch::make(&text, &self.text);
         self.undo_bytes += undo.middle.len();
         self.history.push_back(Accepted {
--- a/crates/shallothill-keeper/src/control.rs
+++ b/crates/shallothill-keeper/src/control.rs
@@ -66,7 +66,8 @@
 
 impl KeeperControl for ControlServer {
     async fn report(self, _: Context, req: ReportRequest) -> ReportReply {
-        self.0.learn_version(req.config_version);
+        self.0
+            .learn_from_node(req.config_version, req.report.peer_address);
         let summaries = self.0.with_membership(|now, m| m.report(now, req));
         ReportReply {
             config_version: self.0.published.load().version(),
--- a/crates/shallothill-keeper/src/keeper.rs
+++ b/crates/shallothill-keeper/src/keeper.rs
@@ -1,6 +1,7 @@
 //! The state that the parts of a keeper share.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -27,6 +28,9 @@
 /// `HEARD_FOR` is how long another keeper counts as heard after its last answer.
 pub const HEARD_FOR: Duration = Duration::from_secs(6);
 
+/// `VERSION_MAX` is far above any version that is ever reached; a higher one comes from a fault.
+const VERSION_MAX: ConfigVersion = ConfigVersion(1 << 48);
+
 /// `START_MIN` covers the time between two reports of a node, 2 s, with a failed one.
 const START_MIN: Duration = Duration::from_secs(5);
 
@@ -73,6 +77,7 @@
     pub peers: BTreeMap<KeeperId, Peer>,
     news: watch::Sender<()>,
     highest: watch::Sender<ConfigVersion>,
+    ahead: Mutex<Option<(ConfigVersion, SocketAddr)>>,
 }
 
 impl Keeper {
@@ -106,6 +111,7 @@
             published: ArcSwap::from_pointee(Published::default()),
             news: watch::Sender::new(()),
             highest: watch::Sender::new(ConfigVersion(0)),
+            ahead: Mutex::new(None),
             settings,
             timer,
             incarnation,
@@ -118,6 +124,9 @@
 
     /// `learn_version` notes a version that a node or another keeper acts on.
     pub fn learn_version(&self, version: ConfigVersion) {
+        if version > VERSION_MAX {
+            return;
+        }
         self.highest.send_if_modified(|highest| {
             let news = version > *highest;
             *highest = version.max(*highest);
@@ -125,6 +134,27 @@
         });
     }
 
+    /// `learn_from_node` notes the version of a node, and its address if it is ahead of all others.
+    pub fn learn_from_node(&self, version: ConfigVersion, address: SocketAddr) {
+        if version > self.published.load().version() && version <= VERSION_MAX {
+            let mut ahead = lock(&self.ahead);
+            if ahead.is_none_or(|(known, _)| version >= known) {
+                *ahead = Some((version, address));
+            }
+        }
+        self.learn_version(version);
+    }
+
+    /// `node_ahead` returns the address of a node that acts on a higher version than the one that
+    /// is served.
+    pub fn node_ahead(&self) -> Option<SocketAddr> {
+        let served = self.published.load().version();
+        let ahead = *lock(&self.ahead);
+        ahead
+            .filter(|(version, _)| *version > served)
+            .map(|(_, address)| address)
+    }
+
     /// `highest` returns a receiver of the highest version heard of.
     pub fn highest(&self) -> watch::Receiver<ConfigVersion> {
         self.highest.subscribe()
--- a/crates/shallothill-keeper/src/lib.rs
+++ b/crates/shallothill-keeper/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod data;
 pub mod errors;
 pub mod fatal;
+pub mod fetch;
 pub mod housekeeping;
 pub mod keeper;
 pub mod key_status;
--- a/crates/shallothill-keeper/src/log/driver.rs
+++ b/crates/shallothill-keeper/src/log/driver.rs
@@ -90,6 +90,7 @@
     reads: BTreeMap<ReadToken, ReadAnswer>,
     next_read: u64,
     formed: bool,
+    fatal: Fatal,
 }
 
 impl Driver {
@@ -110,7 +111,7 @@
             restore(&parts.state, &parts.sections, snapshot)?;
         }
         let replica = Replica::try_new(options, parts.durable, parts.timer.now())?;
-        let (work, done) = parts.disk.start(parts.fatal);
+        let (work, done) = parts.disk.start(parts.fatal.clone());
         let driver = Self {
             me: parts.me,
             timer: parts.timer,
@@ -131,6 +132,7 @@
             reads: BTreeMap::new(),
             next_read: 0,
             formed: false,
+            fatal: parts.fatal,
         };
         driver.show_status();
         Ok(driver)
@@ -189,7 +191,8 @@
             Action::Apply { entry, .. } => self.apply(&entry),
             Action::InstallSnapshot(snapshot) => {
                 if let Err(e) = restore(&self.state, &self.sections, &snapshot) {
-                    error!("config: a snapshot of another keeper cannot be used: {e}");
+                    self.fatal
+                        .report(format!("config: {e}; run the same release on all keepers"));
                     return None;
                 }
                 self.applied.send_replace(());
--- a/crates/shallothill-keeper/src/submit.rs
+++ b/crates/shallothill-keeper/src/submit.rs
@@ -24,6 +24,10 @@
 /// `FORWARD_TIMEOUT` bounds the time that the primary may take for a forwarded submission.
 const FORWARD_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// `COMMIT_TIMEOUT` bounds the time in which the log answers; a change that is committed later
+/// keeps its id.
+const COMMIT_TIMEOUT: Duration = Duration::from_secs(8);
+
 /// `submit` checks the text, puts it into the log and returns what became of it.
 ///
 /// A keeper that is not the primary passes the submission on, once.
@@ -41,9 +45,15 @@
         Ok(Err(faults)) => return SubmitReply::Invalid { faults },
         Err(_) => return unavailable("the text could not be checked"),
     }
-    match at_primary(keeper, &req).await {
+    let answer = tokio::select! {
+        answer = at_primary(keeper, &req) => answer,
+        _ = keeper.timer.after(COMMIT_TIMEOUT) => {
+            Err(Refusal::Unavailable("no quorum of keepers answered in time".to_owned()))
+        }
+    };
+    match answer {
         Ok(reply) => reply,
-        Err(Refusal::Unavailable(reason)) => SubmitReply::Unavailable { reason },
+        Err(Refusal::Unavailable(reason)) => unavailable(&reason),
         Err(Refusal::NotPrimary(_)) if !forward => {
             unavailable("the primary of the config log is changing")
         }
@@ -63,6 +73,8 @@
     // Only the current state tells a resend, or a base that is out of date, from a new change.
     keeper.log.read().await?;
     let text_hash = ContentHash::of(req.text.as_bytes());
+    // Read before the state: nodes act on a version only after the log has applied it.
+    let in_force = *keeper.highest().borrow();
     let change = {
         let state = lock(&keeper.state);
         if let Some(outcome) = state.answer(&req.change_id, text_hash) {
@@ -78,6 +90,7 @@
             change_id: req.change_id.clone(),
             operator: req.operator.clone(),
             base: req.base,
+            in_force,
             text_hash,
             proposed: clock::now(),
             patch: TextPatch::make(&state.text(), &req.text),
--- a/crates/shallothill-keeper/tests/common/mod.rs
+++ b/crates/shallothill-keeper/tests/common/mod.rs
@@ -40,6 +40,16 @@
     task: JoinHandle<errors::Result<()>>,
 }
 
+impl Running {
+    /// Waits until the keeper has ended by itself.
+    pub async fn ended(self) -> errors::Result<()> {
+        tokio::time::timeout(DEADLINE, self.task)
+            .await
+            .unwrap()
+            .unwrap()
+    }
+}
+
 pub struct Group {
     pub settings: Vec<Settings>,
     pub running: Vec<Option<Running>>,
--- a/crates/shallothill-keeper/tests/restart.rs
+++ b/crates/shallothill-keeper/tests/restart.rs
@@ -11,7 +11,10 @@
 use shallothill_core::ids::NodeName;
 use shallothill_core::version::ConfigVersion;
 use shallothill_keeper::clock;
-use shallothill_ledger::{Answer, Claim, ClaimId, ClaimReply, ClaimRequest, MemberStatus, Refusal};
+use shallothill_ledger::{
+    Answer, Claim, ClaimId, ClaimReply, ClaimRequest, CompleteRequest, Completion, MemberStatus,
+    Refusal,
+};
 use shallothill_testing::process::Process;
 use shallothill_wire::channel::RpcChannel;
 use shallothill_wire::control::KeeperControlClient;
@@ -183,3 +186,76 @@
     })
     .await;
 }
+
+/// A keeper without a quorum must still serve the highest version that another keeper has, or its
+/// nodes would stay behind while most keepers are down.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn holds_a_configuration_spreads_without_a_quorum() {
+    let mut group = Group::start(5).await;
+    group.stop_one(4).await;
+    let text = common::text(2, 0);
+    group.submit_until_answered(0, 0, "c0", &text).await;
+    let version = ConfigVersion(1);
+    let first = group.keeper(0).clone();
+    common::wait("version 1", || first.published.load().version() == version).await;
+    for i in [1, 2, 3] {
+        group.stop_one(i).await;
+    }
+
+    group.start_one(4, false).await;
+
+    let last = group.keeper(4);
+    common::wait("version 1", || last.published.load().version() == version).await;
+    assert_eq!(**last.published.load().config(), common::config(&text));
+    assert_eq!(last.log.status().primary, None);
+}
+
+/// After the loss of all data folders, a new group must not reuse versions that nodes act on.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn new_group_goes_on_above_the_nodes_version() {
+    let group = Group::start(1).await;
+    let control = group.control(0);
+    let report = common::report("n1", 41);
+    let call = control.call(common::DEADLINE, |c, cx| async move {
+        c.report(cx, report).await
+    });
+    call.await.unwrap();
+
+    let reply = group.submit(0, 0, "c0", &common::text(2, 0)).await;
+
+    let version = ConfigVersion(42);
+    assert_eq!(reply, SubmitReply::Accepted { version });
+}
+
+/// A keeper whose disk fails must end instead of answering what is not durable.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn failed_disk_ends_the_process() {
+    let mut group = Group::start(1).await;
+    let control = group.control(0);
+    // The next file of the ledger's log, after 8 MB, cannot be created any more.
+    fs::remove_dir_all(&group.settings[0].data_dir).unwrap();
+    for n in 0..1_000 {
+        let req = request(n);
+        let complete = CompleteRequest {
+            key: IdempotencyKey::try_parse(&format!("{}{n:03}", &req.key.to_string()[..33]))
+                .unwrap(),
+            claim: req.claim,
+            completion: Completion::Answered {
+                status: 200,
+                headers: Vec::new(),
+                body: Some(vec![200; 16 * 1024]),
+            },
+        };
+        let call = control.call(common::DEADLINE, |c, cx| async move {
+            c.complete(cx, complete).await
+        });
+        if !matches!(call.await, Ok(true)) {
+            break;
+        }
+    }
+
+    let ended = group.running[0].take().unwrap().ended().await;
+
+    let message = ended.unwrap_err().to_string();
+    assert!(message.starts_with("ledger:"), "{message}");
+}
