keeper: wait for the end of the quorum in the test without one

Change: the test waits until the primary has stepped down, and checks that the log of the keeper that fetched holds nothing.

--- a/crates/shallothill-keeper/tests/restart.rs
+++ b/crates/shallothill-keeper/tests/restart.rs
@@ -201,13 +201,18 @@
     for i in [1, 2, 3] {
         group.stop_one(i).await;
     }
+    common::wait("the end of the quorum", || {
+        first.log.status().primary.is_none()
+    })
+    .await;
 
     group.start_one(4, false).await;
 
     let last = group.keeper(4);
     common::wait("version 1", || last.published.load().version() == version).await;
     assert_eq!(**last.published.load().config(), common::config(&text));
-    assert_eq!(last.log.status().primary, None);
+    let logged = last.state.lock().unwrap().version();
+    assert_eq!(logged, ConfigVersion(0));
 }
 
 /// After the loss of all data folders, a new group must not reuse versions that nodes act on.
