--- a/crates/shallothill-keeper/src/process.rs
+++ b/crates/shallothill-keeper/src/process.rs
@@ -15,6 +15,7 @@
 use shallothill_wire::control::KeeperControl;
 use shallothill_wire::{answer_calls, transport};
 use snafu::ResultExt;
+use tarpc::server::Channel;
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
 use tokio_util::sync::CancellationToken;
@@ -38,6 +39,10 @@
 /// `MESSAGES_MAX` bounds the messages of other keepers that wait for the config log.
 const MESSAGES_MAX: usize = 1024;
 
+/// `CALLS_MAX` bounds the calls of one connection that are answered at a time; more are refused
+/// and sent again by their caller. A node has a few long polls and a call for each claim under way.
+const CALLS_MAX: usize = 1024;
+
 /// `STOP_WITHIN` bounds the time that a graceful stop takes.
 const STOP_WITHIN: Duration = Duration::from_secs(5);
 
@@ -168,14 +173,22 @@
         tasks.spawn(transport::serve(
             listeners.control,
             stop(),
-            move |channel| answer_calls!(channel, server.clone().serve()),
+            move |channel| {
+                answer_calls!(
+                    channel.max_concurrent_requests(CALLS_MAX),
+                    server.clone().serve()
+                )
+            },
         ));
         let server = PeerServer {
             keeper: keeper(),
             messages,
         };
         tasks.spawn(transport::serve(listeners.peer, stop(), move |channel| {
-            answer_calls!(channel, server.clone().serve())
+            answer_calls!(
+                channel.max_concurrent_requests(CALLS_MAX),
+                server.clone().serve()
+            )
         }));
         let operators = Arc::new(Operators(keeper()));
         tasks.spawn(admin::serve(listeners.admin, operators, stop()));
--- a/crates/shallothill-keeper/tests/operators.rs
+++ b/crates/shallothill-keeper/tests/operators.rs
@@ -5,9 +5,15 @@
 use bytes::Bytes;
 use common::Group;
 use hyper::{Method, StatusCode};
+use shallothill_core::hash::ContentHash;
+use shallothill_core::idempotency::IdempotencyKey;
+use shallothill_core::ids::NodeName;
+use shallothill_core::time::UnixMillis;
 use shallothill_core::version::ConfigVersion;
+use shallothill_keeper::clock;
+use shallothill_ledger::{Claim, ClaimId, ClaimRequest, CompleteRequest, Completion};
 use shallothill_testing::http::Client;
-use shallothill_wire::operator::{HistoryReply, ShowReply, SubmitReply};
+use shallothill_wire::operator::{HistoryReply, KeyReply, ShowReply, SubmitReply};
 
 /// Submissions, their texts and their history must be visible at every keeper, also at one that is
 /// not the primary.
@@ -174,3 +180,55 @@
     assert_eq!((centre.nodes, centre.in_force), (3, 2));
     assert_eq!(centre.behind[0].as_str(), "n3");
 }
+
+/// An operator must see whether the request of a key may have run, before a clerk books again.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn ledger_key_is_shown() {
+    let group = Group::start(1).await;
+    let key = |n: u32| {
+        let ms = clock::now().0 - 60_000;
+        format!("{:08x}-{:04x}-7000-8000-{n:012x}", ms >> 16, ms & 0xffff)
+    };
+    let (claimed, free) = (key(1), key(2));
+    let req = ClaimRequest {
+        key: IdempotencyKey::try_parse(&claimed).unwrap(),
+        claim: Claim {
+            id: ClaimId(0, 1),
+            body_hash: ContentHash(1, 1),
+            gate: NodeName::try_new("n1").unwrap(),
+            expires: UnixMillis(u64::MAX),
+        },
+    };
+    let complete = CompleteRequest {
+        key: req.key.clone(),
+        claim: req.claim.clone(),
+        completion: Completion::Answered {
+            status: 201,
+            headers: Vec::new(),
+            body: None,
+        },
+    };
+    let control = group.control(0);
+    let shown = |key: String| {
+        let group = &group;
+        async move { group.get::<KeyReply>(0, &format!("/ledger/{key}")).await }
+    };
+
+    assert_eq!(shown(free.clone()).await.state, "free");
+    let call = control.call(
+        common::DEADLINE,
+        |c, cx| async move { c.claim(cx, req).await },
+    );
+    call.await.unwrap();
+    let running = shown(claimed.clone()).await;
+    let call = control.call(common::DEADLINE, |c, cx| async move {
+        c.complete(cx, complete).await
+    });
+    assert!(call.await.unwrap());
+    let done = shown(claimed).await;
+
+    assert_eq!(running.state, "in progress");
+    assert_eq!(running.gate.unwrap().as_str(), "n1");
+    assert_eq!((done.state.as_str(), done.status), ("completed", Some(201)));
+    assert_eq!(shown(free).await.state, "free");
+}
