testing: show gray failure, planned stop and a poison request in the demo

Cause: the demo showed only kills, and its direct calls were made at another time than the load, so that p99 added came out negative once.

--- a/crates/shallothill-testing/src/bin/demo/deployment.rs
+++ b/crates/shallothill-testing/src/bin/demo/deployment.rs
@@ -25,6 +25,8 @@
     /// Time of the work of a request in milliseconds.
     pub(crate) latency_ms: u64,
     pub(crate) kinds: Vec<Kind>,
+    /// A path whose requests crash every backend server that runs them, and who sends it.
+    pub(crate) poison: Kind,
     /// A change of the text: what to replace by what.
     pub(crate) change: (&'static str, &'static str),
 }
@@ -79,6 +81,7 @@
                     "/internal/rulings/1",
                 ),
             ],
+            poison: get("poison", "editors-houston", "/rulings/poison"),
             change: ("max_attempts: 3", "max_attempts: 4"),
         }
     }
@@ -112,6 +115,7 @@
                     "/internal/warranties/3",
                 ),
             ],
+            poison: get("poison", "shop-konya-1", "/inventory/stock/poison"),
             change: ("max_attempts: 3", "max_attempts: 2"),
         }
     }
--- a/crates/shallothill-testing/src/bin/demo/fleet.rs
+++ b/crates/shallothill-testing/src/bin/demo/fleet.rs
@@ -94,6 +94,12 @@
         Ok(requests)
     }
 
+    /// `crashed` counts the stand-ins that ended by themselves.
+    pub(crate) fn crashed(&mut self) -> usize {
+        let standins = self.hosts.iter_mut().filter_map(|h| h.standin.as_mut());
+        standins.filter_map(|s| s.has_ended().then_some(())).count()
+    }
+
     /// `end` stops every process as planned and returns how many ended with code 0, of how many.
     ///
     /// Backend servers drain first, then nodes and then keepers end.
@@ -113,6 +119,9 @@
             .iter_mut()
             .filter_map(|k| k.process.take())
             .collect();
+        let mut standins: Vec<Process> = standins;
+        // Those that the demo crashed cannot end as planned.
+        standins.retain_mut(|s| !s.has_ended());
         let (mut good, mut all) = (0, 0);
         let groups: [Vec<Process>; 3] = [standins, nodes, keepers];
         for group in groups {
@@ -200,7 +209,7 @@
         command.args(["--announce", &place.announce_address.to_string()]);
         command.args(["--service", service, "--endpoint", "e1"]);
         command.args(["--slots", &self.deployment.slots.to_string()]);
-        let behaviour = json!({"latency_ms": self.deployment.latency_ms});
+        let behaviour = json!({"latency_ms": self.deployment.latency_ms, "crash_mark": "poison"});
         command.args(["--behaviour", &behaviour.to_string()]);
         command.arg("--record").arg(&record_file);
         let log = self.paths.work.join(format!("{}-standin.log", place.node));
--- a/crates/shallothill-testing/src/bin/demo/load.rs
+++ b/crates/shallothill-testing/src/bin/demo/load.rs
@@ -165,6 +165,9 @@
         let mut send = Send {
             outcome: outcome.unwrap_or(Outcome::Unknown),
             status: reply.as_ref().map(|r| r.status.as_u16()),
+            reason: reply
+                .as_ref()
+                .and_then(|r| r.header(headers::REASON).map(String::from)),
             wrong_answer: false,
             took,
             id,
--- a/crates/shallothill-testing/src/bin/demo/main.rs
+++ b/crates/shallothill-testing/src/bin/demo/main.rs
@@ -1,6 +1,7 @@
 //! The demo: both example deployments as processes on this machine, with faults on the way.
 
 mod deployment;
+mod faults;
 mod fleet;
 mod load;
 mod operator;
--- a/crates/shallothill-testing/src/bin/demo/summary.rs
+++ b/crates/shallothill-testing/src/bin/demo/summary.rs
@@ -35,6 +35,13 @@
             added(&tally.quiet, direct, 50),
             added(&tally.quiet, direct, 99),
         );
+        if !tally.reasons.is_empty() {
+            let reasons = tally.reasons.iter().map(|(why, n)| format!("{n} {why}"));
+            println!(
+                "  without success: {}",
+                reasons.collect::<Vec<_>>().join(", ")
+            );
+        }
         if tally.refused_but_ran + tally.wrong_answer > 0 {
             println!(
                 "  WRONG: {} refused sends ran, {} sends got another request's answer",
--- a/crates/shallothill-testing/src/request.rs
+++ b/crates/shallothill-testing/src/request.rs
@@ -13,6 +13,8 @@
     pub outcome: Outcome,
     /// The status, if there was a complete answer.
     pub status: Option<u16>,
+    /// The node's reason for a refusal or a failure, if it gave one.
+    pub reason: Option<String>,
     /// Whether the answer belongs to another request.
     pub wrong_answer: bool,
     /// Time until the answer was complete.
--- a/crates/shallothill-testing/src/tally.rs
+++ b/crates/shallothill-testing/src/tally.rs
@@ -28,6 +28,8 @@
     pub refused_but_ran: usize,
     /// Sends that got the answer of another request.
     pub wrong_answer: usize,
+    /// Sends without success by the node's reason.
+    pub reasons: BTreeMap<String, usize>,
     /// Times of answered first sends before the first fault, sorted.
     pub quiet: Vec<Duration>,
 }
@@ -65,6 +67,13 @@
             let refused = send.outcome == Outcome::RefusedNotRun;
             tally.refused_but_ran += usize::from(refused && ran(&send.id));
             tally.wrong_answer += usize::from(send.wrong_answer);
+            if !send.succeeded() {
+                let reason = send
+                    .reason
+                    .clone()
+                    .unwrap_or_else(|| format!("{}", send.outcome));
+                *tally.reasons.entry(reason).or_default() += 1;
+            }
         }
         if request.answered() {
             let any_ran = runs.map_or(request.sends.iter().any(|s| ran(&s.id)), |n| n > 0);
--- a/crates/shallothill-testing/tests/tally.rs
+++ b/crates/shallothill-testing/tests/tally.rs
@@ -12,6 +12,7 @@
         id: id.to_owned(),
         outcome,
         status: (outcome == Outcome::Answered).then_some(200),
+        reason: None,
         wrong_answer: false,
         took: Duration::from_millis(1),
     }
