cli: ask the next keeper after one second of silence

Cause: with a primary that was stopped but not killed, a submission took 10.0 s, because two keepers in turn were waited for 5 s each. Ruled out: a shorter limit for a call, which a large first text may need. Change: after 1 s without an answer the next keeper is asked as well; the first accepted answer wins. The change id makes that safe. Conclusion: a silent keeper costs one second.

--- a/crates/shallothill-cli/src/client.rs
+++ b/crates/shallothill-cli/src/client.rs
@@ -14,6 +14,7 @@
 use serde::de::DeserializeOwned;
 use shallothill_runtime::admin;
 use tokio::net::TcpStream;
+use tokio::task::JoinSet;
 use tokio::time;
 use tokio::time::Instant;
 
@@ -26,6 +27,10 @@
 /// `CALL_TIMEOUT` bounds one call; a commit over slow links takes well below this.
 const CALL_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// `NEXT_AFTER` is the silence after which the next keeper is asked as well. A keeper that passes a
+/// submission on to a hanging primary is silent for seconds, although another could accept it.
+const NEXT_AFTER: Duration = Duration::from_secs(1);
+
 /// `ROUND_PAUSE` is the pause after every keeper has been tried, about an election's length.
 const ROUND_PAUSE: Duration = Duration::from_millis(500);
 
@@ -84,7 +89,10 @@
     /// `ask` returns the first answer of any keeper.
     ///
     /// Fails with `OutOfReach` when none answers in time.
-    pub(crate) async fn ask<T: DeserializeOwned>(&self, call: &Call) -> errors::Result<T> {
+    pub(crate) async fn ask<T>(&self, call: &Call) -> errors::Result<T>
+    where
+        T: DeserializeOwned + Send + 'static,
+    {
         let answer = self.ask_until(call, |answer: T| Ok(answer)).await;
         answer.map_err(|causes| errors::Error::OutOfReach {
             seconds: self.timeout.as_secs(),
@@ -94,32 +102,66 @@
 
     /// `ask_until` repeats the call at one keeper after the other until `accept` takes an answer
     /// or the time is over. It returns what happened in the last round otherwise; the call may
-    /// then have been carried out.
-    pub(crate) async fn ask_until<T: DeserializeOwned, R>(
+    /// then have been carried out. Several keepers may carry out the call at the same time.
+    pub(crate) async fn ask_until<T, R>(
         &self,
         call: &Call,
         accept: impl Fn(T) -> Result<R, String>,
-    ) -> Result<R, Vec<String>> {
+    ) -> Result<R, Vec<String>>
+    where
+        T: DeserializeOwned + Send + 'static,
+    {
         let end = Instant::now() + self.timeout;
         loop {
-            let mut causes = Vec::new();
-            for address in &self.addresses {
+            let causes = match self.round(call, &accept, end).await {
+                Ok(result) => return Ok(result),
+                Err(causes) => causes,
+            };
+            if Instant::now() + ROUND_PAUSE >= end {
+                return Err(causes);
+            }
+            time::sleep(ROUND_PAUSE).await;
+        }
+    }
+
+    /// `round` asks each keeper once; the first accepted answer wins and ends the other calls.
+    async fn round<T, R>(
+        &self,
+        call: &Call,
+        accept: &impl Fn(T) -> Result<R, String>,
+        end: Instant,
+    ) -> Result<R, Vec<String>>
+    where
+        T: DeserializeOwned + Send + 'static,
+    {
+        let mut causes = Vec::new();
+        let mut waiting = self.addresses.iter().copied();
+        let mut calls = JoinSet::new();
+        loop {
+            if let Some(address) = waiting.next() {
                 let limit = end
                     .saturating_duration_since(Instant::now())
                     .min(CALL_TIMEOUT);
-                let cause = match call_keeper(*address, call, limit).await {
-                    Ok(answer) => match accept(answer) {
-                        Ok(result) => return Ok(result),
-                        Err(reason) => format!("{address}: {reason}"),
-                    },
-                    Err(e) => e.to_string(),
-                };
-                causes.push(cause);
-            }
-            if Instant::now() + ROUND_PAUSE >= end {
+                let call = call.clone();
+                calls.spawn(async move { (address, call_keeper(address, &call, limit).await) });
+            } else if calls.is_empty() {
                 return Err(causes);
             }
-            time::sleep(ROUND_PAUSE).await;
+            let silence = match waiting.len() {
+                0 => CALL_TIMEOUT,
+                _ => NEXT_AFTER,
+            };
+            let Ok(Some(Ok((address, answer)))) = time::timeout(silence, calls.join_next()).await
+            else {
+                continue;
+            };
+            causes.push(match answer {
+                Ok(answer) => match accept(answer) {
+                    Ok(result) => return Ok(result),
+                    Err(reason) => format!("{address}: {reason}"),
+                },
+                Err(e) => e.to_string(),
+            });
         }
     }
 }
--- a/crates/shallothill-cli/tests/cli.rs
+++ b/crates/shallothill-cli/tests/cli.rs
@@ -176,6 +176,19 @@
     assert!(request.await.unwrap().contains(&requests[0].change_id));
 }
 
+/// Guards against a keeper that accepts connections and hangs, and so blocks the command.
+#[tokio::test]
+async fn silent_keepers_do_not_block_the_command() {
+    let silent = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let silent_address = silent.local_addr().unwrap();
+    let (seen, address, _stop) = keeper(vec![accepted()]).await;
+    // The time given is shorter than the limit of one call, so waiting for it would fail.
+    let more = ["--base", "4", "--timeout", "4"];
+    let output = submit(&text(5), &[silent_address, address], &more).await;
+    assert_eq!(output.status.code(), Some(0), "{}", out(&output));
+    assert_eq!(seen.seen.lock().unwrap().len(), 1);
+}
+
 /// Guards against a conflict that gives the operator no way on.
 #[tokio::test]
 async fn conflict_prints_the_difference() {
