--- a/crates/shallothill-replica/src/leading.rs
+++ b/crates/shallothill-replica/src/leading.rs
@@ -16,6 +16,19 @@
     pub(crate) round: u64,
 }
 
+/// `Change` is a change of members that waits until enough of the new members answer.
+#[derive(Clone, Debug)]
+pub(crate) struct Change {
+    pub(crate) id: RequestId,
+    pub(crate) added: Option<KeeperId>,
+    pub(crate) members: Vec<KeeperId>,
+    /// How far the added member's log has to reach.
+    pub(crate) target: Op,
+    /// The round that a majority of the new members has to answer.
+    pub(crate) round: u64,
+    pub(crate) until: Millis,
+}
+
 /// `Leading` is what a replica keeps while it is the primary.
 #[derive(Debug)]
 pub(crate) struct Leading {
@@ -33,6 +46,7 @@
     pub(crate) next_beat: Millis,
     pub(crate) waiting: BTreeMap<Op, RequestId>,
     pub(crate) reads: VecDeque<PendingRead>,
+    pub(crate) change: Option<Change>,
 }
 
 impl Leading {
@@ -47,6 +61,7 @@
             next_beat: now,
             waiting: BTreeMap::new(),
             reads: VecDeque::new(),
+            change: None,
         }
     }
 
