--- a/crates/shallothill-directory/src/directory.rs
+++ b/crates/shallothill-directory/src/directory.rs
@@ -17,7 +17,9 @@
 /// `Directory` holds the latest report of every node, heard directly or through other keepers.
 ///
 /// Reports are ordered by (incarnation, sequence). A removed node leaves a tombstone, so that late
-/// or repeated reports never bring a departed backend server back.
+/// or repeated reports never bring a departed backend server back. A node that was only silent
+/// may return with the sequence number that it had, because the number rises only with changes;
+/// a node that said that it leaves may not.
 #[derive(Clone, Debug)]
 pub struct Directory {
     pub(crate) me: KeeperId,
@@ -28,6 +30,7 @@
     by_change: BTreeMap<u64, NodeName>,
     keepers_heard: BTreeMap<KeeperId, Millis>,
     change: u64,
+    forgotten: u64,
 }
 
 impl Directory {
@@ -42,6 +45,7 @@
             by_change: BTreeMap::new(),
             keepers_heard: BTreeMap::new(),
             change: 0,
+            forgotten: 0,
         }
     }
 
@@ -120,10 +124,11 @@
     }
 
     /// `delta` returns the changes after `cursor`, or the whole directory when the cursor belongs
-    /// to another keeper or an earlier life of this one.
+    /// to another keeper or an earlier life of this one, or lies before a forgotten removal.
     pub fn delta(&self, cursor: Option<Cursor>) -> Delta {
         let after = cursor
             .filter(|c| c.keeper == self.me && c.incarnation == self.incarnation)
+            .filter(|c| c.change >= self.forgotten)
             .map(|c| c.change);
         let changes = self
             .by_change
@@ -293,10 +298,12 @@
     fn drop_old_tombstones(&mut self, now: Millis) {
         let keep_for = self.options.tombstone_for;
         let by_change = &mut self.by_change;
+        let forgotten = &mut self.forgotten;
         self.tombstones.retain(|_, t| {
             let keep = now.saturating_since(t.since) < keep_for;
             if !keep {
                 by_change.remove(&t.change);
+                *forgotten = t.change.max(*forgotten);
             }
             keep
         });
--- a/crates/shallothill-directory/tests/leases.rs
+++ b/crates/shallothill-directory/tests/lease_member.rs
@@ -1,6 +1,7 @@
 //! Ejection leases at one keeper.
 
 use shallothill_core::ids::{EndpointId, EndpointName, KeeperId, NodeName, Region, ServiceName};
+use shallothill_core::incarnation::Incarnation;
 use shallothill_core::time::Millis;
 use shallothill_directory::{LeaseAnswer, LeaseHolder, LeaseMember, LeaseOptions};
 
@@ -16,7 +17,13 @@
 
 fn holder(node: &str) -> LeaseHolder {
     let region = Region::try_new("ege").unwrap();
-    let mut holder = LeaseHolder::new(endpoint(node), region, &[KEEPER], LeaseOptions::default());
+    let mut holder = LeaseHolder::new(
+        endpoint(node),
+        region,
+        &[KEEPER],
+        Incarnation(1),
+        LeaseOptions::default(),
+    );
     holder.want();
     holder
 }
--- a/crates/shallothill-node/src/gate/endpoint.rs
+++ b/crates/shallothill-node/src/gate/endpoint.rs
@@ -10,10 +10,11 @@
 use shallothill_core::health::ServingState;
 use shallothill_core::ids::EndpointId;
 use shallothill_core::time::Millis;
+use shallothill_directory::ReleaseRequest;
 use shallothill_policy::admit;
 use shallothill_policy::admit::{Admission, GateOptions, GateRequest, Start, Ticket};
-use shallothill_policy::detect::{DetectOptions, Detector, Evidence};
-use shallothill_policy::eject::Ejector;
+use shallothill_policy::detect::{DetectOptions, Evidence};
+use shallothill_policy::eject::EndpointHealth;
 use shallothill_policy::pick::ReportedLoad;
 use shallothill_runtime::timer::Timer;
 use tokio::sync::oneshot;
@@ -28,8 +29,11 @@
 #[derive(Debug)]
 pub(crate) struct Inner {
     pub(crate) gate: admit::Gate,
-    pub(crate) detector: Detector,
-    pub(crate) ejector: Ejector,
+    pub(crate) health: EndpointHealth,
+    /// Tokens to give back at the keepers; the watchdog sends them.
+    pub(crate) releases: Vec<ReleaseRequest>,
+    /// When a summary was last asked for.
+    pub(crate) summary_asked: Millis,
     pub(crate) up: bool,
     pub(crate) announced_until: Millis,
     pub(crate) announced_slots: u16,
@@ -43,8 +47,7 @@
     pub(crate) id: EndpointId,
     pub(crate) crash: u64,
     pub(crate) gate: admit::Gate,
-    pub(crate) detector: Detector,
-    pub(crate) ejector: Ejector,
+    pub(crate) health: EndpointHealth,
     pub(crate) announced_until: Millis,
     pub(crate) announced_slots: u16,
 }
@@ -70,8 +73,9 @@
             timer,
             inner: Mutex::new(Inner {
                 gate: life.gate,
-                detector: life.detector,
-                ejector: life.ejector,
+                health: life.health,
+                releases: Vec::new(),
+                summary_asked: Millis(0),
                 up: true,
                 announced_until: life.announced_until,
                 announced_slots: life.announced_slots,
@@ -123,7 +127,7 @@
     pub(crate) fn set_options(&self, gate: GateOptions, detect: DetectOptions) {
         let mut inner = self.lock();
         inner.gate.set_options(gate);
-        inner.detector.set_options(detect);
+        inner.health.detector().set_options(detect);
         inner.pump(self.now());
     }
 
@@ -198,34 +202,39 @@
         let now = self.now();
         let mut inner = self.lock();
         inner.running.insert(ticket, fingerprint);
-        inner.detector.started(now, ticket);
+        inner.health.started(now, ticket);
     }
 
-    /// `observe` feeds the evidence of a started request to the detector.
+    /// `observe` takes the evidence of a started request.
     pub(crate) fn observe(&self, ticket: Ticket, evidence: Evidence) {
         let now = self.now();
-        self.lock().detector.finished(now, ticket, evidence);
+        let mut inner = self.lock();
+        let release = inner.health.finished(now, ticket, evidence);
+        inner.releases.extend(release);
+        inner.refresh(now);
+    }
+
+    /// `broke_off` takes the evidence of an answer that broke off after its headers.
+    pub(crate) fn broke_off(&self, ticket: Ticket) {
+        self.lock().health.started(self.now(), ticket);
+        self.observe(ticket, Evidence::Reset);
     }
 
-    /// `finish` frees the slot of `ticket`; `served` is the latency of a successful answer, and
-    /// `counts` tells whether the end says anything about the backend server.
-    pub(crate) fn finish(&self, ticket: Ticket, served: Option<Duration>, counts: bool) {
+    /// `finish` frees the slot of `ticket`; `served` is the latency of a successful answer.
+    pub(crate) fn finish(&self, ticket: Ticket, served: Option<Duration>) {
         let now = self.now();
         let mut inner = self.lock();
         inner.running.remove(&ticket);
         inner.gate.finish(ticket, served);
-        if counts && inner.ejector.on_trial(now, served.is_some()) {
-            inner.detector.clear();
-        }
         inner.pump(now);
     }
 }
 
 impl Inner {
-    /// `refresh` lets the gate act on the ejector's state.
+    /// `refresh` lets the gate act on the health.
     pub(crate) fn refresh(&mut self, now: Millis) {
-        let state = self.ejector.state(now);
-        let trials = self.ejector.trial_slots(now);
+        let state = self.health.state(now);
+        let trials = self.health.trial_slots(now);
         self.gate.set_state(state, trials);
         self.pump(now);
     }
--- a/crates/shallothill-node/src/gate/slot.rs
+++ b/crates/shallothill-node/src/gate/slot.rs
@@ -19,7 +19,6 @@
     started: Option<Instant>,
     observed: bool,
     served: Option<Duration>,
-    counts: bool,
 }
 
 impl Slot {
@@ -30,7 +29,6 @@
             started: None,
             observed: false,
             served: None,
-            counts: false,
         }
     }
 
@@ -59,15 +57,17 @@
         if matches!(evidence, Evidence::Served(_)) {
             self.served = Some(latency);
         }
-        self.counts = evidence != Evidence::Shed;
         self.observe(evidence);
     }
 
     /// `broken` notes that the connection broke before the answer was complete.
     pub(crate) fn broken(&mut self) {
         self.served = None;
-        self.counts = true;
-        self.observe(Evidence::Reset);
+        if self.observed {
+            self.endpoint.broke_off(self.ticket);
+        } else {
+            self.observe(Evidence::Reset);
+        }
     }
 
     fn observe(&mut self, evidence: Evidence) {
@@ -81,7 +81,7 @@
 impl Drop for Slot {
     fn drop(&mut self) {
         self.observe(Evidence::Abandoned);
-        self.endpoint.finish(self.ticket, self.served, self.counts);
+        self.endpoint.finish(self.ticket, self.served);
     }
 }
 
--- a/crates/shallothill-policy/src/admit/options.rs
+++ b/crates/shallothill-policy/src/admit/options.rs
@@ -31,8 +31,8 @@
             connections: 300,
             expected_latency: Duration::from_millis(40),
             cold_start_requests: 50,
-            // A tenth keeps invoices moving and costs callers at most a tenth of the capacity.
-            internal_every: 10,
+            // A twentieth keeps invoices moving and costs callers little of the capacity.
+            internal_every: 20,
             internal_queue_part: 8,
         }
     }
@@ -51,10 +51,9 @@
         }
     }
 
-    /// `internal_queue` returns the places of the queue that service requests cannot take away.
+    /// `internal_queue` returns the places of the queue that callers' requests never take.
     pub fn internal_queue(&self) -> u16 {
-        (self.queue / self.internal_queue_part.max(1))
-            .max(1)
-            .min(self.queue)
+        let part = self.queue / self.internal_queue_part.max(1);
+        part.max(1).min(self.queue / 2)
     }
 }
--- a/crates/shallothill-policy/src/detect/mod.rs
+++ b/crates/shallothill-policy/src/detect/mod.rs
@@ -3,7 +3,11 @@
 mod detector;
 mod evidence;
 mod options;
+mod reference;
+mod score;
+mod suspicion;
 mod verdict;
+mod window;
 
 pub use detector::Detector;
 pub use evidence::Evidence;
