--- a/crates/shallothill-node/src/gate/mod.rs
+++ b/crates/shallothill-node/src/gate/mod.rs
@@ -87,6 +87,11 @@
         }
     }
 
+    /// `parts` returns what the gate was built from.
+    pub(crate) fn parts(&self) -> &GateParts {
+        &self.parts
+    }
+
     /// `endpoints` returns the announced backend servers.
     pub fn endpoints(&self) -> Arc<Endpoints> {
         self.endpoints.load_full()
--- a/crates/shallothill-node/src/node/build.rs
+++ b/crates/shallothill-node/src/node/build.rs
@@ -58,29 +58,17 @@
             node: settings.node.clone(),
             region: settings.region.clone(),
             incarnation,
-            bounds: bounds.clone(),
+            bounds,
             timer: timer.clone(),
             store: Arc::clone(&store),
             keepers: Arc::clone(&keepers),
             crashes: Arc::clone(&crashes),
             ledger,
             changed: Arc::clone(&changed),
-            buffers: buffers.clone(),
-            tasks: background.clone(),
-        }));
-        let entry = Arc::new(Entry::new(EntryParts {
-            node: settings.node.clone(),
             buffers,
-            bounds,
-            timer: timer.clone(),
-            store: Arc::clone(&store),
-            view: Arc::clone(&view),
-            links: Arc::clone(&links),
-            gate: Arc::clone(&gate),
-            crashes: Arc::clone(&crashes),
-            limits: CallerLimits::new(&LimitOptions::default()),
-            counters: Arc::clone(&counters),
+            tasks: background.clone(),
         }));
+        let entry = Arc::new(new_entry(&gate, &view, &links, &counters));
         Self {
             settings,
             incarnation,
@@ -104,6 +92,28 @@
     }
 }
 
+fn new_entry(
+    gate: &Arc<Gate>,
+    view: &Arc<View>,
+    links: &Arc<Links>,
+    counters: &Arc<Counters>,
+) -> Entry {
+    let parts = gate.parts();
+    Entry::new(EntryParts {
+        node: parts.node.clone(),
+        buffers: parts.buffers.clone(),
+        bounds: parts.bounds.clone(),
+        timer: parts.timer.clone(),
+        store: Arc::clone(&parts.store),
+        view: Arc::clone(view),
+        links: Arc::clone(links),
+        gate: Arc::clone(gate),
+        crashes: Arc::clone(&parts.crashes),
+        limits: CallerLimits::new(&LimitOptions::default()),
+        counters: Arc::clone(counters),
+    })
+}
+
 fn incarnation_now() -> Incarnation {
     let since = SystemTime::now().duration_since(UNIX_EPOCH);
     Incarnation(since.map_or(0, |d| u64::try_from(d.as_millis()).unwrap_or(u64::MAX)))
--- a/crates/shallothill-node/src/peer/link.rs
+++ b/crates/shallothill-node/src/peer/link.rs
@@ -1,5 +1,6 @@
 //! The connection to one peer.
 
+use std::fmt;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::{Mutex, PoisonError};
@@ -80,20 +81,19 @@
 
     /// `send` sends a request and waits for the headers of the response.
     pub async fn send(&self, req: Request<Body>) -> Result<Response<Incoming>, LinkError> {
-        let not_sent = |e: &dyn std::error::Error| LinkError::NotSent(e.to_string());
         let mut sender = match self.current() {
             Some(sender) => sender,
-            None => self.connect().await.map_err(|e| not_sent(&e))?,
+            None => self.connect().await.map_err(not_sent)?,
         };
         if let Err(e) = sender.ready().await {
             self.forget();
-            return Err(not_sent(&e));
+            return Err(not_sent(e));
         }
         sender.try_send_request(req).await.map_err(|mut e| {
             let given_back = e.take_message().is_some();
             let e = e.into_error();
             if given_back {
-                not_sent(&e)
+                not_sent(e)
             } else {
                 LinkError::Failed(e)
             }
@@ -145,3 +145,7 @@
         Ok(sender)
     }
 }
+
+fn not_sent(e: impl fmt::Display) -> LinkError {
+    LinkError::NotSent(e.to_string())
+}
