--- a/crates/shallothill-keeper/src/submit.rs
+++ b/crates/shallothill-keeper/src/submit.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use shallothill_config::TextPatch;
-use shallothill_core::config::{Config, Fault};
+use shallothill_core::config::Fault;
 use shallothill_core::hash::ContentHash;
 use shallothill_wire::operator::{SubmitReply, SubmitRequest};
 use tokio::task;
@@ -24,26 +24,33 @@
 /// `FORWARD_TIMEOUT` bounds the time that the primary may take for a forwarded submission.
 const FORWARD_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// `COMMIT_TIMEOUT` bounds the time in which the log answers; a change that is committed later
+/// keeps its id.
+const COMMIT_TIMEOUT: Duration = Duration::from_secs(8);
+
 /// `submit` checks the text, puts it into the log and returns what became of it.
 ///
-/// A keeper that is not the primary passes the submission on, once.
+/// A keeper that is not the primary passes the submission on, once: `forward` is false for what
+/// another keeper passed on.
 pub async fn submit(keeper: &Arc<Keeper>, req: SubmitRequest, forward: bool) -> SubmitReply {
     if let Some(fault) = limits(&req) {
         return SubmitReply::Invalid {
             faults: vec![fault],
         };
     }
-    let text = req.text.clone();
-    let checked =
-        task::spawn_blocking(move || shallothill_config::read(&text).map(|_: Config| ())).await;
-    match checked {
-        Ok(Ok(())) => {}
-        Ok(Err(faults)) => return SubmitReply::Invalid { faults },
-        Err(_) => return unavailable("the text could not be checked"),
+    // The keeper that passes a submission on has checked its text.
+    if forward && let Err(reply) = check(keeper, &req).await {
+        return reply;
     }
-    match at_primary(keeper, &req).await {
+    let answer = tokio::select! {
+        answer = at_primary(keeper, &req) => answer,
+        _ = keeper.timer.after(COMMIT_TIMEOUT) => {
+            Err(Refusal::Unavailable("no quorum of keepers answered in time".to_owned()))
+        }
+    };
+    match answer {
         Ok(reply) => reply,
-        Err(Refusal::Unavailable(reason)) => SubmitReply::Unavailable { reason },
+        Err(Refusal::Unavailable(reason)) => unavailable(&reason),
         Err(Refusal::NotPrimary(_)) if !forward => {
             unavailable("the primary of the config log is changing")
         }
@@ -59,10 +66,28 @@
     }
 }
 
+async fn check(keeper: &Keeper, req: &SubmitRequest) -> Result<(), SubmitReply> {
+    let text = req.text.clone();
+    let checked = task::spawn_blocking(move || {
+        let config = shallothill_config::read(&text)?;
+        Ok((ContentHash::of(text.as_bytes()), Arc::new(config)))
+    });
+    match checked.await {
+        Ok(Ok(checked)) => {
+            *lock(&keeper.checked) = Some(checked);
+            Ok(())
+        }
+        Ok(Err(faults)) => Err(SubmitReply::Invalid { faults }),
+        Err(_) => Err(unavailable("the text could not be checked")),
+    }
+}
+
 async fn at_primary(keeper: &Keeper, req: &SubmitRequest) -> Result<SubmitReply, Refusal> {
     // Only the current state tells a resend, or a base that is out of date, from a new change.
     keeper.log.read().await?;
     let text_hash = ContentHash::of(req.text.as_bytes());
+    // Read before the state: nodes act on a version only after the log has applied it.
+    let in_force = *keeper.highest().borrow();
     let change = {
         let state = lock(&keeper.state);
         if let Some(outcome) = state.answer(&req.change_id, text_hash) {
@@ -78,6 +103,7 @@
             change_id: req.change_id.clone(),
             operator: req.operator.clone(),
             base: req.base,
+            in_force,
             text_hash,
             proposed: clock::now(),
             patch: TextPatch::make(&state.text(), &req.text),
--- a/crates/shallothill-node/tests/changes.rs
+++ b/crates/shallothill-node/tests/changes.rs
@@ -60,25 +60,7 @@
     newer.shared.set_config(7, with_route("/new"));
     let ahead = cluster::RunningNode::start("n2", &newer.addresses, Bounds::default()).await;
     wait_version(&ahead, 7).await;
-    // The gate n2 of the directory moves to the node that has the newer version.
-    let report = shallothill_directory::NodeReport {
-        peer_address: ahead.node.addresses().peer,
-        sequence: u64::MAX,
-        ..old.entry.node.view().nodes()[1].0.clone()
-    };
-    old.entry.node.view().apply(shallothill_directory::Delta {
-        full: false,
-        changes: vec![shallothill_directory::Change::Present {
-            report,
-            via: shallothill_core::ids::KeeperId(1),
-            contact: shallothill_directory::Contact::Heard,
-        }],
-        cursor: shallothill_directory::Cursor {
-            keeper: shallothill_core::ids::KeeperId(1),
-            incarnation: shallothill_core::incarnation::Incarnation(1),
-            change: 0,
-        },
-    });
+    cluster::move_gate(&old.entry, ahead.node.addresses().peer);
 
     let reply = get(&Client::default(), old.entry.caller(), "/stock", "a").await;
     wait_version(&old.entry, 7).await;
@@ -102,6 +84,22 @@
     assert!(reply.header("retry-after").is_some());
 }
 
+/// Guards against a gate that runs requests before it has a configuration.
+#[tokio::test]
+async fn gate_refuses_until_it_has_a_configuration() {
+    let pair = cluster::pair(cluster::config(), Behaviour::default()).await;
+    let mut gone = Keepers::start(cluster::REGION, cluster::config()).await;
+    (0..3).for_each(|i| gone.kill(i));
+    let starting = cluster::RunningNode::start("n2", &gone.addresses, Bounds::default()).await;
+    let standin = cluster::standin(&starting, "e1", Behaviour::default()).await;
+    cluster::move_gate(&pair.entry, starting.node.addresses().peer);
+
+    let reply = get(&Client::default(), pair.entry.caller(), "/stock", "a").await;
+
+    assert_eq!((reply.status.as_u16(), reason(&reply)), (503, "no-config"));
+    assert!(standin.record().is_empty());
+}
+
 /// Guards against new work for a backend server that is leaving, and against cutting its requests
 /// off.
 #[tokio::test]
