keeper: refuse an entry that does not follow the log

Cause: only debug builds checked that an appended entry gets its own position on disk. Change: the process ends with a message instead.

--- a/crates/shallothill-keeper/src/log/disk.rs
+++ b/crates/shallothill-keeper/src/log/disk.rs
@@ -99,7 +99,7 @@
         &mut self,
         rx: &mpsc::Receiver<Work>,
         done: &async_mpsc::UnboundedSender<Done>,
-    ) -> shallothill_storage::Result<()> {
+    ) -> errors::Result<()> {
         while let Ok(first) = rx.recv() {
             let mut sync = None;
             let mut next = Some(first);
@@ -125,10 +125,17 @@
         &mut self,
         work: Work,
         done: &async_mpsc::UnboundedSender<Done>,
-    ) -> shallothill_storage::Result<()> {
+    ) -> errors::Result<()> {
         match work {
             Work::Append(first, entries) => {
-                debug_assert_eq!(self.log.last().next(), Position(first.0));
+                let next = self.log.last().next();
+                if next != Position(first.0) {
+                    let message = format!(
+                        "an entry for position {first} cannot follow the log, whose next position \
+                         is {next}; report this fault"
+                    );
+                    return errors::FatalSnafu { message }.fail();
+                }
                 for entry in &entries {
                     self.log.append(&encode(entry))?;
                 }
