config: draw 2,000 cases for each property, and combine faults

Cause: a fixed seed draws one case, so four seeds tried four texts only, and the completeness of the faults had one hand-written example. Change: 2,000 fixed seeds for mutations and patches; 500 for texts of eight services with any combination of seven kinds of faults. Conclusion: no fault hides another of these kinds.

--- a/crates/shallothill-config/tests/properties.rs
+++ b/crates/shallothill-config/tests/properties.rs
@@ -3,7 +3,10 @@
 use arbtest::arbitrary::{Result, Unstructured};
 use shallothill_config::{TextPatch, read};
 
-const SEEDS: [u64; 4] = [0x1_0000_1000, 0x2_0000_1000, 0x3_0000_1000, 0x4_0000_1000];
+/// `seeds` lists fixed seeds; each call draws one case, whose size is in the lower half.
+fn seeds() -> impl Iterator<Item = u64> {
+    (1..=2_000).map(|n| n << 32 | 0x400)
+}
 
 const TEXT: &str = "regions: [a, b]
 services: {s: {slots: 1, connections: 1, floor: 1, disposition: quick, expected_latency: 1ms}}
@@ -43,7 +46,7 @@
 /// Guards against a text that ends the keeper instead of being refused.
 #[test]
 fn mutated_texts_cause_no_panic() {
-    for seed in SEEDS {
+    for seed in seeds() {
         arbtest::arbtest(|u| {
             let text = mutated(u, TEXT)?;
             if let Err(faults) = read(&text) {
@@ -58,7 +61,7 @@
 /// Guards against a log entry that restores another text than was submitted.
 #[test]
 fn patches_restore_the_new_text() {
-    for seed in SEEDS {
+    for seed in seeds() {
         arbtest::arbtest(|u| {
             let old = mutated(u, TEXT)?;
             let new = mutated(u, &old)?;
@@ -87,3 +90,47 @@
     assert!(patch.apply("ab").is_err());
     assert!(patch.apply("aéüéüéü").is_err());
 }
+
+/// Guards against a combination of faults in which one hides another.
+#[test]
+fn any_combination_of_faults_is_found() {
+    let services = |slots: u16| {
+        (0..slots).map(|n| {
+            let text = format!(
+                "  s{n}: {{slots: 1, connections: 1, floor: 1, disposition: quick, \
+                 expected_latency: 1ms}}\n"
+            );
+            (format!("services.s{n}"), text)
+        })
+    };
+    const FAULTS: [(&str, &str, &str); 7] = [
+        ("slots: 1", "slots: 0", "slots"),
+        ("slots: 1", "slots: x", "slots"),
+        ("floor: 1", "floor: {c: 1}", "floor.c"),
+        ("quick", "1.5", "disposition"),
+        ("1ms", "1h", "expected_latency"),
+        ("floor", "max_attempts: 11, floor", "max_attempts"),
+        ("floor", "depends_on: [none], floor", "depends_on"),
+    ];
+    for seed in seeds().take(500) {
+        arbtest::arbtest(|u| {
+            let mut document = String::from("regions: [a, b]\nservices:\n");
+            let mut expected = Vec::new();
+            for (path, text) in services(8) {
+                // A service has one fault at most, so that each fault has its own field.
+                match FAULTS.get(u.int_in_range(0..=FAULTS.len())?) {
+                    Some((old, new, field)) => {
+                        document.push_str(&text.replacen(old, new, 1));
+                        expected.push(format!("{path}.{field}"));
+                    }
+                    None => document.push_str(&text),
+                }
+            }
+            let found = read(&document).err().unwrap_or_default();
+            let fields: Vec<String> = found.into_iter().map(|f| f.field).collect();
+            assert_eq!(fields, expected, "{document}");
+            Ok(())
+        })
+        .seed(seed);
+    }
+}
