bench: control traffic, log cost and memory at the size to design for

Ruled out: a run with 1,700 nodes, which this bench is not; the messages themselves are built at 10, 33 and 100% of the size and encoded.

--- a/crates/shallothill-bench/src/args.rs
+++ b/crates/shallothill-bench/src/args.rs
@@ -27,6 +27,13 @@
                 .help("Print JSON instead of tables")
                 .action(ArgAction::SetTrue),
         )
+        .arg(
+            Arg::new("config-text")
+                .long("config-text")
+                .help("Print a configuration text at PERCENT of the size to design for, and exit")
+                .value_name("PERCENT")
+                .value_parser(value_parser!(usize)),
+        )
         .arg(
             Arg::new("seed")
                 .long("seed")
--- a/crates/shallothill-bench/src/main.rs
+++ b/crates/shallothill-bench/src/main.rs
@@ -4,9 +4,13 @@
 
 use shallothill_bench::args;
 use shallothill_bench::report::Report;
+use shallothill_bench::scenarios;
 
 fn main() -> ExitCode {
     let matches = args::command().get_matches();
+    if let Some(percent) = matches.get_one::<usize>("config-text") {
+        return print_config(*percent);
+    }
     let seed = matches.get_one("seed").copied().unwrap_or(1);
     let mut report = Report::default();
     for scenario in args::selected(&matches) {
@@ -32,3 +36,16 @@
     }
     ExitCode::SUCCESS
 }
+
+fn print_config(percent: usize) -> ExitCode {
+    match scenarios::config_text(percent) {
+        Ok(text) => {
+            print!("{text}");
+            ExitCode::SUCCESS
+        }
+        Err(e) => {
+            eprintln!("bench: no configuration at {percent}%: {e}");
+            ExitCode::from(2)
+        }
+    }
+}
--- a/crates/shallothill-bench/src/scenarios/mod.rs
+++ b/crates/shallothill-bench/src/scenarios/mod.rs
@@ -1,12 +1,16 @@
 //! The scenarios, each with its tables and bounds.
 
+mod control;
 mod cost;
 mod crashes;
 mod detection;
 mod drain;
 mod floor;
+mod log;
+mod memory;
 mod overload;
 mod regions;
+mod scale;
 
 use crate::report::Report;
 
@@ -23,7 +27,12 @@
 }
 
 /// `ALL` lists the scenarios in the order in which they run.
-pub const ALL: [Scenario; 7] = [
+pub const ALL: [Scenario; 10] = [
+    // First, because memory that other scenarios have freed would be used again and not be counted.
+    Scenario {
+        name: "memory",
+        run: memory::run,
+    },
     Scenario {
         name: "overload",
         run: overload::run,
@@ -52,4 +61,20 @@
         name: "cost",
         run: cost::run,
     },
+    Scenario {
+        name: "control",
+        run: control::run,
+    },
+    Scenario {
+        name: "log",
+        run: log::run,
+    },
 ];
+
+/// `config_text` writes a configuration at `percent` of the size to design for.
+///
+/// Fails when a generated name is not valid.
+pub fn config_text(percent: usize) -> Result<String> {
+    let cfg = scale::Scale { percent }.config()?;
+    Ok(scale::text(&cfg))
+}
--- /dev/null
+++ b/crates/shallothill-bench/src/scenarios/scale.rs
@@ -0,0 +1,214 @@
+//! Configurations and directories at a share of the size to design for.
+
+use std::collections::BTreeMap;
+use std::fmt::Write;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use shallothill_core::class::Class;
+use shallothill_core::config::{Caller, Config, Disposition, Floor, Route, Service};
+use shallothill_core::health::ServingState;
+use shallothill_core::ids::{
+    CallerName, DataCentre, EndpointName, NodeName, Region, RouteName, ServiceName, Zone,
+};
+use shallothill_core::incarnation::Incarnation;
+use shallothill_directory::{EndpointStatus, NodeReport};
+
+use crate::scenarios::Result;
+
+/// `SHARES` are the measured shares of the full size, in percent.
+pub(super) const SHARES: [usize; 3] = [10, 33, 100];
+
+const NODES: usize = 1700;
+const ENDPOINTS: usize = 24_000;
+const SERVICES: usize = 1100;
+const ROUTES: usize = 7500;
+const CALLERS: usize = 61_000;
+const REGIONS: usize = 3;
+const DATA_CENTRES: usize = 9;
+
+/// `Scale` is a share of the size to design for.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Scale {
+    pub(super) percent: usize,
+}
+
+impl Scale {
+    pub(super) fn nodes(self) -> usize {
+        NODES * self.percent / 100
+    }
+
+    pub(super) fn endpoints(self) -> usize {
+        ENDPOINTS * self.percent / 100
+    }
+
+    pub(super) fn services(self) -> usize {
+        SERVICES * self.percent / 100
+    }
+
+    pub(super) fn routes(self) -> usize {
+        ROUTES * self.percent / 100
+    }
+
+    pub(super) fn callers(self) -> usize {
+        CALLERS * self.percent / 100
+    }
+
+    /// `config` builds the configuration.
+    pub(super) fn config(self) -> Result<Config> {
+        let mut cfg = Config {
+            regions: (0..REGIONS).map(region).collect::<Result<_>>()?,
+            ..Config::default()
+        };
+        for n in 0..self.services() {
+            cfg.services.insert(service(n)?, service_of());
+        }
+        for n in 0..self.routes() {
+            let name = RouteName::try_new(&format!("route-{n}"))?;
+            cfg.routes.insert(name, route_of(n, self.services())?);
+        }
+        for n in 0..self.callers() {
+            let name = CallerName::try_new(&format!("caller-{n}"))?;
+            cfg.callers.insert(name, caller_of());
+        }
+        Ok(cfg)
+    }
+
+    /// `report` builds the report of node `n`.
+    pub(super) fn report(self, n: usize) -> Result<NodeReport> {
+        let per_node = ENDPOINTS.div_ceil(NODES);
+        let endpoint = |i: usize| {
+            Ok(EndpointStatus {
+                service: service((n * per_node + i) % self.services())?,
+                name: EndpointName::try_new(&format!("e{i}"))?,
+                slots: 7,
+                state: ServingState::Ready,
+            })
+        };
+        let dc = n % DATA_CENTRES;
+        let host = [127, 0, (n / 250) as u8, (n % 250) as u8];
+        Ok(NodeReport {
+            node: NodeName::try_new(&format!("node-{n}"))?,
+            zone: Zone {
+                region: region(dc % REGIONS)?,
+                data_centre: DataCentre::try_new(&format!("data-centre-{dc}"))?,
+            },
+            peer_address: SocketAddr::from((host, 8081)),
+            incarnation: Incarnation(1_796_000_000_000),
+            sequence: 12,
+            endpoints: (0..per_node).map(endpoint).collect::<Result<_>>()?,
+        })
+    }
+}
+
+/// `text` writes a configuration as operators write it.
+pub(super) fn text(cfg: &Config) -> String {
+    let mut text = String::new();
+    let regions: Vec<&str> = cfg.regions.iter().map(Region::as_str).collect();
+    // Writing to a `String` cannot fail.
+    let _ = writeln!(text, "regions: [{}]\nservices:", regions.join(", "));
+    for (name, s) in &cfg.services {
+        let _ = writeln!(
+            text,
+            "  {name}:\n    slots: {}\n    connections: {}\n    floor: {}\n    queue: {}\n    \
+             disposition: cautious\n    expected_latency: 40ms",
+            s.slots,
+            s.connections,
+            s.floor.total(),
+            s.queue
+        );
+    }
+    text.push_str("routes:\n");
+    for (name, r) in &cfg.routes {
+        let _ = writeln!(
+            text,
+            "  {name}:\n    service: {}\n    methods: [GET]\n    path: {}\n    idempotent: true\n    \
+             class: shop\n    deadline: 10s",
+            r.service, r.path
+        );
+    }
+    text.push_str("callers:\n");
+    for (name, c) in &cfg.callers {
+        let _ = writeln!(
+            text,
+            "  {name}: {{class: {}, requests_per_s: {}}}",
+            c.class,
+            c.requests_per_s.unwrap_or_default()
+        );
+    }
+    text
+}
+
+pub(super) fn service(n: usize) -> Result<ServiceName> {
+    ServiceName::try_new(&format!("service-{n}"))
+}
+
+fn region(n: usize) -> Result<Region> {
+    Region::try_new(&format!("region-{n}"))
+}
+
+fn service_of() -> Service {
+    Service {
+        depends_on: Vec::new(),
+        slots: 7,
+        connections: 350,
+        queue: 14,
+        floor: Floor::Total(6),
+        disposition: Disposition::CAUTIOUS,
+        expected_latency: Duration::from_millis(40),
+        cold_start_requests: 50,
+        retry_budget_percent: 10,
+        max_attempts: 3,
+        hedge_after: None,
+        cross_region_bytes_per_s: None,
+    }
+}
+
+fn route_of(n: usize, services: usize) -> Result<Route> {
+    Ok(Route {
+        service: service(n % services)?,
+        methods: vec!["GET".to_owned()],
+        path: format!("/service-{}/items-{n}", n % services),
+        idempotent: true,
+        class: Class::Shop,
+        deadline: Duration::from_secs(10),
+        max_body_bytes: 65_536,
+    })
+}
+
+fn caller_of() -> Caller {
+    Caller {
+        class: Class::Shop,
+        requests_per_s: Some(50),
+        concurrent: None,
+    }
+}
+
+/// `changed` returns the three usual changes: one caller, one route, one service.
+pub(super) fn changed(cfg: &Config) -> Vec<(&'static str, Config)> {
+    let mut callers = cfg.clone();
+    if let Some(c) = callers.callers.values_mut().next() {
+        c.requests_per_s = Some(60);
+    }
+    let mut routes = cfg.clone();
+    if let Some(r) = routes.routes.values_mut().next() {
+        r.path.push_str("-moved");
+    }
+    let mut services = cfg.clone();
+    if let Some(s) = services.services.values_mut().next() {
+        s.floor = Floor::Total(7);
+    }
+    vec![
+        ("caller", callers),
+        ("route", routes),
+        ("service", services),
+    ]
+}
+
+/// `by_id` returns the sections of a configuration by their ids.
+pub(super) fn by_id(
+    cfg: &Config,
+) -> BTreeMap<shallothill_core::sections::SectionId, shallothill_core::sections::Section> {
+    let sections = shallothill_core::sections::split(cfg);
+    sections.into_iter().map(|s| (s.id(), s)).collect()
+}
