node: leave no keeper while its configuration is on the way

Cause: in a trial at full size (24,000 endpoints, 61,000 callers, 7,500 routes) the probe of other keepers broke the first fetch off after 2.2 s, again and again, and no configuration came into force.

Ruled out: a longer time before the move alone, because a slow link can take longer than any fixed time.

Change: the node moves only when the version is above what the followed keeper itself has told. The first watch and calls for sections have 8 s.

--- a/crates/shallothill-node/src/control/config_fetch.rs
+++ b/crates/shallothill-node/src/control/config_fetch.rs
@@ -30,7 +30,7 @@
 const SECTIONS_AT_ONCE: usize = 64;
 
 /// `TIMEOUT` bounds one call.
-const TIMEOUT: Duration = Duration::from_secs(3);
+const TIMEOUT: Duration = Duration::from_secs(8);
 
 /// `PEERS_ASKED` bounds the peers that are asked in one round.
 const PEERS_ASKED: usize = 3;
--- a/crates/shallothill-node/src/control/probe.rs
+++ b/crates/shallothill-node/src/control/probe.rs
@@ -1,7 +1,7 @@
 //! Notices that the followed keeper is behind the others.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::time::Duration;
 
 use futures::stream::{FuturesUnordered, StreamExt};
@@ -28,13 +28,35 @@
 const TIMEOUT: Duration = Duration::from_millis(700);
 
 /// `Move` tells the watch to follow another keeper.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Move {
     to: AtomicUsize,
+    told: AtomicU64,
     asked: Notify,
 }
 
+impl Default for Move {
+    fn default() -> Self {
+        Self {
+            to: AtomicUsize::new(0),
+            told: AtomicU64::new(u64::MAX),
+            asked: Notify::new(),
+        }
+    }
+}
+
 impl Move {
+    /// `told` records the version that the followed keeper has, or `None` until it answers. A
+    /// keeper that has the newest version is not left while its sections are still on the way.
+    pub fn told(&self, version: Option<ConfigVersion>) {
+        let version = version.map_or(u64::MAX, |v| v.0);
+        self.told.store(version, Ordering::Relaxed);
+    }
+
+    fn is_behind(&self, version: ConfigVersion) -> bool {
+        version.0 > self.told.load(Ordering::Relaxed)
+    }
+
     /// `wait` waits until another keeper is to be followed, and returns its place in the list.
     pub async fn wait(&self) -> usize {
         self.asked.notified().await;
@@ -76,7 +98,7 @@
             self.store.note(version);
             // The service ends only with the process.
             let _ = self.timer.after(GRACE).await;
-            if version > self.store.version() {
+            if version > self.store.version() && self.moves.is_behind(version) {
                 self.moves.to.store(place, Ordering::Relaxed);
                 self.moves.asked.notify_one();
             }
--- a/crates/shallothill-node/src/control/watch.rs
+++ b/crates/shallothill-node/src/control/watch.rs
@@ -23,6 +23,9 @@
 /// `TIMEOUT` bounds a watch; a keeper that is silent for longer is cut off or gone.
 const TIMEOUT: Duration = Duration::from_secs(3);
 
+/// `FIRST_TIMEOUT` bounds the first watch at a keeper, which brings the whole directory.
+const FIRST_TIMEOUT: Duration = Duration::from_secs(8);
+
 /// `FIRST_AGAIN` is the time after which a nearer keeper is tried again.
 const FIRST_AGAIN: Duration = Duration::from_secs(30);
 
@@ -105,16 +108,21 @@
 
     async fn watch(&self, keeper: &Arc<Keeper>, position: &mut Position) -> bool {
         let first = position.keeper != Some(keeper.id());
+        if first {
+            self.moves.told(None);
+        }
         let req = WatchRequest {
             node: self.node.clone(),
             config_version: self.store.version(),
             cursor: position.cursor.filter(|_| !first),
             wait_ms: if first { 0 } else { WAIT.as_millis() as u32 },
         };
-        let call = keeper
-            .channel()
-            .call(TIMEOUT, |c, cx| async move { c.watch(cx, req).await });
+        let call = keeper.channel().call(
+            if first { FIRST_TIMEOUT } else { TIMEOUT },
+            |c, cx| async move { c.watch(cx, req).await },
+        );
         let Ok(reply) = call.await else { return false };
+        self.moves.told(Some(reply.config_version));
         if first {
             info!("watch: following keeper {}", keeper.id());
         }
