--- a/crates/shallothill-bench/src/scenarios/memory.rs
+++ b/crates/shallothill-bench/src/scenarios/memory.rs
@@ -20,7 +20,7 @@
 const TARGET_MB: f64 = 64.0;
 
 /// Resident memory of this process in MB, or 0 where it cannot be read.
-fn resident_mb() -> f64 {
+pub(super) fn resident_mb() -> f64 {
     let statm = fs::read_to_string("/proc/self/statm").unwrap_or_default();
     let pages = statm.split_whitespace().nth(1).and_then(|n| n.parse().ok());
     pages.unwrap_or(0.0) * PAGE_BYTES / 1e6
--- a/crates/shallothill-bench/src/scenarios/mod.rs
+++ b/crates/shallothill-bench/src/scenarios/mod.rs
@@ -6,6 +6,7 @@
 mod detection;
 mod drain;
 mod floor;
+mod ledger;
 mod log;
 mod memory;
 mod overload;
@@ -27,12 +28,16 @@
 }
 
 /// `ALL` lists the scenarios in the order in which they run.
-pub const ALL: [Scenario; 10] = [
+pub const ALL: [Scenario; 11] = [
     // First, because memory that other scenarios have freed would be used again and not be counted.
     Scenario {
         name: "memory",
         run: memory::run,
     },
+    Scenario {
+        name: "ledger",
+        run: ledger::run,
+    },
     Scenario {
         name: "overload",
         run: overload::run,
