node: refuse a claim without a quorum before the deadline

Cause: a claim waited until min(deadline, claim timeout), and the refusal then waited up to 250 ms for the members to free the key. An entry node waits 100 ms beyond the deadline, so a claim that began less than about 1.15 s before the deadline ended as 504 unknown (peer-silent) although nothing had run. A 3 s request reaches this at its third attempt, after two refusals of 1.25 s each.

Ruled out: the connect timeout of the RPC channel (500 ms) and the timeout of background calls (2 s) lie inside the bounded waits of the claim and of the release. The queue and the body read end at the deadline with a refusal as not run, inside the grace of the entry node.

Change: a claim leaves half of the time left, at most 500 ms, before the deadline, and the wait for the members ends a quarter of that margin before it. The withdrawal itself goes on in the background as before.

A claim still holds its slot while it waits.

--- a/crates/shallothill-node/src/gate/ledger.rs
+++ b/crates/shallothill-node/src/gate/ledger.rs
@@ -40,6 +40,11 @@
 /// `RELEASE_WAIT` bounds the wait for the members to free a key.
 const RELEASE_WAIT: Duration = Duration::from_millis(250);
 
+/// `CLAIM_MARGIN` is the largest part of the time left that a claim leaves before the deadline. It
+/// covers [`RELEASE_WAIT`] and the way of the refusal back to the entry node, which reports a
+/// request without a reply as unknown.
+const CLAIM_MARGIN: Duration = Duration::from_millis(500);
+
 /// `PAUSE_MAX` bounds the pause between two repeats.
 const PAUSE_MAX: Duration = Duration::from_secs(60);
 
@@ -66,6 +71,8 @@
     ledger: Arc<Ledger>,
     group: Vec<Arc<Keeper>>,
     claimant: Claimant,
+    /// When a refusal must leave the gate to reach the entry node before the deadline.
+    refuse_by: Instant,
     dispatched: bool,
 }
 
@@ -76,12 +83,13 @@
     }
 
     /// `release` withdraws an unused claim and waits a moment until most members have freed the
-    /// key, so that another attempt does not find it taken.
+    /// key, so that another attempt does not find it taken. The wait ends early when the deadline
+    /// of the request is near.
     pub async fn release(mut self) {
         self.dispatched = true;
         let withdrawal = self.claimant.withdrawal();
         let mut freed = self.ledger.withdraw(&self.group, &withdrawal);
-        let until = Instant::now() + RELEASE_WAIT;
+        let until = self.refuse_by.min(Instant::now() + RELEASE_WAIT);
         for _ in 0..=self.group.len() / 2 {
             if !matches!(time::timeout_at(until, freed.recv()).await, Ok(Some(()))) {
                 return;
@@ -154,7 +162,8 @@
     }
 
     /// `claim` claims `key` for a request with the hash `body_hash`. The claim is withdrawn when
-    /// it is not granted or the returned future is dropped.
+    /// it is not granted or the returned future is dropped. A claim without an answer ends well
+    /// before `deadline`.
     pub async fn claim(
         self: &Arc<Self>,
         key: &IdempotencyKey,
@@ -166,7 +175,11 @@
         };
         let group = self.keepers.group(home);
         let ids: Vec<KeeperId> = group.iter().map(|k| k.id()).collect();
-        let left = deadline.saturating_duration_since(Instant::now()) + EXPIRY_MARGIN;
+        let now = Instant::now();
+        let left = deadline.saturating_duration_since(now);
+        // With less than twice the margin left, half of the time goes to the claim.
+        let margin = CLAIM_MARGIN.min(left / 2);
+        let lasting = left + EXPIRY_MARGIN;
         let (high, low) = {
             let mut rng = rand::rng();
             (rng.random(), rng.random())
@@ -175,15 +188,16 @@
             id: ClaimId(high, low),
             body_hash,
             gate: self.node.clone(),
-            expires: UnixMillis(unix_now().0 + u64::try_from(left.as_millis()).unwrap_or(0)),
+            expires: UnixMillis(unix_now().0 + u64::try_from(lasting.as_millis()).unwrap_or(0)),
         };
         let mut claimed = Claimed {
             ledger: Arc::clone(self),
             claimant: Claimant::new(key.clone(), claim, &ids),
             group,
+            refuse_by: now + (left - margin / 4),
             dispatched: false,
         };
-        let until = deadline.min(Instant::now() + self.timeout);
+        let until = now + self.timeout.min(left - margin);
         let verdict = self.ask(&mut claimed, until).await;
         if verdict == Verdict::Granted {
             return Ok(claimed);
--- /dev/null
+++ b/crates/shallothill-node/tests/no_keepers.rs
@@ -0,0 +1,96 @@
+//! Non-idempotent requests while all keepers of a region are out of reach.
+
+mod support;
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use hyper::Method;
+use shallothill_node::settings::Bounds;
+use shallothill_testing::behaviour::Behaviour;
+use shallothill_testing::http::Client;
+use shallothill_testing::relay::{Direction, Relay};
+use support::cluster::RunningNode;
+use support::keepers::Keepers;
+use support::{cluster, key, outcome, reason};
+
+/// The time that an entry node waits for a gate after the deadline.
+const GRACE: Duration = Duration::from_millis(100);
+
+#[derive(Clone, Copy, Debug)]
+enum Loss {
+    /// Connections to the keepers are refused.
+    Refused,
+    /// Nothing that is sent to the keepers arrives, without an error.
+    Silent,
+}
+
+/// An entry node without backend servers, a gate with three, and keepers behind relays.
+async fn bookings_without_keepers(loss: Loss, deadline_ms: u64) {
+    let mut keepers = Keepers::start(cluster::REGION, cluster::config()).await;
+    let mut relays = Vec::new();
+    if matches!(loss, Loss::Silent) {
+        for keeper in &mut keepers.addresses {
+            let relay = Relay::start(cluster::local(), keeper.control_address);
+            let relay = relay.await.unwrap();
+            keeper.control_address = relay.address();
+            relays.push(relay);
+        }
+    }
+    let entry = RunningNode::start("n1", &keepers.addresses, Bounds::default()).await;
+    let gate = RunningNode::start("n2", &keepers.addresses, Bounds::default()).await;
+    let mut standins = Vec::new();
+    for name in ["e1", "e2", "e3"] {
+        standins.push(cluster::standin(&gate, name, Behaviour::default()).await);
+    }
+    entry.ready(3).await;
+    gate.ready(3).await;
+    (0..3).for_each(|i| match loss {
+        Loss::Refused => keepers.kill(i),
+        Loss::Silent => relays[i].cut(Direction::ToTarget),
+    });
+
+    let client = Client::default();
+    let key = key();
+    let deadline = deadline_ms.to_string();
+    let headers = [
+        ("idempotency-key", &*key),
+        ("x-shallothill-deadline-ms", &*deadline),
+    ];
+    let patience = Duration::from_millis(deadline_ms) + GRACE;
+    for (way, at, patience) in [
+        ("remote", entry.caller(), support::LONG),
+        ("local", gate.caller(), patience),
+    ] {
+        let body = Bytes::from_static(b"a");
+        let sent = client.send(Method::POST, at, "/book", &headers, body, patience);
+        let case = format!("{loss:?}, {way}, {deadline_ms} ms");
+        let reply = sent.await.unwrap_or_else(|e| panic!("{case}: {e}"));
+
+        // The last attempt may also be refused because too little time is left.
+        let got = (reply.status.as_u16(), outcome(&reply));
+        assert_eq!(got, (503, "refused-not-run"), "{case}: {}", reason(&reply));
+        assert!(reply.header("retry-after").is_some(), "{case}");
+    }
+    assert!(standins.iter().all(|s| s.record().is_empty()));
+}
+
+/// Guards against a refusal that comes after the entry node has given up, so that a booking that
+/// did not run ends as unknown, when connections to the keepers are refused.
+#[tokio::test]
+async fn refuses_in_time_when_keepers_refuse_connections() {
+    bookings_without_keepers(Loss::Refused, 1000).await;
+}
+
+/// Guards against the same when the keepers are silent.
+#[tokio::test]
+async fn refuses_in_time_when_keepers_are_silent() {
+    bookings_without_keepers(Loss::Silent, 1000).await;
+}
+
+/// Guards against a last attempt whose claim lasts beyond the deadline after earlier attempts
+/// were refused.
+#[tokio::test]
+async fn refuses_in_time_after_several_attempts() {
+    bookings_without_keepers(Loss::Refused, 3000).await;
+}
