node: answer idempotent requests elsewhere when a peer falls silent

Cause: without `hedge_after` in the configuration, the first attempt of an idempotent request waited for its gate until the deadline. Pings notice a frozen peer only after up to 2 s, and the path counted as sound until then.

Ruled out: cutting an attempt off after a part of the deadline. It would turn slow but good answers into unknown ones; a hedge keeps both attempts and is bounded by the retry budget. Shorter ping times would also break non-idempotent requests on a peer that is only busy.

Change: without `hedge_after`, an idempotent request whose body is kept is hedged after half of the time left. A peer that has sent no response at all for a quarter of the time left marks its path, once per penalty time; any reply clears the mark.

Test: a peer behind a relay that is cut towards it, eight requests with a deadline of 1 s, which is below the time in which pings notice the cut.

Conclusion: a silent peer costs half of the deadline, if the budget has a retry left and another endpoint exists. A retry that meets a silent peer right after a first refusal is not hedged yet.

--- a/crates/shallothill-node/src/entry/attempts.rs
+++ b/crates/shallothill-node/src/entry/attempts.rs
@@ -55,7 +55,9 @@
         let left = head
             .deadline
             .saturating_duration_since(time::Instant::now());
-        let options = RetryOptions::from_service(&service);
+        let mut options = RetryOptions::from_service(&service);
+        // A silent peer must leave time for another endpoint.
+        options.hedge_after.get_or_insert(left / 2);
         let pursuit = Pursuit {
             attempts: retry::Attempts::new(head.idempotent, now + left),
             budget: self.budget(&head.service),
--- a/crates/shallothill-node/src/entry/send.rs
+++ b/crates/shallothill-node/src/entry/send.rs
@@ -4,19 +4,27 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use hyper::body::Incoming;
+use hyper::{Request, Response};
 use shallothill_policy::pick::PathStats;
 use tokio::time;
+use tokio::time::Instant;
 
 use crate::attempt::{Attempt, Reply};
+use crate::body::Body;
 use crate::entry::Entry;
 use crate::peer;
-use crate::peer::LinkError;
+use crate::peer::{Link, LinkError};
 use crate::refusal::Refusal;
 
 /// `GATE_GRACE` is how long after the deadline the reply of a gate is awaited. The gate knows
 /// whether the request ran; without its reply the outcome is unknown.
 const GATE_GRACE: Duration = Duration::from_millis(100);
 
+/// `SILENCE_PART` divides the time left for a request; a peer that sends no response at all for
+/// this part is picked less. It is shorter than the time to a hedge, which then avoids the path.
+const SILENCE_PART: u32 = 4;
+
 impl Entry {
     /// `send` sends an attempt to the gate of its endpoint and notes evidence about the path.
     pub(crate) async fn send(
@@ -31,7 +39,8 @@
         let deadline = attempt.head.deadline;
         let req = peer::write_attempt(attempt, self.parts.store.version());
         let link = self.parts.links.link(address);
-        let sent = time::timeout_at(deadline + GATE_GRACE, link.send(req)).await;
+        let sent = self.send_watched(&link, req, deadline, &path);
+        let sent = time::timeout_at(deadline + GATE_GRACE, sent).await;
         let now = self.parts.timer.now();
         let refusal = match sent {
             Ok(Ok(response)) => match peer::read_reply(response, deadline) {
@@ -55,6 +64,31 @@
         path.failed(now);
         refusal.on_path()
     }
+
+    // Marks the path while the request still waits, so that others avoid a silent peer.
+    async fn send_watched(
+        &self,
+        link: &Link,
+        req: Request<Body>,
+        deadline: Instant,
+        path: &PathStats,
+    ) -> Result<Response<Incoming>, LinkError> {
+        let now = Instant::now();
+        let quiet = now + deadline.saturating_duration_since(now) / SILENCE_PART;
+        let before = link.responses();
+        let send = link.send(req);
+        tokio::pin!(send);
+        if let Ok(sent) = time::timeout_at(quiet, send.as_mut()).await {
+            return sent;
+        }
+        let now = self.parts.timer.now();
+        // One sign counts once, however many requests wait; the backend server may just be slow.
+        if link.responses() == before && !path.penalised(now) {
+            log::debug!("entry: peer {} is silent", link.address());
+            path.failed(now);
+        }
+        send.await
+    }
 }
 
 const OUT_OF_REACH: Refusal = Refusal::not_run(
--- a/crates/shallothill-node/src/peer/link.rs
+++ b/crates/shallothill-node/src/peer/link.rs
@@ -3,6 +3,7 @@
 use std::fmt;
 use std::io;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
 
@@ -47,6 +48,7 @@
     connect_timeout: Duration,
     state: Mutex<State>,
     connecting: Semaphore,
+    responses: AtomicU64,
 }
 
 impl Link {
@@ -60,6 +62,7 @@
                 used: Instant::now(),
             }),
             connecting: Semaphore::new(1),
+            responses: AtomicU64::new(0),
         }
     }
 
@@ -79,6 +82,11 @@
         self.current().is_some()
     }
 
+    /// `responses` returns the number of responses that the peer has sent.
+    pub fn responses(&self) -> u64 {
+        self.responses.load(Ordering::Relaxed)
+    }
+
     /// `send` sends a request and waits for the headers of the response.
     pub async fn send(&self, req: Request<Body>) -> Result<Response<Incoming>, LinkError> {
         let mut sender = match self.current() {
@@ -89,7 +97,7 @@
             self.forget();
             return Err(not_sent(e));
         }
-        sender.try_send_request(req).await.map_err(|mut e| {
+        let response = sender.try_send_request(req).await.map_err(|mut e| {
             let given_back = e.take_message().is_some();
             let e = e.into_error();
             if given_back {
@@ -97,7 +105,9 @@
             } else {
                 LinkError::Failed(e)
             }
-        })
+        })?;
+        self.responses.fetch_add(1, Ordering::Relaxed);
+        Ok(response)
     }
 
     fn current(&self) -> Option<http2::SendRequest<Body>> {
--- a/crates/shallothill-node/tests/links.rs
+++ b/crates/shallothill-node/tests/links.rs
@@ -5,6 +5,9 @@
 use bytes::Bytes;
 use hyper::Method;
 use serde_json::Value;
+use shallothill_core::ids::ServiceName;
+use shallothill_core::time::Millis;
+use shallothill_policy::pick;
 use shallothill_testing::behaviour::Behaviour;
 use shallothill_testing::http::Client;
 use shallothill_testing::process;
@@ -82,3 +85,36 @@
         .filter(|r| r.key.is_some());
     assert_eq!(booked.count(), 1);
 }
+
+/// Guards against an idempotent request that spends its whole deadline on a silent peer while
+/// another backend server could answer it, and against a silent path that counts as sound.
+#[tokio::test]
+async fn answers_elsewhere_when_a_peer_falls_silent() {
+    let (pair, relay) = relayed().await;
+    let own = cluster::standin(&pair.entry, "e2", Behaviour::default()).await;
+    pair.entry.ready(2).await;
+    cluster::move_gate(&pair.entry, relay.address());
+    let client = Client::default();
+    let at = pair.entry.caller();
+    assert_eq!(get(&client, at, "/stock", "before").await.status, 200);
+    relay.cut(Direction::ToTarget);
+
+    // Shorter than the time in which pings notice the cut.
+    let headers = [("x-shallothill-deadline-ms", "1000")];
+    let sends = (0..8).map(|_| {
+        let body = Bytes::new();
+        client.send(Method::GET, at, "/stock", &headers, body, LONG)
+    });
+    let replies = futures::future::join_all(sends).await;
+
+    let outcomes: Vec<_> = replies.iter().flatten().map(outcome).collect();
+    assert_eq!(outcomes, ["answered"; 8]);
+    assert!(!own.record().is_empty());
+    let service = ServiceName::try_new("courier").unwrap();
+    let tables = pair.entry.node.view().tables();
+    let endpoints = tables.service(&service).unwrap().endpoints();
+    let marked = |e: &&pick::Endpoint| e.path.penalised(Millis(0));
+    let marked: Vec<_> = endpoints.iter().filter(marked).collect();
+    assert_eq!(marked.len(), 1);
+    assert_eq!(marked[0].info.peer_address, relay.address());
+}
