node: hedge each attempt that meets a silent peer

Cause: the hedge timer ran once, from the start of the request. After a first attempt was shed, the second one could wait for a silent peer until the deadline; so could the first one after its hedge was shed. The timer also kept fractions of a millisecond, while the policy compares whole ones, so a hedge could look not yet due and was then lost.

Ruled out: a change of the policy crate; its rule (one attempt running, the budget, the attempt limit) already allows these hedges.

Change: the timer starts again whenever an attempt has ended, with half of the time that is left then, in whole milliseconds.

Before: fails in 6 of 6 runs, with one or two of five requests unknown. After: passes in 6 of 6 runs.

Conclusion: the order in which attempts meet a silent peer no longer matters, up to the attempt limit and the retry budget.

--- a/crates/shallothill-node/src/entry/attempts.rs
+++ b/crates/shallothill-node/src/entry/attempts.rs
@@ -55,9 +55,7 @@
         let left = head
             .deadline
             .saturating_duration_since(time::Instant::now());
-        let mut options = RetryOptions::from_service(&service);
-        // A silent peer must leave time for another endpoint.
-        options.hedge_after.get_or_insert(left / 2);
+        let options = RetryOptions::from_service(&service);
         let pursuit = Pursuit {
             attempts: retry::Attempts::new(head.idempotent, now + left),
             budget: self.budget(&head.service),
@@ -77,7 +75,7 @@
             Ok(attempt) => running.push(attempt),
             Err(refusal) => return (refusal.on_path(), InFlight::new(permit, None)),
         }
-        let hedge = hedge_timer(p.options.hedge_after.filter(|_| p.head.idempotent));
+        let hedge = hedge_timer(p.hedge_after());
         tokio::pin!(hedge);
         let mut hedged = false;
         loop {
@@ -111,6 +109,8 @@
                     Err(_) => break,
                 },
             }
+            hedge.set(hedge_timer(p.hedge_after()));
+            hedged = false;
         }
         // The attempts that still run are dropped, which cancels them at their gates.
         drop(running);
@@ -191,6 +191,18 @@
 }
 
 impl Pursuit {
+    // An attempt is hedged at half of the time left at the latest, so that a silent peer leaves
+    // time for another endpoint.
+    fn hedge_after(&mut self) -> Option<Duration> {
+        let now = time::Instant::now();
+        let left = self.head.deadline.saturating_duration_since(now);
+        let after = self.options.hedge_after.unwrap_or(left).min(left / 2);
+        // Whole milliseconds, as the policy counts them; a fraction would look not yet due.
+        let after = Duration::from_millis(u64::try_from(after.as_millis()).unwrap_or(u64::MAX));
+        self.options.hedge_after = Some(after);
+        self.head.idempotent.then_some(after)
+    }
+
     fn may_repeat(&self) -> bool {
         matches!(self.payload, Some(Payload::Whole(..)))
     }
--- a/crates/shallothill-node/tests/links.rs
+++ b/crates/shallothill-node/tests/links.rs
@@ -118,3 +118,32 @@
     assert_eq!(marked.len(), 1);
     assert_eq!(marked[0].info.peer_address, relay.address());
 }
+
+/// Guards against an attempt that meets a silent peer after, or before, another one was shed, and
+/// then waits for the deadline while a third backend server could answer.
+#[tokio::test]
+async fn leaves_a_silent_peer_in_any_order_of_attempts() {
+    let (pair, relay) = relayed().await;
+    let shedding = Behaviour {
+        shed_percent: 100,
+        ..Behaviour::default()
+    };
+    let _shed = cluster::standin(&pair.entry, "e2", shedding).await;
+    let _own = cluster::standin(&pair.entry, "e3", Behaviour::default()).await;
+    pair.entry.ready(3).await;
+    cluster::move_gate(&pair.entry, relay.address());
+    let client = Client::default();
+    let at = pair.entry.caller();
+    relay.cut(Direction::ToTarget);
+
+    // Few enough for the saved retries of the budget.
+    let headers = [("x-shallothill-deadline-ms", "1500")];
+    let sends = (0..5).map(|_| {
+        let body = Bytes::new();
+        client.send(Method::GET, at, "/stock", &headers, body, LONG)
+    });
+    let replies = futures::future::join_all(sends).await;
+
+    let outcomes: Vec<_> = replies.iter().flatten().map(outcome).collect();
+    assert_eq!(outcomes, ["answered"; 5]);
+}
