node: count messages that hyper refuses itself

Cause: hyper answers malformed HTTP (400), long URIs (414) and headers beyond the size at which reading stops (431) without calling the service. These refusals appeared in no counter and carry no outcome header.

Change: a counter `malformed` in the dump and the metrics, for all listeners; the module doc of the listener states the missing header. Refusals of the node itself between 16 KB and 64 KB are unchanged.

Conclusion: callers must treat a 400, 414 or 431 without an outcome header as not run; operators can see how often it happens.

--- a/crates/shallothill-node/src/counters.rs
+++ b/crates/shallothill-node/src/counters.rs
@@ -10,6 +10,7 @@
 pub struct Counters {
     answered: [AtomicU64; 6],
     attempts: AtomicU64,
+    malformed: AtomicU64,
 }
 
 /// `Gauges` are values at one time.
@@ -37,18 +38,24 @@
         self.attempts.fetch_add(1, Ordering::Relaxed);
     }
 
+    /// `malformed` counts a message that the HTTP library could not read and refused itself.
+    pub fn malformed(&self) {
+        self.malformed.fetch_add(1, Ordering::Relaxed);
+    }
+
     /// `dump` returns the totals.
     pub fn dump(&self) -> Value {
         let n = |i: usize| self.answered[i].load(Ordering::Relaxed);
         json!({
             "responses": {"2xx": n(2), "3xx": n(3), "4xx": n(4), "5xx": n(5)},
             "attempts_of_peers": self.attempts.load(Ordering::Relaxed),
+            "malformed": self.malformed.load(Ordering::Relaxed),
         })
     }
 
     /// `send` sends what was counted since `sent`, and the gauges.
-    pub fn send(&self, client: &StatsdClient, sent: &mut [u64; 7], gauges: Gauges) {
-        const NAMES: [&str; 7] = [
+    pub fn send(&self, client: &StatsdClient, sent: &mut [u64; 8], gauges: Gauges) {
+        const NAMES: [&str; 8] = [
             "responses.other",
             "responses.1xx",
             "responses.2xx",
@@ -56,8 +63,12 @@
             "responses.4xx",
             "responses.5xx",
             "attempts_of_peers",
+            "malformed",
         ];
-        let totals = self.answered.iter().chain([&self.attempts]);
+        let totals = self
+            .answered
+            .iter()
+            .chain([&self.attempts, &self.malformed]);
         for ((name, total), before) in NAMES.iter().zip(totals).zip(sent) {
             let total = total.load(Ordering::Relaxed);
             // Metrics are best effort.
--- a/crates/shallothill-node/src/listener.rs
+++ b/crates/shallothill-node/src/listener.rs
@@ -1,6 +1,11 @@
 //! Accepts HTTP/1.1 and HTTP/2 connections within bounds and closes them gracefully.
+//!
+//! hyper refuses messages that it cannot read (400, 414, or 431 beyond the size at which reading
+//! stops) without calling the service, and its interface cannot add headers to these responses.
+//! They carry no outcome header; none of these requests has run. They are counted as `malformed`.
 
 use std::convert::Infallible;
+use std::error::Error;
 use std::future::Future;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
@@ -21,6 +26,7 @@
 use tokio_util::task::TaskTracker;
 
 use crate::body::Body;
+use crate::counters::Counters;
 use crate::settings::Bounds;
 
 /// `WINDOW_BYTES` bounds what is buffered for one stream of an HTTP/2 connection.
@@ -59,6 +65,8 @@
     pub bounds: Bounds,
     /// The timer service.
     pub timer: Timer,
+    /// Counters for metrics.
+    pub counters: Arc<Counters>,
     /// Ends accepting and closes connections once their requests are answered.
     pub stop: CancellationToken,
     /// Tracks the connections.
@@ -169,6 +177,9 @@
             }
         };
         if let Err(e) = result {
+            if refused_by_hyper(e.as_ref()) {
+                self.counters.malformed();
+            }
             debug!("listener: a connection ended early: {e}");
         }
     }
@@ -193,3 +204,8 @@
         }
     }
 }
+
+fn refused_by_hyper(e: &(dyn Error + 'static)) -> bool {
+    e.downcast_ref::<hyper::Error>()
+        .is_some_and(hyper::Error::is_parse)
+}
--- a/crates/shallothill-node/src/node/mod.rs
+++ b/crates/shallothill-node/src/node/mod.rs
@@ -141,6 +141,7 @@
             connections,
             bounds: self.settings.bounds.clone(),
             timer: self.timer.clone(),
+            counters: Arc::clone(&self.counters),
             stop: self.stop.clone(),
             tasks: self.connections.clone(),
         }
@@ -195,7 +196,7 @@
         let mut refresh = self.timer.every(REFRESH_EVERY);
         let mut tidy = self.timer.every(TIDY_EVERY);
         let mut send = self.timer.every(self.settings.process.metrics_period());
-        let mut sent = [0; 7];
+        let mut sent = [0; 8];
         loop {
             tokio::select! {
                 () = self.end.cancelled() => return,
--- a/crates/shallothill-node/tests/refusals.rs
+++ b/crates/shallothill-node/tests/refusals.rs
@@ -11,9 +11,10 @@
 use shallothill_core::ids::ServiceName;
 use shallothill_testing::behaviour::Behaviour;
 use shallothill_testing::http::Client;
+use shallothill_testing::process;
 use support::{LONG, cluster, get, outcome, reason};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 
 fn small_queue() -> shallothill_core::config::Config {
     let mut cfg = cluster::config();
@@ -186,3 +187,32 @@
     assert_eq!(pair.standin.record().len(), 10);
     assert!(second.record().is_empty());
 }
+
+/// Guards against messages that the HTTP library refuses itself and that no counter shows.
+#[tokio::test]
+async fn counts_messages_that_cannot_be_read() {
+    let pair = cluster::pair(cluster::config(), Behaviour::default()).await;
+    // Just as much as is read, so that no unread bytes reset the connection before the response.
+    let mut large = "GET /stock HTTP/1.1\r\nx: ".to_owned();
+    large.push_str(&"x".repeat(64 * 1024 - large.len()));
+    let messages = [
+        ("GET /stock HTTP/1.1\r\nbad header\r\n\r\n", " 400 "),
+        (large.as_str(), " 431 "),
+    ];
+
+    for (message, status) in messages {
+        let mut stream = TcpStream::connect(pair.entry.caller()).await.unwrap();
+        stream.write_all(message.as_bytes()).await.unwrap();
+        let mut first = [0; 16];
+        stream.read_exact(&mut first).await.unwrap();
+        let first = String::from_utf8_lossy(&first);
+        assert!(first.contains(status), "{first}");
+    }
+
+    let counters = pair.entry.node.counters();
+    let counted = || async { counters.dump()["malformed"] == 2 };
+    process::wait_until("both are counted", LONG, counted)
+        .await
+        .unwrap();
+    assert!(pair.standin.record().is_empty());
+}
