policy: clear the crashes of a request that is answered

Cause: every fingerprint in flight at a crash counted in full, so a popular request in flight at two crashes of others was quarantined for ten minutes. Ruled out: counting only the suspects that entered last; requests that started before the first crash look the same as the one that causes the second. Change: an answer clears the crashes and the quarantine of its fingerprint. A fingerprint answered within the release time is refused only after four crashes since its last answer, and runs without the limit of one at a time. A request that crashes every server is never answered, so its limit stays two crashes. Conclusion: bystanders that are answered on a node are not refused there.

--- a/crates/shallothill-policy/src/quarantine/mod.rs
+++ b/crates/shallothill-policy/src/quarantine/mod.rs
@@ -1,5 +1,6 @@
 //! Requests that crash backend servers.
 
+mod answers;
 mod options;
 mod store;
 
--- a/crates/shallothill-policy/src/quarantine/options.rs
+++ b/crates/shallothill-policy/src/quarantine/options.rs
@@ -7,9 +7,14 @@
 pub struct QuarantineOptions {
     /// Crashes after which a fingerprint is refused.
     pub crashes: u32,
+    /// Crashes since its last answer after which a fingerprint that was answered within
+    /// `release_after` is refused. A request that crashes every server that runs it is never
+    /// answered, so this limit applies only to bystanders and to requests that crash sometimes.
+    pub crashes_answered: u32,
     /// Time after the last crash at which a fingerprint is released.
     pub release_after: Duration,
-    /// Fingerprints kept at most; those with the oldest crash are dropped first.
+    /// Fingerprints kept at most, of crashes and of answers each; those with the oldest crash or
+    /// answer are dropped first.
     pub most: usize,
     /// Time for which an entry node withholds the failure of a request that crashed its backend
     /// server, so that other nodes hear of the fingerprint before the caller resends.
@@ -20,6 +25,7 @@
     fn default() -> Self {
         Self {
             crashes: 2,
+            crashes_answered: 4,
             release_after: Duration::from_secs(600),
             most: 10_000,
             hold_response: Duration::from_millis(250),
--- a/crates/shallothill-policy/src/quarantine/store.rs
+++ b/crates/shallothill-policy/src/quarantine/store.rs
@@ -7,6 +7,7 @@
 use shallothill_core::time::Millis;
 
 use crate::pick::EndpointKey;
+use crate::quarantine::answers::Answers;
 use crate::quarantine::options::QuarantineOptions;
 
 /// `CrashId` identifies one crash of one backend server, so that repeated notices count once.
@@ -21,7 +22,7 @@
 /// `Entrance` tells whether an attempt of a fingerprint may go on.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Entrance {
-    /// No crash is known; nothing is to be given back.
+    /// No crash is known, or the fingerprint was answered recently; nothing is to be given back.
     Free,
     /// One crash is known; the attempt holds the only place until [`Quarantine::finish`].
     Single,
@@ -54,6 +55,7 @@
 #[derive(Clone, Debug)]
 pub struct Quarantine {
     options: QuarantineOptions,
+    answers: Answers,
     entries: HashMap<Fingerprint, Entry>,
     by_time: BTreeMap<(Millis, Fingerprint), ()>,
 }
@@ -63,6 +65,7 @@
     pub fn new(options: QuarantineOptions) -> Self {
         Self {
             options,
+            answers: Answers::default(),
             entries: HashMap::new(),
             by_time: BTreeMap::new(),
         }
@@ -71,13 +74,19 @@
     /// `enter` asks whether an attempt may run.
     pub fn enter(&mut self, now: Millis, fingerprint: Fingerprint) -> Entrance {
         self.expire(now);
+        let answered = self.answered_recently(now, fingerprint);
+        let limit = self.limit(answered);
         let Some(entry) = self.entries.get_mut(&fingerprint) else {
             return Entrance::Free;
         };
-        if entry.crashes.len() >= self.options.crashes as usize {
+        if entry.crashes.len() >= limit {
             let until = entry.last + self.options.release_after;
             return Entrance::Quarantined(until.saturating_since(now));
         }
+        // One attempt at a time would refuse most copies of a popular request.
+        if answered {
+            return Entrance::Free;
+        }
         if entry.running {
             return Entrance::Busy;
         }
@@ -92,7 +101,17 @@
         }
     }
 
+    /// `answered` notes that an attempt was answered in full by a backend server that lives on. It
+    /// clears the crashes of the fingerprint, and ends its quarantine.
+    pub fn answered(&mut self, now: Millis, fingerprint: Fingerprint) {
+        self.answers.insert(now, fingerprint, self.options.most);
+        if let Some(entry) = self.entries.remove(&fingerprint) {
+            self.by_time.remove(&(entry.last, fingerprint));
+        }
+    }
+
     /// `crashed` counts a crash that happened `age` before `now`; returns whether it was new.
+    /// A crash before the last answer of the fingerprint is cleared already and does not count.
     pub fn crashed(
         &mut self,
         now: Millis,
@@ -106,6 +125,10 @@
         self.expire(now);
         let age_ms = u64::try_from(age.as_millis()).unwrap_or(u64::MAX);
         let at = Millis(now.0.saturating_sub(age_ms));
+        if self.answers.last(fingerprint).is_some_and(|t| at < t) {
+            return false;
+        }
+        let limit = self.limit(self.answered_recently(now, fingerprint));
         let entry = self.entries.entry(fingerprint).or_insert_with(|| Entry {
             crashes: BTreeSet::new(),
             last: at,
@@ -113,7 +136,7 @@
             running: false,
         });
         // More crashes than the limit change nothing, so they take no memory.
-        let room = entry.crashes.len() < self.options.crashes.max(1) as usize;
+        let room = entry.crashes.len() < limit.max(1);
         let new = room && entry.crashes.insert(crash);
         if new {
             entry.noted = now;
@@ -155,6 +178,20 @@
         self.by_time.keys().filter_map(|(_, f)| known(f)).collect()
     }
 
+    fn answered_recently(&self, now: Millis, fingerprint: Fingerprint) -> bool {
+        let last = self.answers.last(fingerprint);
+        last.is_some_and(|t| now.saturating_since(t) < self.options.release_after)
+    }
+
+    fn limit(&self, answered: bool) -> usize {
+        let limit = if answered {
+            self.options.crashes_answered
+        } else {
+            self.options.crashes
+        };
+        limit as usize
+    }
+
     fn expire(&mut self, now: Millis) {
         while let Some(((last, fingerprint), ())) = self.by_time.first_key_value() {
             if now.saturating_since(*last) < self.options.release_after {
--- a/crates/shallothill-policy/tests/quarantine.rs
+++ b/crates/shallothill-policy/tests/quarantine.rs
@@ -57,6 +57,43 @@
     assert_eq!(q.enter(released, POISON), Entrance::Free);
 }
 
+/// Guards against the quarantine of a popular request that was in flight at the crashes of others,
+/// both when it was answered before them and when it is first answered after them.
+#[test]
+fn a_bystander_that_is_answered_is_not_quarantined() {
+    let popular = Fingerprint(8);
+    let mut q = Quarantine::new(QuarantineOptions::default());
+    let now = Millis(1_000_000);
+    let later = now + Duration::from_millis(100);
+    q.crashed(now, popular, crash(1), Duration::ZERO);
+    q.crashed(now, popular, crash(2), Duration::ZERO);
+    q.crashed(now, POISON, crash(1), Duration::ZERO);
+    q.crashed(now, POISON, crash(2), Duration::ZERO);
+
+    q.answered(later, popular);
+
+    assert_eq!(q.enter(later, popular), Entrance::Free);
+    assert!(matches!(q.enter(later, POISON), Entrance::Quarantined(_)));
+    let age = Duration::from_millis(100);
+    assert!(!q.crashed(later, popular, crash(2), age), "a late notice");
+    q.crashed(later, popular, crash(3), Duration::ZERO);
+    q.crashed(later, popular, crash(4), Duration::ZERO);
+    assert_eq!(q.enter(later, popular), Entrance::Free);
+}
+
+/// Guards against a request that was answered once and then crashes servers without end.
+#[test]
+fn an_answered_request_is_quarantined_after_more_crashes() {
+    let mut q = Quarantine::new(QuarantineOptions::default());
+    let now = Millis(1_000_000);
+    q.answered(now, POISON);
+    for n in 0..4 {
+        assert_eq!(q.enter(now, POISON), Entrance::Free);
+        q.crashed(now, POISON, crash(n), Duration::ZERO);
+    }
+    assert!(matches!(q.enter(now, POISON), Entrance::Quarantined(_)));
+}
+
 /// Guards against notices that arrive late and extend a quarantine beyond its time.
 #[test]
 fn an_old_crash_is_released_by_its_own_age() {
