node: tell the quarantine of answers, and withhold every refusal

Cause: the quarantine learnt only of crashes. Refusals by the quarantine, at the entry node or at a gate, were not withheld, so that a resend could reach a node that had not heard of the crash. Ruled out: clearing at the headers of an answer; the server may still crash while the body arrives. Answers with a status of 5xx do not clear. Change: the place of an attempt is held until its answer has ended and then clears the crashes at the entry node and at the gate. Every failure and refusal waits for `Quarantine::withhold`.

--- a/crates/shallothill-node/src/attempt.rs
+++ b/crates/shallothill-node/src/attempt.rs
@@ -104,6 +104,14 @@
 }
 
 impl Reply {
+    /// `clears_crashes` tells whether the request was answered without an error by a backend server
+    /// that lives on, so that it is not one that crashes every backend server.
+    pub(crate) fn clears_crashes(&self) -> bool {
+        self.outcome == Outcome::Answered
+            && self.crash.is_none()
+            && !self.response.status().is_server_error()
+    }
+
     /// `allows_retry` tells whether another attempt may be sent.
     ///
     /// A refusal that another backend server would repeat, such as a wrong key, is final.
--- a/crates/shallothill-node/src/body.rs
+++ b/crates/shallothill-node/src/body.rs
@@ -44,7 +44,7 @@
     /// Holds the slot at the backend server.
     pub gate: Option<gate::Running>,
     /// Holds the caller's place at the entry node.
-    pub entry: Option<entry::InFlight>,
+    pub entry: Option<Box<entry::InFlight>>,
 }
 
 impl Guards {
@@ -52,7 +52,9 @@
         if let Some(running) = self.gate.take() {
             running.finished();
         }
-        self.entry = None;
+        if let Some(in_flight) = self.entry.take() {
+            in_flight.finished();
+        }
     }
 }
 
@@ -112,7 +114,7 @@
 
     /// `guarded_by_entry` tells `in_flight` how the body ends.
     pub fn guarded_by_entry(mut self, in_flight: entry::InFlight) -> Self {
-        self.guards.entry = Some(in_flight);
+        self.guards.entry = Some(Box::new(in_flight));
         self.tell_if_ended();
         self
     }
--- a/crates/shallothill-node/src/crashes.rs
+++ b/crates/shallothill-node/src/crashes.rs
@@ -14,18 +14,26 @@
 /// `NOTICES_MAX` bounds the notices that wait for a report; the oldest are dropped.
 const NOTICES_MAX: usize = 1000;
 
-/// `Place` is the only place of an attempt whose fingerprint has one crash; dropping it gives the
-/// place back.
+/// `Place` is the right of an attempt to run. When the fingerprint has one crash, it is the only
+/// one, and dropping it gives it back.
 #[derive(Debug)]
 pub struct Place {
     crashes: Arc<Crashes>,
-    fingerprint: Option<Fingerprint>,
+    fingerprint: Fingerprint,
+    single: bool,
+}
+
+impl Place {
+    /// `answered` notes that the attempt was answered in full.
+    pub fn answered(&self, now: Millis) {
+        self.crashes.quarantine().answered(now, self.fingerprint);
+    }
 }
 
 impl Drop for Place {
     fn drop(&mut self) {
-        if let Some(fingerprint) = self.fingerprint {
-            self.crashes.quarantine().finish(fingerprint);
+        if self.single {
+            self.crashes.quarantine().finish(self.fingerprint);
         }
     }
 }
@@ -54,15 +62,16 @@
         now: Millis,
         fingerprint: Fingerprint,
     ) -> Result<Place, Duration> {
-        let held = match self.quarantine().enter(now, fingerprint) {
-            Entrance::Free => None,
-            Entrance::Single => Some(fingerprint),
+        let single = match self.quarantine().enter(now, fingerprint) {
+            Entrance::Free => false,
+            Entrance::Single => true,
             Entrance::Busy => return Err(Duration::from_secs(1)),
             Entrance::Quarantined(left) => return Err(left),
         };
         Ok(Place {
             crashes: Arc::clone(self),
-            fingerprint: held,
+            fingerprint,
+            single,
         })
     }
 
@@ -91,9 +100,9 @@
             .crashed(now, notice.fingerprint, crash, age)
     }
 
-    /// `hold_response` returns how long the failure of a crashed request is withheld.
-    pub fn hold_response(&self) -> Duration {
-        self.quarantine().hold_response()
+    /// `withhold` returns how long a failure or refusal of the fingerprint is still withheld.
+    pub fn withhold(&self, now: Millis, fingerprint: Fingerprint) -> Duration {
+        self.quarantine().withhold(now, fingerprint)
     }
 
     /// `unreported` returns the notices that no keeper has acknowledged, with their ages.
--- a/crates/shallothill-node/src/entry/attempts.rs
+++ b/crates/shallothill-node/src/entry/attempts.rs
@@ -6,6 +6,8 @@
 
 use futures::stream::{FuturesUnordered, StreamExt};
 use shallothill_core::config::Service;
+use shallothill_core::hash::Fingerprint;
+use shallothill_core::ids::EndpointId;
 use shallothill_core::outcome::Outcome;
 use shallothill_core::time::Millis;
 use shallothill_policy::limits::Permit;
@@ -18,6 +20,7 @@
 
 use crate::attempt::{Attempt, Head, Reply};
 use crate::body::Body;
+use crate::crashes::Place;
 use crate::entry::prepare::{Payload, Prepared};
 use crate::entry::{Entry, InFlight};
 use crate::gate;
@@ -27,6 +30,8 @@
 struct Ended {
     reply: Reply,
     picked: pick::InFlight,
+    // Of an answer that clears the fingerprint once it has arrived.
+    place: Option<Place>,
 }
 
 /// `Pursuit` is one request on its way to an answer.
@@ -73,7 +78,10 @@
         let mut worst: Option<Ended> = None;
         match self.start(&mut p) {
             Ok(attempt) => running.push(attempt),
-            Err(refusal) => return (refusal.on_path(), InFlight::new(permit, None)),
+            Err(refusal) => {
+                self.withhold(&p).await;
+                return (refusal.on_path(), InFlight::new(permit, None));
+            }
         }
         let hedge = hedge_timer(p.options.hedge_after.filter(|_| p.head.idempotent));
         tokio::pin!(hedge);
@@ -115,11 +123,30 @@
         let Some(ended) = worst else {
             return (NO_ENDPOINT.on_path(), InFlight::new(permit, None));
         };
-        if ended.reply.crash.is_some() && ended.reply.outcome != Outcome::Answered {
-            // Other nodes hear of the fingerprint before the caller can send it to them.
-            time::sleep(self.parts.crashes.hold_response()).await;
+        if ended.reply.outcome != Outcome::Answered {
+            self.withhold(&p).await;
+        }
+        let in_flight = InFlight::new(permit, Some(ended.picked));
+        let in_flight = in_flight.with_answer(ended.place, &self.parts.timer);
+        (ended.reply, in_flight)
+    }
+
+    // Other nodes hear of a crash of the fingerprint before the caller can send it to them.
+    async fn withhold(&self, p: &Pursuit) {
+        let now = self.parts.timer.now();
+        time::sleep(self.parts.crashes.withhold(now, p.head.fingerprint)).await;
+    }
+
+    fn hear_crash(&self, now: Millis, reply: &Reply, fingerprint: Fingerprint, id: EndpointId) {
+        if let Some(crash) = reply.crash {
+            let notice = CrashNotice {
+                fingerprint,
+                endpoint: id,
+                crash,
+                age_ms: 0,
+            };
+            self.parts.crashes.heard(now, &notice);
         }
-        (ended.reply, InFlight::new(permit, Some(ended.picked)))
     }
 
     // Picks an endpoint and returns the attempt. Fails when there is none or the quarantine
@@ -170,19 +197,13 @@
             if let Some(load) = reply.load {
                 stats.report(now, load);
             }
-            if let Some(crash) = reply.crash {
-                let notice = CrashNotice {
-                    fingerprint,
-                    endpoint: id,
-                    crash,
-                    age_ms: 0,
-                };
-                self.parts.crashes.heard(now, &notice);
-            }
-            drop(place);
+            self.hear_crash(now, &reply, fingerprint, id);
+            // Every other outcome gives the place back at once, for the next attempt.
+            let place = reply.clears_crashes().then_some(place);
             Ended {
                 reply,
                 picked: counted,
+                place,
             }
         })
     }
--- a/crates/shallothill-node/src/gate/mod.rs
+++ b/crates/shallothill-node/src/gate/mod.rs
@@ -131,11 +131,16 @@
         let place = if local {
             None
         } else {
-            let entered = self
-                .parts
-                .crashes
-                .enter(self.parts.timer.now(), head.fingerprint);
-            Some(entered.map_err(quarantined)?)
+            let now = self.parts.timer.now();
+            match self.parts.crashes.enter(now, head.fingerprint) {
+                Ok(place) => Some(place),
+                Err(left) => {
+                    // The entry node may not know the crash yet and could not withhold this.
+                    let wait = self.parts.crashes.withhold(now, head.fingerprint);
+                    tokio::time::sleep(wait).await;
+                    return Err(quarantined(left));
+                }
+            }
         };
         if head.idempotent {
             let trial = attempt.trial;
--- a/crates/shallothill-node/src/gate/slot.rs
+++ b/crates/shallothill-node/src/gate/slot.rs
@@ -92,7 +92,7 @@
 pub struct Running {
     slot: Slot,
     connection: Option<Connection>,
-    _place: Option<Place>,
+    place: Option<Place>,
 }
 
 impl Running {
@@ -101,7 +101,7 @@
         Self {
             slot,
             connection: Some(connection),
-            _place: place,
+            place,
         }
     }
 
@@ -110,6 +110,13 @@
         if let Some(connection) = self.connection.take() {
             self.slot.endpoint().pool.put_back(connection);
         }
+        let endpoint = self.slot.endpoint();
+        if let Some(place) = &self.place
+            && self.slot.served.is_some()
+            && endpoint.is_up()
+        {
+            place.answered(endpoint.now());
+        }
     }
 
     /// `broken` notes that the backend server broke the answer off.
