policy: remove the unused access to the withholding time

Cause: callers ask the quarantine how long to withhold a refusal; the plain time had no user left. Ruled out: keeping it for tests. Change: the method is gone. Conclusion: one way to ask.

--- a/crates/shallothill-policy/src/quarantine/store.rs
+++ b/crates/shallothill-policy/src/quarantine/store.rs
@@ -171,11 +171,6 @@
         self.entries.get(&fingerprint).map_or(Duration::ZERO, left)
     }
 
-    /// `hold_response` returns how long the failure of a crashed request is withheld.
-    pub fn hold_response(&self) -> Duration {
-        self.options.hold_response
-    }
-
     /// `listed` returns the known fingerprints, oldest crash first.
     pub fn listed(&self) -> Vec<Listed> {
         let known = |fingerprint: &Fingerprint| {
