testing: failure tests of the config log with real processes

Cause: the behaviour under one-way cuts, a frozen primary and concurrent operators was tested with keepers inside the test's process only.

Ruled out: one test binary per failure, which would repeat the fixture.

Change: the test binary `faults` runs three keepers with a relay on each peer link, two nodes with a stand-in each, and the real command line. The binaries are looked up beside the test's folder; a missing one fails with the command that builds it.

--- /dev/null
+++ b/crates/shallothill-testing/tests/faults/binaries.rs
@@ -0,0 +1,25 @@
+//! Finds the binaries of the project, which `cargo test -p shallothill-testing` does not build.
+//!
+//! `cargo build --workspace` or `cargo test --workspace` builds them into the folder above the
+//! one of the test executable.
+
+use std::path::PathBuf;
+use std::process::Command;
+
+/// `command` returns a command that runs `program` of this project.
+///
+/// Panics when it is not built. It may be older than the sources after a change of another crate.
+pub fn command(program: &str) -> Command {
+    let exe = std::env::current_exe().unwrap();
+    let folder = exe.parent().and_then(|deps| deps.parent()).unwrap();
+    let path: PathBuf = folder.join(format!("{program}{}", std::env::consts::EXE_SUFFIX));
+    assert!(
+        path.is_file(),
+        "`{}` is missing; run `cargo build --workspace` with the same profile first",
+        path.display()
+    );
+    let mut command = Command::new(path);
+    // Two threads a process keep many fleets at a time from starting a thread for every core.
+    command.env("TOKIO_WORKER_THREADS", "2");
+    command
+}
--- /dev/null
+++ b/crates/shallothill-testing/tests/faults/fleet.rs
@@ -0,0 +1,292 @@
+//! Three keepers whose peer links can be cut, and two nodes with a stand-in each.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeSet;
+use std::fs;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::path::{Path, PathBuf};
+use std::process::Command;
+use std::sync::atomic::{AtomicU8, Ordering};
+use std::time::Duration;
+
+use serde_json::{Value, json};
+use shallothill_testing::builders::{
+    ConfigBuilder, KeeperPlace, NodePlace, keeper_settings, node_settings,
+};
+use shallothill_testing::http::Client;
+use shallothill_testing::ports;
+use shallothill_testing::process::{self, Process};
+use tempfile::TempDir;
+
+use crate::binaries;
+use crate::links::Links;
+use crate::operator::Submission;
+
+/// Generous for a busy machine; no check depends on how much of it passes.
+pub const DEADLINE: Duration = Duration::from_secs(60);
+
+const KEEPERS: usize = 3;
+const NODES: usize = 2;
+const REGIONS: [&str; 1] = ["central"];
+const DATA_CENTRE: &str = "central-1";
+
+/// `Fleet` is all processes of a test; dropping it kills them.
+pub struct Fleet {
+    /// The keepers; `None` while one is down.
+    pub keepers: Vec<Option<Process>>,
+    /// The nodes; `None` while one is down.
+    pub nodes: Vec<Option<Process>>,
+    /// The stand-in behind each node.
+    pub standins: Vec<Option<Process>>,
+    /// The links between the keepers.
+    pub links: Links,
+    /// Addresses of the nodes.
+    pub hosts: Vec<NodePlace>,
+    client: Client,
+    keeper_admins: Vec<SocketAddr>,
+    node_admins: Vec<SocketAddr>,
+    dir: TempDir,
+}
+
+impl Fleet {
+    /// `start` starts everything, submits [`text`] with mark 0 as version 1 and waits until it
+    /// is in force.
+    pub async fn start() -> Self {
+        let dir = TempDir::new().unwrap();
+        let addresses = free(3 * KEEPERS);
+        let places: Vec<KeeperPlace> = addresses
+            .chunks(3)
+            .zip(1..)
+            .map(|(address, id)| KeeperPlace {
+                id,
+                region: REGIONS[0].to_owned(),
+                data_centre: DATA_CENTRE.to_owned(),
+                control_address: address[0],
+                peer_address: address[1],
+            })
+            .collect();
+        let mut fleet = Self {
+            keepers: Vec::new(),
+            nodes: Vec::new(),
+            standins: Vec::new(),
+            links: Links::start(&places).await,
+            hosts: Vec::new(),
+            client: Client::default(),
+            keeper_admins: addresses.chunks(3).map(|a| a[2]).collect(),
+            node_admins: Vec::new(),
+            dir,
+        };
+        for (i, place) in places.iter().enumerate() {
+            let data = fleet.data_dir(i);
+            let seen = fleet.links.seen_by(i, &places);
+            let text = keeper_settings(place, &seen, &REGIONS, &data, fleet.keeper_admins[i]);
+            fs::write(fleet.file(&format!("k{i}.yaml")), text).unwrap();
+            let keeper = fleet.spawn_keeper(i, &["--new-group"]);
+            fleet.keepers.push(Some(keeper));
+        }
+        for i in 0..NODES {
+            fleet.add_host(i, &places);
+        }
+        fleet.wait_ready();
+        fleet.submit(0, 0, "first", &text(0)).await;
+        fleet.wait_in_force(1).await;
+        fleet
+    }
+
+    /// `path` returns the folder of the test.
+    pub fn path(&self) -> &Path {
+        self.dir.path()
+    }
+
+    /// `data_dir` returns the data folder of keeper `i`.
+    pub fn data_dir(&self, i: usize) -> PathBuf {
+        self.file(&format!("k{i}"))
+    }
+
+    /// `admin` returns the admin address of keeper `i`.
+    pub fn admin(&self, i: usize) -> SocketAddr {
+        self.keeper_admins[i]
+    }
+
+    /// `submit` submits `text` at keeper `i` with the command line; returns the version.
+    pub async fn submit(&self, i: usize, base: u64, change_id: &str, text: &str) -> u64 {
+        let submission = Submission {
+            keeper: self.admin(i),
+            base,
+            change_id,
+            text,
+        };
+        submission.accepted(self.path()).await
+    }
+
+    /// `primary` waits until the running keepers agree on one primary and returns it.
+    pub async fn primary(&self) -> usize {
+        let found = Cell::new(None);
+        process::wait_until("one primary", DEADLINE, async || {
+            let mut claims = Vec::new();
+            for i in (0..KEEPERS).filter(|i| self.keepers[*i].is_some()) {
+                claims.push(self.keeper_dump(i).await["log"]["primary"].as_u64());
+            }
+            let distinct: BTreeSet<_> = claims.iter().collect();
+            found.set(claims.first().copied().flatten());
+            distinct.len() == 1 && found.get().is_some()
+        })
+        .await
+        .unwrap();
+        found.get().unwrap() as usize - 1
+    }
+
+    /// `keeper_dump` returns the dump of keeper `i`, or null.
+    pub async fn keeper_dump(&self, i: usize) -> Value {
+        self.dump(self.keeper_admins[i]).await
+    }
+
+    /// `node_version` returns the version that node `i` acts on, if it answers.
+    pub async fn node_version(&self, i: usize) -> Option<u64> {
+        self.dump(self.node_admins[i]).await["config"]["version"].as_u64()
+    }
+
+    /// `log_version` returns the version in the log of keeper `i`, if it answers.
+    pub async fn log_version(&self, i: usize) -> Option<u64> {
+        self.keeper_dump(i).await["config"]["log_version"].as_u64()
+    }
+
+    /// `wait_in_force` waits until every node acts on `version`.
+    pub async fn wait_in_force(&self, version: u64) {
+        let what = format!("version {version} at the nodes");
+        process::wait_until(&what, DEADLINE, async || {
+            let mut all = true;
+            for i in 0..NODES {
+                all &= self.node_version(i).await == Some(version);
+            }
+            all
+        })
+        .await
+        .unwrap();
+    }
+
+    /// `versions` returns the version of each keeper's log and then of each node.
+    pub async fn versions(&self) -> Vec<Option<u64>> {
+        let mut versions = Vec::new();
+        for i in 0..KEEPERS {
+            versions.push(self.log_version(i).await);
+        }
+        for i in 0..NODES {
+            versions.push(self.node_version(i).await);
+        }
+        versions
+    }
+
+    /// `wait_risen` waits until every keeper and node is at `version`.
+    ///
+    /// Panics when one of them falls back below a version that it had, from `before` on.
+    pub async fn wait_risen(&self, version: u64, before: Vec<Option<u64>>) {
+        let seen = RefCell::new(before);
+        let what = format!("version {version} everywhere");
+        process::wait_until(&what, DEADLINE, async || {
+            let versions = self.versions().await;
+            for (seen, now) in seen.borrow_mut().iter_mut().zip(&versions) {
+                if now.is_some() {
+                    assert!(*now >= *seen, "a version fell from {seen:?} to {now:?}");
+                    *seen = *now;
+                }
+            }
+            versions.iter().all(|v| *v == Some(version))
+        })
+        .await
+        .unwrap();
+    }
+
+    async fn dump(&self, address: SocketAddr) -> Value {
+        let second = Duration::from_secs(1);
+        let got = tokio::time::timeout(second, self.client.get(address, "/dump")).await;
+        let reply = got.ok().and_then(Result::ok);
+        reply
+            .and_then(|r| r.json(address).ok())
+            .unwrap_or(Value::Null)
+    }
+
+    fn add_host(&mut self, i: usize, keepers: &[KeeperPlace]) {
+        let address = free(4);
+        let place = NodePlace {
+            node: format!("n{i}"),
+            region: REGIONS[0].to_owned(),
+            data_centre: DATA_CENTRE.to_owned(),
+            caller_address: address[0],
+            peer_address: address[1],
+            announce_address: address[2],
+        };
+        let text = node_settings(&place, keepers, &REGIONS, address[3]);
+        fs::write(self.file(&format!("n{i}.yaml")), text).unwrap();
+        self.node_admins.push(address[3]);
+        let node = self.spawn("shallothill-node", &format!("n{i}"), &[]);
+        let announce = place.announce_address.to_string();
+        let mut standin = binaries::command("shallothill-standin");
+        standin.args(["--announce", &announce, "--service", "bookings"]);
+        standin
+            .arg("--record")
+            .arg(self.file(&format!("n{i}.record")));
+        let standin = Process::spawn(standin, &self.file(&format!("s{i}.log"))).unwrap();
+        self.hosts.push(place);
+        self.nodes.push(Some(node));
+        self.standins.push(Some(standin));
+    }
+
+    fn wait_ready(&mut self) {
+        let keepers = self.keepers.iter_mut();
+        let all = keepers.chain(&mut self.nodes).chain(&mut self.standins);
+        let waited: Result<Vec<()>, _> = all.flatten().map(|p| p.wait_ready(DEADLINE)).collect();
+        if let Err(e) = waited {
+            panic!("{e}\n{}", self.logs());
+        }
+    }
+
+    /// Returns the logs of the keepers and nodes, for the message of a failed start.
+    fn logs(&self) -> String {
+        let names = (0..KEEPERS).map(|i| format!("k{i}.log"));
+        let names = names.chain((0..NODES).map(|i| format!("n{i}.log")));
+        let logs = names.map(|n| {
+            let log = fs::read_to_string(self.file(&n)).unwrap_or_default();
+            format!("{n}:\n{log}")
+        });
+        logs.collect()
+    }
+
+    fn spawn_keeper(&self, i: usize, more: &[&str]) -> Process {
+        self.spawn("shallothill-keeper", &format!("k{i}"), more)
+    }
+
+    fn spawn(&self, program: &str, name: &str, more: &[&str]) -> Process {
+        let mut command: Command = binaries::command(program);
+        let settings = self.file(&format!("{name}.yaml"));
+        command.arg("--settings").arg(settings).args(more);
+        Process::spawn(command, &self.file(&format!("{name}.log"))).unwrap()
+    }
+
+    fn file(&self, name: &str) -> PathBuf {
+        self.dir.path().join(name)
+    }
+}
+
+/// Returns free addresses on a loopback IP address of the test's own.
+///
+/// The processes bind them later; on 127.0.0.1 another test or an outgoing connection may take
+/// the port in between, and a second call could return it again.
+fn free(n: usize) -> Vec<SocketAddr> {
+    static CALLS: AtomicU8 = AtomicU8::new(1);
+    let call = CALLS.fetch_add(1, Ordering::Relaxed);
+    let [_, _, high, low] = std::process::id().to_be_bytes();
+    let ip = Ipv4Addr::new(127, 16 + high % 200, low, call);
+    ports::free(IpAddr::V4(ip), n).unwrap()
+}
+
+/// `text` returns a valid text; `mark` makes texts differ.
+pub fn text(mark: u32) -> String {
+    let booking = json!({"methods": ["POST"], "idempotent": false});
+    ConfigBuilder::new(&REGIONS)
+        .service("bookings", json!({"floor": 0, "slots": 5 + mark}))
+        .route("look-up", "bookings", "/bookings", json!({}))
+        .route("book", "bookings", "/bookings", booking)
+        .caller("shop", "shop")
+        .build()
+}
