keeper: ask the next primary when the former one hangs

Cause: a keeper held a forwarded submission for up to 10 s while the primary was frozen, although another primary had been elected after 600 ms.

Ruled out: a shorter timeout, which would end forwards of large texts that a healthy primary still checks.

Change: a forwarded submission is sent again, with its change id, as soon as the keeper knows another primary; at most three times.

Conclusion: the operator's answer follows the election. No test checks the time, since it would be one on the wall clock.

--- a/crates/shallothill-keeper/src/log/handle.rs
+++ b/crates/shallothill-keeper/src/log/handle.rs
@@ -1,5 +1,7 @@
 //! Calls to the driver of the config log.
 
+use std::future;
+
 use serde::Serialize;
 use shallothill_core::ids::KeeperId;
 use shallothill_replica::ReplicaStatus;
@@ -86,6 +88,16 @@
         self.status.borrow().clone()
     }
 
+    /// `replaced` returns once a primary other than `former` is known.
+    pub async fn replaced(&self, former: KeeperId) {
+        let mut status = self.status.clone();
+        let other = |s: &LogStatus| s.primary.is_some_and(|p| p != former);
+        if status.wait_for(other).await.is_err() {
+            // The driver has ended, so there will be no other primary in this process.
+            future::pending::<()>().await;
+        }
+    }
+
     async fn call<T>(
         &self,
         command: impl FnOnce(oneshot::Sender<Result<T, Refusal>>) -> Command,
--- a/crates/shallothill-keeper/src/submit.rs
+++ b/crates/shallothill-keeper/src/submit.rs
@@ -24,6 +24,9 @@
 /// `FORWARD_TIMEOUT` bounds the time that the primary may take for a forwarded submission.
 const FORWARD_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// `FORWARD_ATTEMPTS` bounds how often a submission is forwarded while the primary changes.
+const FORWARD_ATTEMPTS: usize = 3;
+
 /// `COMMIT_TIMEOUT` bounds the time in which the log answers; a change that is committed later
 /// keeps its id.
 const COMMIT_TIMEOUT: Duration = Duration::from_secs(8);
@@ -42,13 +45,23 @@
     if forward && let Err(reply) = check(keeper, &req).await {
         return reply;
     }
+    for _ in 0..FORWARD_ATTEMPTS {
+        if let Some(reply) = attempt(keeper, &req, forward).await {
+            return reply;
+        }
+    }
+    unavailable("the primary of the config log keeps changing")
+}
+
+/// Answers here or at the primary; `None` when the primary changed before it answered.
+async fn attempt(keeper: &Arc<Keeper>, req: &SubmitRequest, forward: bool) -> Option<SubmitReply> {
     let answer = tokio::select! {
-        answer = at_primary(keeper, &req) => answer,
+        answer = at_primary(keeper, req) => answer,
         _ = keeper.timer.after(COMMIT_TIMEOUT) => {
             Err(Refusal::Unavailable("no quorum of keepers answered in time".to_owned()))
         }
     };
-    match answer {
+    let reply = match answer {
         Ok(reply) => reply,
         Err(Refusal::Unavailable(reason)) => unavailable(&reason),
         Err(Refusal::NotPrimary(_)) if !forward => {
@@ -56,14 +69,20 @@
         }
         Err(Refusal::NotPrimary(primary)) => {
             let Some(peer) = keeper.peers.get(&primary) else {
-                return unavailable("no primary of the config log is known");
+                return Some(unavailable("no primary of the config log is known"));
             };
+            let sent = req.clone();
             let call = peer.peer.call(FORWARD_TIMEOUT, |client, cx| async move {
-                client.submit(cx, req).await
+                client.submit(cx, sent).await
             });
-            call.await.unwrap_or_else(|e| unavailable(&e.to_string()))
+            // The change id makes it safe to ask the next primary while the former one hangs.
+            tokio::select! {
+                reply = call => reply.unwrap_or_else(|e| unavailable(&e.to_string())),
+                () = keeper.log.replaced(primary) => return None,
+            }
         }
-    }
+    };
+    Some(reply)
 }
 
 async fn check(keeper: &Keeper, req: &SubmitRequest) -> Result<(), SubmitReply> {
