--- a/crates/shallothill-testing/tests/faults/fleet.rs
+++ b/crates/shallothill-testing/tests/faults/fleet.rs
@@ -9,13 +9,17 @@
 use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::Duration;
 
+use bytes::Bytes;
+use hyper::{Method, StatusCode};
 use serde_json::{Value, json};
+use shallothill_core::headers;
 use shallothill_testing::builders::{
     ConfigBuilder, KeeperPlace, NodePlace, keeper_settings, node_settings,
 };
 use shallothill_testing::http::Client;
 use shallothill_testing::ports;
 use shallothill_testing::process::{self, Process};
+use shallothill_testing::record::{Record, RecordedRequest};
 use tempfile::TempDir;
 
 use crate::binaries;
@@ -197,6 +201,42 @@
         .unwrap();
     }
 
+    /// `restart_keeper` starts keeper `i` as a member of the existing group.
+    pub fn restart_keeper(&mut self, i: usize) {
+        let mut keeper = self.spawn_keeper(i, &[]);
+        if let Err(e) = keeper.wait_ready(DEADLINE) {
+            panic!("{e}\n{}", self.logs());
+        }
+        self.keepers[i] = Some(keeper);
+    }
+
+    /// `book_until_answered` sends a booking with `key` to node `i` until it answers with success;
+    /// returns the body.
+    pub async fn book_until_answered(&self, i: usize, key: &str) -> Bytes {
+        let answer = RefCell::new(Bytes::new());
+        let headers = [(headers::IDEMPOTENCY_KEY, key), (headers::CALLER, "shop")];
+        let address = self.hosts[i].caller_address;
+        process::wait_until("an answer to the booking", DEADLINE, async || {
+            let body = Bytes::from_static(b"pickup");
+            let sent =
+                self.client
+                    .send(Method::POST, address, "/bookings", &headers, body, DEADLINE);
+            let reply = sent.await.ok().filter(|r| r.status == StatusCode::OK);
+            let answered = reply.is_some();
+            answer.replace(reply.map_or_else(Bytes::new, |r| r.body));
+            answered
+        })
+        .await
+        .unwrap();
+        answer.into_inner()
+    }
+
+    /// `records` returns what the stand-ins ran.
+    pub fn records(&self) -> Vec<RecordedRequest> {
+        let files = (0..NODES).map(|i| self.file(&format!("n{i}.record")));
+        files.flat_map(|f| Record::read_file(&f).unwrap()).collect()
+    }
+
     async fn dump(&self, address: SocketAddr) -> Value {
         let second = Duration::from_secs(1);
         let got = tokio::time::timeout(second, self.client.get(address, "/dump")).await;
--- a/crates/shallothill-testing/tests/faults/main.rs
+++ b/crates/shallothill-testing/tests/faults/main.rs
@@ -7,3 +7,4 @@
 mod links;
 mod operator;
 mod operators;
+mod repair;
