--- a/crates/shallothill-testing/tests/faults/cuts.rs
+++ b/crates/shallothill-testing/tests/faults/cuts.rs
@@ -1,6 +1,7 @@
 //! Cuts the primary's peer links in one direction.
 
-use crate::fleet::{DEADLINE, Fleet, text};
+use crate::fleet::{DEADLINE, Fleet};
+use crate::text::text;
 use shallothill_testing::process;
 
 /// Waits until keepers other than `old` have a primary among themselves that is not `old`.
--- a/crates/shallothill-testing/tests/faults/freeze.rs
+++ b/crates/shallothill-testing/tests/faults/freeze.rs
@@ -1,6 +1,7 @@
 //! Stops the primary from outside for longer than its lease.
 
-use crate::fleet::{Fleet, text};
+use crate::fleet::Fleet;
+use crate::text::text;
 
 /// Guards against a frozen primary that goes on with a stale lease and undoes what was accepted.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
--- a/crates/shallothill-testing/tests/faults/main.rs
+++ b/crates/shallothill-testing/tests/faults/main.rs
@@ -8,3 +8,5 @@
 mod operator;
 mod operators;
 mod repair;
+mod restart;
+mod text;
--- a/crates/shallothill-testing/tests/faults/operators.rs
+++ b/crates/shallothill-testing/tests/faults/operators.rs
@@ -1,7 +1,8 @@
 //! Lets two operators submit at the same time.
 
-use crate::fleet::{Fleet, text};
+use crate::fleet::Fleet;
 use crate::operator::Submission;
+use crate::text::text;
 
 /// Guards against two changes on one base that are both accepted, and against a resend that gets
 /// another answer than the first.
--- a/crates/shallothill-testing/tests/faults/repair.rs
+++ b/crates/shallothill-testing/tests/faults/repair.rs
@@ -4,7 +4,8 @@
 
 use shallothill_testing::process;
 
-use crate::fleet::{DEADLINE, Fleet, text};
+use crate::fleet::{DEADLINE, Fleet};
+use crate::text::text;
 
 /// Waits until keeper `i` counts again in the config log and in its ledger group.
 async fn wait_whole(fleet: &Fleet, i: usize) {
--- /dev/null
+++ b/crates/shallothill-testing/tests/faults/text.rs
@@ -0,0 +1,21 @@
+//! Configuration texts of the tests.
+
+use serde_json::json;
+use shallothill_testing::builders::ConfigBuilder;
+
+use crate::fleet::REGIONS;
+
+/// `text` returns a valid text; only the one with `mark` has a route to `/only/{mark}`.
+pub fn text(mark: u32) -> String {
+    let booking = json!({"methods": ["POST"], "idempotent": false});
+    ConfigBuilder::new(&REGIONS)
+        .service(
+            "bookings",
+            json!({"floor": 0, "slots": 5 + mark, "connections": 1000}),
+        )
+        .route("only", "bookings", &format!("/only/{mark}"), json!({}))
+        .route("look-up", "bookings", "/bookings", json!({}))
+        .route("book", "bookings", "/bookings", booking)
+        .caller("shop", "shop")
+        .build()
+}
