--- a/crates/shallothill-config/src/limits.rs
+++ b/crates/shallothill-config/src/limits.rs
@@ -1,8 +1,8 @@
 //! Limits of a configuration text.
 
-/// `TEXT_MAX_BYTES` bounds the text, so that one log entry that carries a whole text fits into a
-/// frame of 8 MiB between keepers.
-pub const TEXT_MAX_BYTES: usize = 8_000_000;
+/// `TEXT_MAX_BYTES` bounds the text, so that a whole one fits one frame of 8 MB with its envelope;
+/// the largest planned configuration has about 6 MB.
+pub const TEXT_MAX_BYTES: usize = 7 * 1024 * 1024;
 /// `REGIONS_MAX` bounds the regions; the system is sized for 3 regions with 9 data centres.
 pub const REGIONS_MAX: usize = 9;
 /// `SERVICES_MAX` bounds the services; the system is sized for 1,100.
--- a/crates/shallothill-keeper/src/keeper.rs
+++ b/crates/shallothill-keeper/src/keeper.rs
@@ -207,11 +207,15 @@
     }
 
     /// `sections` returns sections of the served version, or nothing for any other version.
+    ///
+    /// The reply names the accepted version, which may be served only a moment later: a node that
+    /// starts right after an acceptance must not serve the version before it.
     pub fn sections(&self, req: &SectionsRequest) -> SectionsReply {
         let published = self.published.load();
+        let accepted = lock(&self.state).version();
         SectionsReply {
             sections: (published.version() == req.version).then(|| published.sections(&req.ids)),
-            config_version: published.version(),
+            config_version: published.version().max(accepted),
         }
     }
 
--- a/crates/shallothill-keeper/src/log/driver.rs
+++ b/crates/shallothill-keeper/src/log/driver.rs
@@ -28,7 +28,7 @@
 const TICK: Duration = Duration::from_millis(20);
 
 /// `PAYLOAD_MAX_BYTES` bounds an entry; a patch that replaces the whole text fits.
-const PAYLOAD_MAX_BYTES: usize = crate::submit::TEXT_MAX_BYTES + 64 * 1024;
+const PAYLOAD_MAX_BYTES: usize = shallothill_config::limits::TEXT_MAX_BYTES + 64 * 1024;
 
 type ProposeAnswer = oneshot::Sender<Result<Outcome, Refusal>>;
 type ReadAnswer = oneshot::Sender<Result<(), Refusal>>;
--- a/crates/shallothill-keeper/src/submit.rs
+++ b/crates/shallothill-keeper/src/submit.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use shallothill_config::TextPatch;
+use shallothill_config::limits::TEXT_MAX_BYTES;
 use shallothill_core::config::Fault;
 use shallothill_core::hash::ContentHash;
 use shallothill_wire::operator::{SubmitReply, SubmitRequest};
@@ -14,10 +15,6 @@
 use crate::keeper::{Keeper, lock};
 use crate::log::Refusal;
 
-/// `TEXT_MAX_BYTES` bounds a configuration text, so that a whole one fits one frame of 8 MB with
-/// its envelope; the largest planned configuration has about 6 MB.
-pub const TEXT_MAX_BYTES: usize = 7 * 1024 * 1024;
-
 /// `ID_MAX_BYTES` bounds change ids and operators' names, which are kept for thousands of changes.
 pub const ID_MAX_BYTES: usize = 128;
 
