--- a/crates/shallothill-keeper/tests/fetch.rs
+++ b/crates/shallothill-keeper/tests/fetch.rs
@@ -13,7 +13,8 @@
 use shallothill_core::version::ConfigVersion;
 use shallothill_runtime::admin;
 use shallothill_runtime::admin::{AdminHandler, AdminRequest};
-use shallothill_wire::watch::SectionsReply;
+use shallothill_wire::operator::SubmitReply;
+use shallothill_wire::watch::{SectionsReply, SectionsRequest};
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
 
@@ -72,3 +73,24 @@
     stop.cancel();
     server.await.unwrap();
 }
+
+/// Guards against a node that starts right after an acceptance and serves the version before it,
+/// because the keeper told it only the version that it served so far.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn holds_a_starting_node_hears_of_the_accepted_version() {
+    let group = Group::start(1).await;
+    let probe = SectionsRequest {
+        version: ConfigVersion(0),
+        ids: Vec::new(),
+    };
+
+    for base in 0..50 {
+        let text = common::text(2000, base as u32);
+        let reply = group.submit(0, base, &format!("c{base}"), &text).await;
+        let told = group.keeper(0).sections(&probe).config_version;
+
+        let version = ConfigVersion(base + 1);
+        assert_eq!(reply, SubmitReply::Accepted { version });
+        assert!(told >= version, "told {told} after {version} was accepted");
+    }
+}
