testing: measure latency and processor time without faults

Cause: the demo's latencies came from 4 s beside starting processes, and requests for each second of a core were not measured. Ruled out: a separate harness; the demo's fleet and callers are what is to be measured. Change: scripts/demo --no-faults runs 20 s of load and prints the added latency and the nodes' processor time.

--- a/crates/shallothill-testing/src/bin/demo/main.rs
+++ b/crates/shallothill-testing/src/bin/demo/main.rs
@@ -1,5 +1,6 @@
 //! The demo: both example deployments as processes on this machine, with faults on the way.
 
+mod cost;
 mod deployment;
 mod faults;
 mod fleet;
@@ -60,7 +61,7 @@
             examples: path("examples"),
             work: work.path().to_owned(),
         };
-        let result = scenario::run(&deployment, &paths).await;
+        let result = scenario::run(&deployment, &paths, !matches.get_flag("no-faults")).await;
         if matches.get_flag("keep") || result.is_err() {
             println!("logs and settings are kept in {}", work.keep().display());
         }
@@ -84,6 +85,12 @@
                 .long("only")
                 .value_parser(["texas", "kopukcu"]),
         )
+        .arg(
+            Arg::new("no-faults")
+                .long("no-faults")
+                .help("Measures latency and processor time for 20 s, without faults")
+                .action(clap::ArgAction::SetTrue),
+        )
         .arg(
             Arg::new("keep")
                 .long("keep")
--- a/crates/shallothill-testing/src/bin/demo/scenario.rs
+++ b/crates/shallothill-testing/src/bin/demo/scenario.rs
@@ -14,6 +14,7 @@
 use tokio::{task, time};
 
 use crate::Failure;
+use crate::cost;
 use crate::deployment::{Deployment, Kind};
 use crate::faults;
 use crate::fleet::{Fleet, Host};
@@ -21,8 +22,10 @@
 use crate::operator::Operator;
 use crate::summary;
 
-/// `QUIET` is the time of load without faults.
+/// `QUIET` is the time of load before the faults.
 const QUIET: Duration = Duration::from_secs(4);
+/// `MEASURED` is the time of load when no faults follow.
+const MEASURED: Duration = Duration::from_secs(20);
 /// `AFTER_FAULTS` is the time of load after the last step.
 const AFTER_FAULTS: Duration = Duration::from_secs(2);
 /// `CALLERS_PER_KIND` callers send each kind of request.
@@ -40,8 +43,13 @@
     pub(crate) work: PathBuf,
 }
 
-/// `run` runs one deployment and tells whether nothing was doubled or lost.
-pub(crate) async fn run(deployment: &Deployment, paths: &Paths) -> Result<bool, Failure> {
+/// `run` runs one deployment, with faults or to measure without them, and tells whether nothing was
+/// doubled or lost.
+pub(crate) async fn run(
+    deployment: &Deployment,
+    paths: &Paths,
+    with_faults: bool,
+) -> Result<bool, Failure> {
     let start = Instant::now();
     let text = fs::read_to_string(paths.examples.join(deployment.file))?;
     let mut fleet = task::block_in_place(|| Fleet::start(deployment, paths))?;
@@ -64,16 +72,28 @@
         took.as_secs_f64()
     );
     wait_for_answers(deployment, &fleet).await?;
+    let before = cost::processor_time(&fleet);
     let load = Load::start(&deployment.kinds, &entries(&fleet), CALLERS_PER_KIND);
-    let direct = direct_calls(deployment, &fleet).await?;
+    let quiet = if with_faults { QUIET } else { MEASURED };
+    let direct = direct_calls(deployment, &fleet, quiet).await?;
+    let spent = cost::processor_time(&fleet).saturating_sub(before);
     load.faults_begin();
-    let steps = faults::run(deployment, &mut fleet, &operator, &text, version).await;
-    // A step that failed must not hide what happened to the requests.
-    time::sleep(AFTER_FAULTS).await;
+    let steps = if with_faults {
+        let steps = faults::run(deployment, &mut fleet, &operator, &text, version).await;
+        // A step that failed must not hide what happened to the requests.
+        time::sleep(AFTER_FAULTS).await;
+        steps
+    } else {
+        Ok(())
+    };
     let requests = load.finish().await;
     let records = fleet.records()?;
     let tallies = tally::count(deployment.kinds.len(), &requests, &records);
     summary::print(&deployment.kinds, &tallies, &direct);
+    if !with_faults {
+        let answered = tallies.iter().map(|t| t.quiet.len()).sum();
+        cost::print(answered, quiet, spent);
+    }
     let (good, all) = task::block_in_place(|| fleet.end())?;
     println!(
         "{good} of {all} processes ended with code 0; {} took {:.1} s",
@@ -119,11 +139,15 @@
     Ok(wait_until(&what, FIRST_ANSWER, answered).await?)
 }
 
-/// `direct_calls` calls stand-ins without a proxy for the time `QUIET` and returns the sorted times.
+/// `direct_calls` calls stand-ins without a proxy for the time `quiet` and returns the sorted times.
 ///
 /// It runs at the same time as the load, so that both meet the same noise of the machine.
-async fn direct_calls(deployment: &Deployment, fleet: &Fleet) -> Result<Vec<Duration>, Failure> {
-    let end = Instant::now() + QUIET;
+async fn direct_calls(
+    deployment: &Deployment,
+    fleet: &Fleet,
+    quiet: Duration,
+) -> Result<Vec<Duration>, Failure> {
+    let end = Instant::now() + quiet;
     let path = deployment.kinds[0].path;
     let callers = fleet
         .hosts
