--- a/crates/shallothill-bench/src/scenarios/control.rs
+++ b/crates/shallothill-bench/src/scenarios/control.rs
@@ -74,6 +74,7 @@
         config_version: ConfigVersion(1_000_001),
         directory: None,
         crashes: Vec::new(),
+        isolated: false,
     }
 }
 
--- a/crates/shallothill-bench/src/scenarios/scale.rs
+++ b/crates/shallothill-bench/src/scenarios/scale.rs
@@ -6,7 +6,9 @@
 use std::time::Duration;
 
 use shallothill_core::class::Class;
-use shallothill_core::config::{Caller, Config, Disposition, Floor, Route, Service};
+use shallothill_core::config::{
+    Caller, Config, Disposition, Floor, OncePer, Route, Service, Target,
+};
 use shallothill_core::health::ServingState;
 use shallothill_core::ids::{
     CallerName, DataCentre, EndpointName, NodeName, Region, RouteName, ServiceName, Zone,
@@ -112,7 +114,7 @@
             text,
             "  {name}:\n    slots: {}\n    connections: {}\n    floor: {}\n    queue: {}\n    \
              disposition: cautious\n    expected_latency: 40ms",
-            s.slots,
+            s.slots.unwrap_or(5),
             s.connections,
             s.floor.total(),
             s.queue
@@ -124,7 +126,8 @@
             text,
             "  {name}:\n    service: {}\n    methods: [GET]\n    path: {}\n    idempotent: true\n    \
              class: shop\n    deadline: 10s",
-            r.service, r.path
+            r.target.services().next().map_or("", ServiceName::as_str),
+            r.path
         );
     }
     text.push_str("callers:\n");
@@ -150,7 +153,7 @@
 fn service_of() -> Service {
     Service {
         depends_on: Vec::new(),
-        slots: 7,
+        slots: Some(7),
         connections: 350,
         queue: 14,
         floor: Floor::Total(6),
@@ -158,20 +161,28 @@
         expected_latency: Duration::from_millis(40),
         cold_start_requests: 50,
         retry_budget_percent: 10,
+        retry_budget_saved: None,
         max_attempts: 3,
         hedge_after: None,
         cross_region_bytes_per_s: None,
+        health_path: None,
     }
 }
 
 fn route_of(n: usize, services: usize) -> Result<Route> {
     Ok(Route {
-        service: service(n % services)?,
+        target: Target::from(service(n % services)?),
+        host: None,
         methods: vec!["GET".to_owned()],
         path: format!("/service-{}/items-{n}", n % services),
+        below: false,
         idempotent: true,
+        once_per: OncePer::Key,
         class: Class::Shop,
+        rank: 0,
         deadline: Duration::from_secs(10),
+        objective: None,
+        attempts: None,
         max_body_bytes: 65_536,
     })
 }
--- a/crates/shallothill-bench/src/sim/ours.rs
+++ b/crates/shallothill-bench/src/sim/ours.rs
@@ -151,7 +151,7 @@
         name: EndpointName::try_new("a")?,
     };
     let dc = deployment::data_centre_of(i);
-    let keepers: Vec<KeeperId> = (0..KEEPERS as u16).map(KeeperId).collect();
+    let keepers: Vec<KeeperId> = (0..KEEPERS as u32).map(KeeperId).collect();
     let ejector = Ejector::new(
         id.clone(),
         d.zone(dc)?.region,
@@ -205,7 +205,7 @@
         };
         let entries = (0..DATA_CENTRES).map(entry);
         let entries = entries.collect::<shallothill_core::Result<Vec<_>>>()?;
-        let member = |k| LeaseMember::new(KeeperId(k as u16), Millis(0), LeaseOptions::default());
+        let member = |k| LeaseMember::new(KeeperId(k as u32), Millis(0), LeaseOptions::default());
         let keepers = (0..REGIONS).map(|_| (0..KEEPERS).map(member).collect());
         let mut ours = Self {
             rng: SmallRng::seed_from_u64(plan.seed),
--- a/crates/shallothill-bench/src/sim/ours_control.rs
+++ b/crates/shallothill-bench/src/sim/ours_control.rs
@@ -56,7 +56,7 @@
             Event::Restart { server } => self.restart(server),
             Event::RestartKeeper { region, keeper } => {
                 let now = millis(self.events.now());
-                let id = KeeperId(keeper as u16);
+                let id = KeeperId(keeper as u32);
                 let member = LeaseMember::new(id, now, LeaseOptions::default());
                 self.keepers[region][keeper] = member;
             }
--- a/crates/shallothill-cli/src/commands/submit.rs
+++ b/crates/shallothill-cli/src/commands/submit.rs
@@ -41,6 +41,7 @@
         change_id: change_id.clone(),
         operator: operator(matches),
         text,
+        labels: None,
     };
     let call = Call {
         method: Method::POST,
--- a/crates/shallothill-config/src/checks.rs
+++ b/crates/shallothill-config/src/checks.rs
@@ -2,8 +2,8 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use shallothill_core::config::{Config, Floor};
-use shallothill_core::ids::RouteName;
+use shallothill_core::config::{Config, Floor, Target};
+use shallothill_core::ids::{RouteName, ServiceName};
 
 use crate::cycles;
 use crate::faults::Faults;
@@ -41,15 +41,23 @@
     report_cycles(services, cfg, faults);
     let routes = entries(fields, "routes");
     for (name, route) in &cfg.routes {
-        if !names.contains(route.service.as_str()) {
-            let at = position(routes, name.as_str(), "service", None);
-            let field = join(&join("routes", name.as_str()), "service");
-            faults.push(at, field, unknown_service(route.service.as_str()));
+        let field = match &route.target {
+            Target::Service(_) => "service",
+            Target::Split(_) => "split",
+        };
+        let unknown = |s: &&ServiceName| !names.contains(s.as_str());
+        for service in route.target.services().filter(unknown) {
+            let at = position(routes, name.as_str(), field, None);
+            let field = join(&join("routes", name.as_str()), field);
+            faults.push(at, field, unknown_service(service.as_str()));
         }
     }
     report_same_routes(routes, cfg, faults);
 }
 
+/// `ANY_METHOD` stands for the methods of a route that accepts all.
+const ANY_METHOD: &str = "any";
+
 fn unknown_service(name: &str) -> String {
     format!("there is no service `{name}`; add it to `services` or correct the name")
 }
@@ -76,14 +84,16 @@
 }
 
 fn report_same_routes(routes: &[Entry], cfg: &Config, faults: &mut Faults) {
-    let mut seen: BTreeMap<(&str, &str), &str> = BTreeMap::new();
+    let mut seen: BTreeMap<(Option<&str>, &str, &str), &str> = BTreeMap::new();
     for entry in routes {
         // The order of the text decides which of two routes is the first.
         let name = RouteName::try_new(&entry.key).ok();
         let found = name.and_then(|n| cfg.routes.get_key_value(&n));
         let Some((name, route)) = found else { continue };
-        for method in &route.methods {
-            let key = (route.path.as_str(), method.as_str());
+        let any = route.methods.is_empty().then_some(ANY_METHOD);
+        let methods = route.methods.iter().map(String::as_str).chain(any);
+        for method in methods {
+            let key = (route.host.as_deref(), route.path.as_str(), method);
             match seen.get(&key) {
                 Some(first) if *first != name.as_str() => {
                     let at = position(routes, name.as_str(), "path", None);
--- a/crates/shallothill-config/src/diff.rs
+++ b/crates/shallothill-config/src/diff.rs
@@ -5,7 +5,7 @@
 use std::fmt::Display;
 use std::time::Duration;
 
-use shallothill_core::config::{Caller, Config, Floor, Route, Service};
+use shallothill_core::config::{Caller, Config, Floor, Route, Service, Target};
 
 /// `Change` is one difference between two configurations.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -42,6 +42,12 @@
         regions(old),
         regions(new),
     );
+    push(
+        &mut changes,
+        String::from("limits"),
+        limits(old),
+        limits(new),
+    );
     items(
         &mut changes,
         "services",
@@ -97,7 +103,7 @@
     let disposition = s.disposition.between(0.0, 1.0);
     vec![
         ("depends_on", Some(format!("[{}]", joined(&s.depends_on)))),
-        ("slots", Some(s.slots.to_string())),
+        ("slots", s.slots.map(|n| n.to_string())),
         ("connections", Some(s.connections.to_string())),
         ("queue", Some(s.queue.to_string())),
         ("floor", Some(floor(&s.floor))),
@@ -111,27 +117,61 @@
             "retry_budget_percent",
             Some(s.retry_budget_percent.to_string()),
         ),
+        (
+            "retry_budget_saved",
+            s.retry_budget_saved.map(|n| n.to_string()),
+        ),
         ("max_attempts", Some(s.max_attempts.to_string())),
         ("hedge_after", s.hedge_after.map(duration)),
         (
             "cross_region_bytes_per_s",
             s.cross_region_bytes_per_s.map(|n| n.to_string()),
         ),
+        ("health_path", s.health_path.clone()),
     ]
 }
 
 fn route(r: &Route) -> Values {
     vec![
-        ("service", Some(r.service.to_string())),
+        ("target", Some(target(&r.target))),
+        ("host", r.host.clone()),
         ("methods", Some(format!("[{}]", joined(&r.methods)))),
         ("path", Some(r.path.clone())),
+        ("below", r.below.then(|| String::from("true"))),
         ("idempotent", Some(r.idempotent.to_string())),
+        ("once_per", Some(format!("{:?}", r.once_per).to_lowercase())),
         ("class", Some(r.class.to_string())),
+        ("rank", Some(r.rank.to_string())),
         ("deadline", Some(duration(r.deadline))),
+        ("objective", r.objective.map(duration)),
+        ("attempts", r.attempts.map(|n| n.to_string())),
         ("max_body_bytes", Some(r.max_body_bytes.to_string())),
     ]
 }
 
+fn target(target: &Target) -> String {
+    match target {
+        Target::Service(service) => service.to_string(),
+        Target::Split(shares) => {
+            let parts = shares
+                .iter()
+                .map(|s| format!("{}: {}", s.service, s.weight));
+            format!("{{{}}}", parts.collect::<Vec<_>>().join(", "))
+        }
+    }
+}
+
+fn limits(cfg: &Config) -> Option<String> {
+    let l = cfg.limits?;
+    Some(format!(
+        "{{header_bytes: {}, body_bytes: {}, header_timeout: {}, idle_timeout: {}}}",
+        l.header_bytes,
+        l.body_bytes,
+        duration(l.header_timeout),
+        duration(l.idle_timeout)
+    ))
+}
+
 fn caller(c: &Caller) -> Values {
     vec![
         ("class", Some(c.class.to_string())),
@@ -150,7 +190,8 @@
     }
 }
 
-fn duration(d: Duration) -> String {
+/// `duration` writes a duration with the largest unit that fits.
+pub(crate) fn duration(d: Duration) -> String {
     match d.as_millis() {
         ms if ms % 60_000 == 0 => format!("{}m", ms / 60_000),
         ms if ms % 1_000 == 0 => format!("{}s", ms / 1_000),
--- a/crates/shallothill-config/src/lib.rs
+++ b/crates/shallothill-config/src/lib.rs
@@ -1,6 +1,7 @@
 //! Reads and checks the configuration text, compares configurations and patches texts.
 
 mod caller;
+mod caller_limits;
 mod checks;
 mod cycles;
 mod diff;
@@ -14,8 +15,10 @@
 mod route;
 mod scalars;
 mod service;
+mod write;
 
 pub use diff::{Change, diff};
 pub use errors::{Error, Result};
 pub use patch::TextPatch;
 pub use read::read;
+pub use write::write;
--- a/crates/shallothill-config/src/limits.rs
+++ b/crates/shallothill-config/src/limits.rs
@@ -22,5 +22,9 @@
 pub const DURATION_MAX_S: u64 = 3_600;
 /// `PATH_MAX_BYTES` bounds the path of a route.
 pub const PATH_MAX_BYTES: usize = 1_024;
+/// `HEADERS_MAX_BYTES` bounds the limit of headers, which a node holds in memory.
+pub const HEADERS_MAX_BYTES: u64 = 1024 * 1024;
+/// `HOST_MAX_BYTES` bounds the host of a route, as names of hosts are bounded.
+pub const HOST_MAX_BYTES: usize = 253;
 /// `FAULTS_MAX` bounds the reported faults; a last one tells how many more there are.
 pub const FAULTS_MAX: usize = 1_000;
--- a/crates/shallothill-config/src/read.rs
+++ b/crates/shallothill-config/src/read.rs
@@ -13,9 +13,9 @@
 use crate::node;
 use crate::node::{Entry, Position};
 use crate::scalars;
-use crate::{caller, route, service};
+use crate::{caller, caller_limits, route, service};
 
-const FIELDS: [&str; 4] = ["regions", "services", "routes", "callers"];
+const FIELDS: [&str; 5] = ["regions", "limits", "services", "routes", "callers"];
 
 /// `read` reads and checks `text`.
 ///
@@ -64,6 +64,7 @@
     };
     let cfg = Config {
         regions: regions.clone().unwrap_or_default(),
+        limits: caller_limits::read(fields, faults),
         services: services.collect(fields, faults),
         routes: routes.collect(fields, faults),
         callers: callers.collect(fields, faults),
--- a/crates/shallothill-config/src/route.rs
+++ b/crates/shallothill-config/src/route.rs
@@ -1,24 +1,38 @@
 //! Reads one route.
 
-use shallothill_core::config::Route;
+use std::time::Duration;
+
+use shallothill_core::config::{Route, Share, Target};
 use shallothill_core::ids::ServiceName;
 
 use crate::faults::Faults;
 use crate::fields;
 use crate::fields::Fields;
 use crate::limits;
-use crate::node::{Entry, Value};
+use crate::node::{Entry, Node, Value};
 use crate::scalars;
 
-const FIELDS: [&str; 7] = [
+const FIELDS: [&str; 14] = [
     "service",
+    "split",
+    "host",
     "methods",
     "path",
+    "below",
     "idempotent",
+    "once_per",
     "class",
+    "rank",
     "deadline",
+    "objective",
+    "attempts",
     "max_body_bytes",
 ];
+/// `ANY_METHOD` in place of the list accepts every method.
+const ANY_METHOD: &str = "any";
+/// `OBJECTIVE_EXCESS_MAX` bounds how far the objective may lie above the deadline; one further off
+/// has a wrong unit.
+const OBJECTIVE_EXCESS_MAX: Duration = Duration::from_secs(60);
 
 const METHODS: [&str; 7] = ["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"];
 
@@ -28,27 +42,114 @@
 /// `read` reads the route `entry`; `None` means that faults were reported.
 pub(crate) fn read(entry: &Entry, path: String, faults: &mut Faults) -> Option<Route> {
     let fields = Fields::read(&entry.node, entry.at, path, &FIELDS, faults)?;
-    let service = fields.required("service", faults, scalars::name(ServiceName::try_new));
+    let target = target(&fields, faults);
+    let host = fields.optional("host", faults, host);
     let methods = methods(&fields, faults);
     let path = fields.required("path", faults, route_path);
+    let below = fields.optional("below", faults, scalars::boolean);
     let idempotent = fields.required("idempotent", faults, scalars::boolean);
+    let once_per = fields.optional("once_per", faults, scalars::once_per);
     let class = fields.required("class", faults, scalars::class);
+    let rank = fields.optional("rank", faults, scalars::number(0, u8::MAX));
     let deadline = fields.required("deadline", faults, scalars::duration);
+    let objective = fields.optional("objective", faults, scalars::duration);
+    objective_fits(&fields, objective, deadline, faults);
+    let attempts = scalars::number(1, limits::ATTEMPTS_MAX);
+    let attempts = fields.optional("attempts", faults, attempts);
     let body_limit = scalars::number(0, limits::BODY_MAX_BYTES);
     let max_body_bytes = fields.optional("max_body_bytes", faults, body_limit);
     Some(Route {
-        service: service?,
+        target: target?,
+        host: host?,
         methods: methods?,
         path: path?,
+        below: below?.unwrap_or(false),
         idempotent: idempotent?,
+        once_per: once_per?.unwrap_or_default(),
         class: class?,
+        rank: rank?.unwrap_or(0),
         deadline: deadline?,
+        objective: objective?,
+        attempts: attempts?,
         max_body_bytes: max_body_bytes?.unwrap_or(BODY_DEFAULT_BYTES),
     })
 }
 
+fn target(fields: &Fields<'_>, faults: &mut Faults) -> Option<Target> {
+    let Some(entry) = fields.get("split") else {
+        let name = scalars::name(ServiceName::try_new);
+        return fields.required("service", faults, name).map(Target::from);
+    };
+    let field = fields.path_of("split");
+    if let Some(service) = fields.get("service") {
+        let message = "`service` and `split` exclude each other; remove one";
+        faults.push(service.at, fields.path_of("service"), message);
+        return None;
+    }
+    let shares = shares(&entry.node, &field, faults)?;
+    let target = Target::Split(shares);
+    if target.total_weight() == 0 {
+        let message = "the weights add up to 0; raise one of them";
+        faults.push(entry.node.at, &field, message);
+        return None;
+    }
+    Some(target)
+}
+
+fn shares(node: &Node, field: &str, faults: &mut Faults) -> Option<Vec<Share>> {
+    let entries = fields::mapping(node, field, faults)?;
+    let before = faults.count();
+    let mut shares: Vec<Share> = Vec::new();
+    for entry in entries {
+        let field = fields::join(field, &entry.key);
+        let service = ServiceName::try_new(&entry.key);
+        match (service, scalars::number(0, u32::MAX)(&entry.node.value)) {
+            (Ok(service), Ok(_)) if shares.iter().any(|s| s.service == service) => {
+                faults.push(entry.at, field, "the service stands twice; remove one");
+            }
+            (Ok(service), Ok(weight)) => shares.push(Share { service, weight }),
+            (Err(e), _) => faults.push(entry.at, field, e.to_string()),
+            (_, Err(message)) => faults.push(entry.node.at, field, message),
+        }
+    }
+    (faults.count() == before).then_some(shares)
+}
+
+fn host(value: &Value) -> Result<String, String> {
+    let host = scalars::text(value)?;
+    let plain = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '.' | '_' | ':');
+    if host.is_empty() || host.len() > limits::HOST_MAX_BYTES || !host.chars().all(plain) {
+        let max = limits::HOST_MAX_BYTES;
+        return Err(format!(
+            "`{host}` is no host; write 1 to {max} letters, digits, `-`, `.`, `_` or `:`"
+        ));
+    }
+    Ok(host.to_ascii_lowercase())
+}
+
+fn objective_fits(
+    fields: &Fields<'_>,
+    objective: Option<Option<Duration>>,
+    deadline: Option<Duration>,
+    faults: &mut Faults,
+) {
+    if let (Some(Some(objective)), Some(deadline)) = (objective, deadline)
+        && objective >= deadline + OBJECTIVE_EXCESS_MAX
+    {
+        let message = "the objective is a minute or more above the deadline; lower it";
+        faults.push(
+            fields.position("objective"),
+            fields.path_of("objective"),
+            message,
+        );
+    }
+}
+
 fn methods(fields: &Fields<'_>, faults: &mut Faults) -> Option<Vec<String>> {
     let entry = fields.require("methods", faults)?;
+    if matches!(&entry.node.value, Value::Text(text) if text == ANY_METHOD) {
+        return Some(Vec::new());
+    }
     let field = fields.path_of("methods");
     let items = fields::list(&entry.node, &field, faults)?;
     let before = faults.count();
--- a/crates/shallothill-config/src/scalars.rs
+++ b/crates/shallothill-config/src/scalars.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use shallothill_core::class::Class;
-use shallothill_core::config::Disposition;
+use shallothill_core::config::{Disposition, OncePer};
 
 use crate::limits;
 use crate::node::Value;
@@ -95,6 +95,15 @@
         .map_err(|e: shallothill_core::Error| e.to_string())
 }
 
+/// `once_per` reads over which sends a request runs at most once.
+pub(crate) fn once_per(value: &Value) -> Result<OncePer, String> {
+    match text(value)? {
+        "key" => Ok(OncePer::Key),
+        "attempt" => Ok(OncePer::Attempt),
+        other => Err(format!("`{other}` is not known; write `key` or `attempt`")),
+    }
+}
+
 /// `disposition` reads `quick`, `cautious` or a number from 0 to 1.
 pub(crate) fn disposition(value: &Value) -> Result<Disposition, String> {
     const FORM: &str = "write `quick`, `cautious` or a number from 0.0 to 1.0";
@@ -126,3 +135,15 @@
 ) -> impl Fn(&Value) -> Result<T, String> {
     move |value| try_new(text(value)?).map_err(|e| e.to_string())
 }
+
+/// `plain_path` reads a path that starts with `/` and holds printable ASCII only.
+pub(crate) fn plain_path(value: &Value) -> Result<String, String> {
+    let path = text(value)?;
+    let plain = path.chars().all(|c| c.is_ascii_graphic());
+    if !path.starts_with('/') || !plain || path.len() > limits::PATH_MAX_BYTES {
+        return Err(format!(
+            "`{path}` is no path; start it with `/` and write it percent-encoded"
+        ));
+    }
+    Ok(path.to_owned())
+}
--- a/crates/shallothill-config/src/service.rs
+++ b/crates/shallothill-config/src/service.rs
@@ -12,7 +12,7 @@
 use crate::node::{Entry, Node, Value};
 use crate::scalars;
 
-const FIELDS: [&str; 12] = [
+const FIELDS: [&str; 14] = [
     "depends_on",
     "slots",
     "connections",
@@ -22,11 +22,17 @@
     "expected_latency",
     "cold_start_requests",
     "retry_budget_percent",
+    "retry_budget_saved",
     "max_attempts",
     "hedge_after",
     "cross_region_bytes_per_s",
+    "health_path",
 ];
 
+/// `ANNOUNCED` in place of the slots leaves them to the announcements of backend servers.
+pub(crate) const ANNOUNCED: &str = "announced";
+/// `QUEUE_DEFAULT` is the queue of a service whose slots are announced.
+const QUEUE_DEFAULT: u16 = 10;
 const COLD_START_REQUESTS_DEFAULT: u32 = 50;
 const RETRY_BUDGET_PERCENT_DEFAULT: u8 = 10;
 const MAX_ATTEMPTS_DEFAULT: u8 = 3;
@@ -36,35 +42,41 @@
     let fields = Fields::read(&entry.node, entry.at, path, &FIELDS, faults)?;
     let any = scalars::number(0, u32::MAX);
     let depends_on = depends_on(&fields, faults);
-    let slots = fields.required("slots", faults, scalars::number(1, u16::MAX));
+    let slots = fields.required("slots", faults, slots_of);
     let connections = fields.required("connections", faults, scalars::number(1, u32::MAX));
     let queue = fields.optional("queue", faults, scalars::number(0, u16::MAX));
     let floor = floor(&fields, faults);
     let disposition = fields.required("disposition", faults, scalars::disposition);
     let expected_latency = fields.required("expected_latency", faults, scalars::duration);
-    let cold_start_requests = fields.optional("cold_start_requests", faults, any);
+    let cold_start_requests = fields.optional("cold_start_requests", faults, &any);
     let percent = scalars::number(0, 100u8);
     let retry_budget_percent = fields.optional("retry_budget_percent", faults, percent);
+    let retry_budget_saved = fields.optional("retry_budget_saved", faults, &any);
     let attempts = scalars::number(1, limits::ATTEMPTS_MAX);
     let max_attempts = fields.optional("max_attempts", faults, attempts);
     let hedge_after = fields.optional("hedge_after", faults, scalars::duration);
     let bytes = scalars::number(0, u64::MAX);
     let cross_region_bytes_per_s = fields.optional("cross_region_bytes_per_s", faults, bytes);
-    enough_connections(&fields, slots, connections, faults);
+    let health_path = fields.optional("health_path", faults, scalars::plain_path);
+    let slots_known = slots.flatten();
+    enough_connections(&fields, slots_known, connections, faults);
     let slots = slots?;
+    let queue_default = slots.map_or(QUEUE_DEFAULT, |s| s.saturating_mul(2));
     Some(Service {
         depends_on: depends_on?,
         slots,
         connections: connections?,
-        queue: queue?.unwrap_or(slots.saturating_mul(2)),
+        queue: queue?.unwrap_or(queue_default),
         floor: floor?,
         disposition: disposition?,
         expected_latency: expected_latency?,
         cold_start_requests: cold_start_requests?.unwrap_or(COLD_START_REQUESTS_DEFAULT),
         retry_budget_percent: retry_budget_percent?.unwrap_or(RETRY_BUDGET_PERCENT_DEFAULT),
+        retry_budget_saved: retry_budget_saved?,
         max_attempts: max_attempts?.unwrap_or(MAX_ATTEMPTS_DEFAULT),
         hedge_after: hedge_after?,
         cross_region_bytes_per_s: cross_region_bytes_per_s?,
+        health_path: health_path?,
     })
 }
 
@@ -88,6 +100,14 @@
     }
 }
 
+// The slots of a service, or `None` where each backend server announces its own.
+fn slots_of(value: &Value) -> Result<Option<u16>, String> {
+    match value {
+        Value::Text(text) if text == ANNOUNCED => Ok(None),
+        other => scalars::number(1, u16::MAX)(other).map(Some),
+    }
+}
+
 fn depends_on(fields: &Fields<'_>, faults: &mut Faults) -> Option<Vec<ServiceName>> {
     let Some(entry) = fields.get("depends_on") else {
         return Some(Vec::new());
--- /dev/null
+++ b/crates/shallothill-config/src/write.rs
@@ -0,0 +1,122 @@
+//! Writes a configuration as text, for programs that build one.
+
+use std::time::Duration;
+
+use serde_json::{Map, Value, json};
+use shallothill_core::config::{Caller, Config, Floor, Limits, OncePer, Route, Service, Target};
+
+use crate::{diff, service};
+
+/// `write` returns a text from which [`crate::read`] reads `cfg` again. Equal configurations have
+/// equal texts, with one field a line, so that patches between versions stay small.
+pub fn write(cfg: &Config) -> String {
+    let mut document = Map::new();
+    document.insert("regions".to_owned(), json!(cfg.regions));
+    if let Some(limits) = &cfg.limits {
+        document.insert("limits".to_owned(), limits_of(limits));
+    }
+    let services = cfg
+        .services
+        .iter()
+        .map(|(n, s)| (n.as_str(), service_of(s)));
+    document.insert("services".to_owned(), mapping(services));
+    let routes = cfg.routes.iter().map(|(n, r)| (n.as_str(), route(r)));
+    document.insert("routes".to_owned(), mapping(routes));
+    let callers = cfg.callers.iter().map(|(n, c)| (n.as_str(), caller(c)));
+    document.insert("callers".to_owned(), mapping(callers));
+    // JSON is YAML as well.
+    format!("{:#}\n", Value::Object(document))
+}
+
+fn mapping<'a>(items: impl Iterator<Item = (&'a str, Value)>) -> Value {
+    Value::Object(items.map(|(n, v)| (n.to_owned(), v)).collect())
+}
+
+// Leaves out the fields that are not given.
+fn present(fields: Value) -> Value {
+    match fields {
+        Value::Object(map) => {
+            Value::Object(map.into_iter().filter(|(_, v)| !v.is_null()).collect())
+        }
+        other => other,
+    }
+}
+
+fn duration(d: Duration) -> Value {
+    Value::String(diff::duration(d))
+}
+
+fn limits_of(l: &Limits) -> Value {
+    json!({
+        "header_bytes": l.header_bytes,
+        "body_bytes": l.body_bytes,
+        "header_timeout": duration(l.header_timeout),
+        "idle_timeout": duration(l.idle_timeout),
+    })
+}
+
+fn service_of(s: &Service) -> Value {
+    let floor = match &s.floor {
+        Floor::Total(n) => json!(n),
+        Floor::PerRegion(by_region) => json!(by_region),
+    };
+    present(json!({
+        "depends_on": s.depends_on,
+        "slots": s.slots.map_or_else(|| json!(service::ANNOUNCED), |n| json!(n)),
+        "connections": s.connections,
+        "queue": s.queue,
+        "floor": floor,
+        "disposition": s.disposition.between(0.0, 1.0),
+        "expected_latency": duration(s.expected_latency),
+        "cold_start_requests": s.cold_start_requests,
+        "retry_budget_percent": s.retry_budget_percent,
+        "retry_budget_saved": s.retry_budget_saved,
+        "max_attempts": s.max_attempts,
+        "hedge_after": s.hedge_after.map(duration),
+        "cross_region_bytes_per_s": s.cross_region_bytes_per_s,
+        "health_path": s.health_path,
+    }))
+}
+
+fn route(r: &Route) -> Value {
+    let (service, split) = match &r.target {
+        Target::Service(service) => (json!(service), Value::Null),
+        Target::Split(shares) => {
+            let weights = shares.iter().map(|s| (s.service.as_str(), json!(s.weight)));
+            (Value::Null, mapping(weights))
+        }
+    };
+    let methods = if r.methods.is_empty() {
+        json!("any")
+    } else {
+        json!(r.methods)
+    };
+    let once_per = match r.once_per {
+        OncePer::Key => "key",
+        OncePer::Attempt => "attempt",
+    };
+    present(json!({
+        "service": service,
+        "split": split,
+        "host": r.host,
+        "methods": methods,
+        "path": r.path,
+        "below": r.below,
+        "idempotent": r.idempotent,
+        "once_per": once_per,
+        "class": r.class,
+        "rank": r.rank,
+        "deadline": duration(r.deadline),
+        "objective": r.objective.map(duration),
+        "attempts": r.attempts,
+        "max_body_bytes": r.max_body_bytes,
+    }))
+}
+
+fn caller(c: &Caller) -> Value {
+    present(json!({
+        "class": c.class,
+        "requests_per_s": c.requests_per_s,
+        "concurrent": c.concurrent,
+    }))
+}
--- a/crates/shallothill-config/tests/read.rs
+++ b/crates/shallothill-config/tests/read.rs
@@ -45,7 +45,7 @@
         .1;
     assert_eq!(
         (courier.slots, courier.queue, courier.max_attempts),
-        (7, 14, 3)
+        (Some(7), 14, 3)
     );
     assert_eq!(courier.hedge_after, Some(Duration::from_secs(120)));
     assert_eq!(courier.floor.total(), 3);
--- a/crates/shallothill-core/src/config/service.rs
+++ b/crates/shallothill-core/src/config/service.rs
@@ -12,8 +12,9 @@
 pub struct Service {
     /// The services that this one calls to do its work.
     pub depends_on: Vec<ServiceName>,
-    /// Requests that one backend server runs at a time.
-    pub slots: u16,
+    /// Requests that one backend server runs at a time at most; `None` leaves it to what each one
+    /// announces.
+    pub slots: Option<u16>,
     /// Connections that one backend server accepts.
     pub connections: u32,
     /// Requests that may wait at the gate of one backend server.
@@ -28,10 +29,15 @@
     pub cold_start_requests: u32,
     /// Retries allowed per 100 first attempts.
     pub retry_budget_percent: u8,
+    /// Retries that all nodes together may save up for a burst of failures; `None` lets each node
+    /// save ten.
+    pub retry_budget_saved: Option<u32>,
     /// Attempts allowed for one request, the first included.
     pub max_attempts: u8,
     /// Time after which an idempotent request is sent to a second backend server, if any.
     pub hedge_after: Option<Duration>,
     /// Bytes a second that one node may send to other regions for this service, if limited.
     pub cross_region_bytes_per_s: Option<u64>,
+    /// The path at which backend servers answer health checks, if they do.
+    pub health_path: Option<String>,
 }
--- a/crates/shallothill-core/src/headers.rs
+++ b/crates/shallothill-core/src/headers.rs
@@ -31,6 +31,14 @@
 /// `CRASH` numbers the crash of a backend server that the attempt was in flight at, on responses
 /// between nodes.
 pub const CRASH: &str = "x-shallothill-crash";
+/// `ONCE_PER` is `attempt` on hops between nodes when a non-idempotent request has no key.
+pub const ONCE_PER: &str = "x-shallothill-once-per";
+/// `RANK` is the rank of the request within its class, on hops between nodes.
+pub const RANK: &str = "x-shallothill-rank";
+/// `REACHED` marks responses between nodes when the request reached a backend server.
+pub const REACHED: &str = "x-shallothill-reached";
+/// `RETRY_AFTER_MS` is the time after which a refused request may be sent again, in milliseconds.
+pub const RETRY_AFTER_MS: &str = "x-shallothill-retry-after-ms";
 /// `IDEMPOTENCY_KEY` identifies a non-idempotent request across resends.
 pub const IDEMPOTENCY_KEY: &str = "idempotency-key";
 /// `OWN_PREFIX` starts every header that belongs to shallothill.
--- a/crates/shallothill-core/src/ids.rs
+++ b/crates/shallothill-core/src/ids.rs
@@ -1,6 +1,7 @@
 //! Names of hosts, zones, services, routes and callers as distinct types.
 
 use std::fmt;
+use std::net::Ipv4Addr;
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
@@ -99,9 +100,23 @@
 );
 
 /// `KeeperId` numbers a keeper; numbers are never used again for another data folder.
-#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+#[derive(
+    Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
+)]
 #[serde(transparent)]
-pub struct KeeperId(pub u16);
+pub struct KeeperId(pub u32);
+
+impl KeeperId {
+    /// `of_host` numbers the keeper on the host at `ip`: the number is the address.
+    pub fn of_host(ip: Ipv4Addr) -> Self {
+        Self(ip.to_bits())
+    }
+
+    /// `host` returns the address that [`Self::of_host`] made the number from.
+    pub fn host(self) -> Ipv4Addr {
+        Ipv4Addr::from_bits(self.0)
+    }
+}
 
 impl fmt::Display for KeeperId {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
--- a/crates/shallothill-core/src/sections.rs
+++ b/crates/shallothill-core/src/sections.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::config::{Caller, Config, Route, Service};
+use crate::config::{Caller, Config, Limits, Route, Service};
 use crate::hash;
 use crate::hash::ContentHash;
 use crate::ids::{CallerName, Region, RouteName, ServiceName};
@@ -13,8 +13,8 @@
 /// name, so that one change of 61,000 callers sends about 240 of them.
 #[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 pub enum SectionId {
-    /// The list of regions.
-    Regions,
+    /// What holds for the whole fleet.
+    Fleet,
     /// One service.
     Service(ServiceName),
     /// One bucket of routes.
@@ -26,8 +26,8 @@
 /// `Section` is the content of a section.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Section {
-    /// The list of regions.
-    Regions(Vec<Region>),
+    /// The list of regions and the limits of callers.
+    Fleet(Vec<Region>, Option<Limits>),
     /// One service.
     Service(ServiceName, Box<Service>),
     /// One bucket of routes.
@@ -40,7 +40,7 @@
     /// `id` returns the section's name.
     pub fn id(&self) -> SectionId {
         match self {
-            Self::Regions(_) => SectionId::Regions,
+            Self::Fleet(..) => SectionId::Fleet,
             Self::Service(name, _) => SectionId::Service(name.clone()),
             Self::Routes(bucket, _) => SectionId::Routes(*bucket),
             Self::Callers(bucket, _) => SectionId::Callers(*bucket),
@@ -74,7 +74,7 @@
         let bucket = callers.entry(bucket(name.as_str())).or_default();
         bucket.insert(name.clone(), caller.clone());
     }
-    let mut sections = vec![Section::Regions(cfg.regions.clone())];
+    let mut sections = vec![Section::Fleet(cfg.regions.clone(), cfg.limits)];
     let services = cfg.services.iter();
     sections.extend(services.map(|(n, s)| Section::Service(n.clone(), Box::new(s.clone()))));
     sections.extend(
@@ -103,7 +103,10 @@
     let mut cfg = Config::default();
     for section in sections {
         match section {
-            Section::Regions(regions) => cfg.regions.clone_from(regions),
+            Section::Fleet(regions, limits) => {
+                cfg.regions.clone_from(regions);
+                cfg.limits = *limits;
+            }
             Section::Service(name, service) => {
                 cfg.services.insert(name.clone(), service.as_ref().clone());
             }
--- a/crates/shallothill-core/tests/values.rs
+++ b/crates/shallothill-core/tests/values.rs
@@ -4,7 +4,9 @@
 use std::time::Duration;
 
 use shallothill_core::class::Class;
-use shallothill_core::config::{Caller, Config, Disposition, Floor, Route, Service};
+use shallothill_core::config::{
+    Caller, Config, Disposition, Floor, OncePer, Route, Service, Target,
+};
 use shallothill_core::idempotency::IdempotencyKey;
 use shallothill_core::ids::{CallerName, Region, RouteName, ServiceName};
 use shallothill_core::outcome::Outcome;
@@ -24,7 +26,7 @@
 fn service() -> Service {
     Service {
         depends_on: Vec::new(),
-        slots: 7,
+        slots: Some(7),
         connections: 350,
         queue: 14,
         floor: Floor::Total(6),
@@ -32,21 +34,29 @@
         expected_latency: Duration::from_millis(40),
         cold_start_requests: 50,
         retry_budget_percent: 10,
+        retry_budget_saved: None,
         max_attempts: 3,
         hedge_after: None,
         cross_region_bytes_per_s: None,
+        health_path: None,
     }
 }
 
 fn config(callers: u32) -> Config {
     let name = ServiceName::try_new("courier").unwrap();
     let route = Route {
-        service: name.clone(),
+        target: Target::from(name.clone()),
+        host: None,
         methods: vec!["POST".to_owned()],
         path: "/courier".to_owned(),
+        below: false,
         idempotent: false,
+        once_per: OncePer::Key,
         class: Class::Shop,
+        rank: 0,
         deadline: Duration::from_secs(10),
+        objective: None,
+        attempts: None,
         max_body_bytes: 65_536,
     };
     let caller = Caller {
@@ -64,6 +74,7 @@
         .collect();
     Config {
         regions: regions(),
+        limits: None,
         services: BTreeMap::from([(name, service())]),
         routes: BTreeMap::from([(RouteName::try_new("book").unwrap(), route)]),
         callers,
--- a/crates/shallothill-directory/tests/directory_moves.rs
+++ b/crates/shallothill-directory/tests/directory_moves.rs
@@ -41,7 +41,7 @@
     }
 }
 
-fn directory(k: u16) -> Directory {
+fn directory(k: u32) -> Directory {
     Directory::new(KeeperId(k), Incarnation(1), DirectoryOptions::default())
 }
 
--- a/crates/shallothill-directory/tests/leases/schedules.rs
+++ b/crates/shallothill-directory/tests/leases/schedules.rs
@@ -30,7 +30,7 @@
             }
         }
         14 => {
-            let k = u.choose_index(usize::from(KEEPERS))?;
+            let k = u.choose_index(KEEPERS as usize)?;
             w.members[k] = LeaseMember::new(keepers()[k], w.now, w.member_options.clone());
         }
         // The gate's process starts again; incarnations grow like wall-clock milliseconds.
--- a/crates/shallothill-directory/tests/leases/support.rs
+++ b/crates/shallothill-directory/tests/leases/support.rs
@@ -11,7 +11,7 @@
     HolderState, LeaseHolder, LeaseMember, LeaseOptions, LeaseReply, LeaseRequest, ReleaseRequest,
 };
 
-pub const KEEPERS: u16 = 3;
+pub const KEEPERS: u32 = 3;
 pub const STEP: Duration = Duration::from_millis(100);
 
 #[derive(Clone)]
@@ -75,7 +75,7 @@
             budget,
             members: keepers().into_iter().map(member).collect::<Vec<_>>(),
             holders: (0..holders).map(|i| holder(i, 1)).collect(),
-            cut: vec![false; usize::from(KEEPERS)],
+            cut: vec![false; KEEPERS as usize],
             member_options: options,
             in_flight: BTreeMap::new(),
             sent: 0,
@@ -125,15 +125,15 @@
 
     fn deliver(&mut self, u: &mut Unstructured<'_>, message: Message) -> Result<()> {
         match message {
-            Message::Ask(k, _) | Message::Release(k, _) if self.cut[usize::from(k.0)] => {}
+            Message::Ask(k, _) | Message::Release(k, _) if self.cut[k.0 as usize] => {}
             Message::Ask(k, req) => {
-                let reply = self.members[usize::from(k.0)].request(self.now, &req, self.budget);
+                let reply = self.members[k.0 as usize].request(self.now, &req, self.budget);
                 let found = (0..self.holders.len()).find(|i| endpoint(*i) == req.endpoint);
                 if let Some(i) = found {
                     self.send(u, Message::Reply(i, reply))?;
                 }
             }
-            Message::Release(k, req) => self.members[usize::from(k.0)].release(&req),
+            Message::Release(k, req) => self.members[k.0 as usize].release(&req),
             Message::Reply(i, reply) => {
                 if let Some(release) = self.holders[i].on_reply(self.now, &reply) {
                     self.send_release(u, &release)?;
--- a/crates/shallothill-keeper/src/config_state/change.rs
+++ b/crates/shallothill-keeper/src/config_state/change.rs
@@ -5,6 +5,7 @@
 use shallothill_core::hash::ContentHash;
 use shallothill_core::time::UnixMillis;
 use shallothill_core::version::ConfigVersion;
+use shallothill_wire::operator::Labels;
 
 /// `Change` is an entry of the config log: a submitted text as a patch of its base version.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -24,6 +25,8 @@
     pub proposed: UnixMillis,
     /// The new text relative to the base.
     pub patch: TextPatch,
+    /// The operator's labels, which are checked as well as the base.
+    pub labels: Option<Labels>,
 }
 
 /// `Outcome` is what became of a change; a resend gets the outcome of the first one.
--- a/crates/shallothill-keeper/src/config_state/state.rs
+++ b/crates/shallothill-keeper/src/config_state/state.rs
@@ -30,6 +30,7 @@
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct Snapshot {
     version: ConfigVersion,
+    label: u64,
     text: Arc<str>,
     changes: Vec<KnownChange>,
     history: VecDeque<Accepted>,
@@ -41,6 +42,7 @@
 #[derive(Clone, Debug)]
 pub struct ConfigState {
     version: ConfigVersion,
+    label: u64,
     text: Arc<str>,
     changes: ChangeTable,
     history: VecDeque<Accepted>,
@@ -51,6 +53,7 @@
     fn default() -> Self {
         Self {
             version: ConfigVersion(0),
+            label: 0,
             text: Arc::from(""),
             changes: ChangeTable::default(),
             history: VecDeque::new(),
@@ -65,6 +68,11 @@
         self.version
     }
 
+    /// `label` returns the operator's label of the current version, 0 without one.
+    pub fn label(&self) -> u64 {
+        self.label
+    }
+
     /// `text` returns the current text.
     pub fn text(&self) -> Arc<str> {
         Arc::clone(&self.text)
@@ -81,7 +89,10 @@
             return known;
         }
         let fits = |text: &String| ContentHash::of(text.as_bytes()) == change.text_hash;
-        let text = if change.base == self.version {
+        let fits_label = change
+            .labels
+            .is_none_or(|l| l.base == self.label && l.new > l.base);
+        let text = if change.base == self.version && fits_label {
             change.patch.apply(&self.text).ok().filter(fits)
         } else {
             None
@@ -128,6 +139,7 @@
     pub fn snapshot(&self, sections: SectionHistory) -> Snapshot {
         Snapshot {
             version: self.version,
+            label: self.label,
             text: Arc::clone(&self.text),
             changes: self.changes.to_list(),
             history: self.history.clone(),
@@ -141,6 +153,7 @@
         let undo_bytes = undo.map(|u| u.middle.len()).sum();
         Self {
             version: snapshot.version,
+            label: snapshot.label,
             text: snapshot.text,
             changes: ChangeTable::from_list(snapshot.changes),
             history: snapshot.history,
@@ -150,6 +163,7 @@
 
     fn accept(&mut self, change: &Change, text: String) -> Outcome {
         self.version = self.version.max(change.in_force).next();
+        self.label = change.labels.map_or(self.label, |l| l.new);
         let undo = TextPatch::make(&text, &self.text);
         self.undo_bytes += undo.middle.len();
         self.history.push_back(Accepted {
--- a/crates/shallothill-keeper/src/control.rs
+++ b/crates/shallothill-keeper/src/control.rs
@@ -9,6 +9,7 @@
     Answer, ClaimReply, ClaimRequest, CompleteRequest, Refusal, WithdrawRequest,
 };
 use shallothill_wire::control::KeeperControl;
+use shallothill_wire::keeper_info::KeeperInfo;
 use shallothill_wire::report::{ReportReply, ReportRequest};
 use shallothill_wire::watch::{SectionsReply, SectionsRequest, WatchReply, WatchRequest};
 use tarpc::context::Context;
@@ -31,7 +32,8 @@
         } else {
             None
         };
-        if config.is_none() && news.is_none() {
+        let isolated = self.0.settings.discovers() && self.0.is_isolated();
+        if config.is_none() && news.is_none() && !isolated {
             return None;
         }
         let (directory, crashes) = match news {
@@ -43,6 +45,7 @@
             config_version: published.version(),
             directory,
             crashes,
+            isolated,
         })
     }
 
@@ -59,6 +62,9 @@
     // A key of another region must not be claimed here, whatever `regions` the gate has.
     fn is_home(&self, key: &IdempotencyKey) -> bool {
         let settings = &self.0.settings;
+        if settings.discovers() {
+            return false;
+        }
         key.home(&settings.regions)
             .is_ok_and(|home| *home == settings.region)
     }
@@ -93,6 +99,7 @@
                         config_version: self.0.published.load().version(),
                         directory: None,
                         crashes: Vec::new(),
+                        isolated: false,
                     };
                 }
             }
@@ -103,6 +110,10 @@
         self.0.sections(&req)
     }
 
+    async fn keepers(self, _: Context) -> Vec<KeeperInfo> {
+        self.0.known_keepers()
+    }
+
     async fn claim(self, _: Context, req: ClaimRequest) -> ClaimReply {
         if !self.is_home(&req.key) {
             return self.refused();
--- a/crates/shallothill-keeper/src/fetch.rs
+++ b/crates/shallothill-keeper/src/fetch.rs
@@ -19,7 +19,8 @@
 use shallothill_wire::watch::{ConfigUpdate, SectionsReply, SectionsRequest};
 use tokio::time;
 
-use crate::keeper::{Keeper, Peer};
+use crate::keeper::Keeper;
+use crate::peers::Peer;
 use crate::published::Published;
 
 /// `TIMEOUT` bounds each call for a configuration or its sections.
@@ -56,7 +57,8 @@
     pub async fn newest(&self, keeper: &Keeper) {
         let current = keeper.published.load_full();
         let from = current.version();
-        let asked = keeper.peers.values().map(|peer| async move {
+        let all = keeper.peers.all();
+        let asked = all.values().map(|peer| async move {
             let call = peer.peer.call(TIMEOUT, |client, cx| async move {
                 client.config(cx, from).await
             });
--- /dev/null
+++ b/crates/shallothill-keeper/src/group.rs
@@ -0,0 +1,173 @@
+//! Keeps the discovered keepers and the members of the config log the same.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use log::{info, warn};
+use shallothill_core::ids::KeeperId;
+use shallothill_core::time::Millis;
+use shallothill_replica::Standing;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+use crate::keeper::{Keeper, lock};
+use crate::peer::MeetRequest;
+use crate::peers::Peer;
+use crate::roster::Sighting;
+use crate::sync;
+
+/// `EVERY` is the time between two looks at the group.
+const EVERY: Duration = Duration::from_millis(300);
+
+/// `CALL_TIMEOUT` bounds a call to another keeper.
+const CALL_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// `Group` follows the members of the config log.
+#[derive(Debug)]
+pub struct Group {
+    /// The shared state.
+    pub keeper: Arc<Keeper>,
+    /// Where tasks for new keepers are started.
+    pub tasks: TaskTracker,
+    /// Ends the tasks.
+    pub stop: CancellationToken,
+}
+
+impl Group {
+    /// `run` looks at the group until it is stopped.
+    pub async fn run(self) {
+        let mut followers: BTreeMap<KeeperId, CancellationToken> = BTreeMap::new();
+        let mut ticks = self.keeper.timer.every(EVERY);
+        loop {
+            tokio::select! {
+                tick = ticks.recv() => if tick.is_none() { return },
+                () = self.stop.cancelled() => return,
+            }
+            self.follow(&mut followers);
+            if self.is_settled() {
+                self.meet_unknown().await;
+                self.change_members().await;
+            } else {
+                self.meet_all().await;
+            }
+        }
+    }
+
+    // The log decides who the other keepers are; before there is one, the seeds are asked.
+    fn follow(&self, followers: &mut BTreeMap<KeeperId, CancellationToken>) {
+        let keeper = &self.keeper;
+        let status = keeper.log.status().replica;
+        let whole = status.filter(|r| r.standing == Standing::Whole);
+        let mut ids = whole.map_or_else(Vec::new, |r| r.members);
+        if !self.is_settled() {
+            ids.extend(keeper.settings.members());
+        }
+        keeper.peers.set(&ids);
+        let all = keeper.peers.all();
+        followers.retain(|id, stop| {
+            let stays = all.contains_key(id);
+            if !stays {
+                stop.cancel();
+            }
+            stays
+        });
+        for id in all.keys() {
+            followers.entry(*id).or_insert_with(|| {
+                let stop = self.stop.child_token();
+                let follow = sync::follow(Arc::clone(keeper), *id, stop.clone());
+                self.tasks.spawn(follow);
+                stop
+            });
+        }
+    }
+
+    // Whether this keeper is a member and hears a primary, or is one.
+    fn is_settled(&self) -> bool {
+        let status = self.keeper.log.status();
+        let me = self.keeper.settings.id;
+        let member = status.replica.is_some_and(|r| r.members.contains(&me));
+        member && status.primary.is_some()
+    }
+
+    async fn meet_unknown(&self) {
+        for (id, peer) in self.keeper.peers.all().iter() {
+            if lock(&peer.zone).is_none() {
+                self.meet(*id, peer).await;
+            }
+        }
+    }
+
+    async fn meet_all(&self) {
+        for (id, peer) in self.keeper.peers.all().iter() {
+            let Some(reply) = self.meet(*id, peer).await else {
+                continue;
+            };
+            let primary = reply.primary.filter(|p| *p != self.keeper.settings.id);
+            if let Some(primary) = primary.filter(|p| p != id) {
+                // The one that decides may not be among the seeds.
+                let mut ids: Vec<KeeperId> = self.keeper.peers.all().keys().copied().collect();
+                ids.push(primary);
+                self.keeper.peers.set(&ids);
+                if let Some(peer) = self.keeper.peers.get(primary) {
+                    self.meet(primary, &peer).await;
+                    return;
+                }
+            }
+        }
+    }
+
+    async fn meet(&self, id: KeeperId, peer: &Peer) -> Option<crate::peer::MeetReply> {
+        let status = self.keeper.log.status().replica;
+        let req = MeetRequest {
+            from: self.keeper.settings.id,
+            zone: self.keeper.settings.zone(),
+            whole: status.is_some_and(|r| r.standing == Standing::Whole),
+        };
+        let call = peer.peer.call(CALL_TIMEOUT, |client, cx| async move {
+            client.meet(cx, req).await
+        });
+        let reply = call.await.ok()?;
+        self.keeper.peers.note_zone(id, &reply.zone);
+        Some(reply)
+    }
+
+    async fn change_members(&self) {
+        let keeper = &self.keeper;
+        let status = keeper.log.status();
+        if status.primary != Some(keeper.settings.id) {
+            return;
+        }
+        let Some(replica) = status.replica else {
+            return;
+        };
+        let now = keeper.timer.now();
+        let seen = sightings(keeper, now);
+        let next = lock(&keeper.roster).next(now, &replica.members, &seen);
+        let Some(members) = next else {
+            return;
+        };
+        let list: Vec<String> = members.iter().map(|k| k.host().to_string()).collect();
+        info!("group: changing the members to {}", list.join(", "));
+        if let Err(e) = keeper.log.change_members(members).await {
+            warn!("group: the members stay as they are: {e:?}");
+        }
+    }
+}
+
+fn sightings(keeper: &Keeper, now: Millis) -> BTreeMap<KeeperId, Sighting> {
+    let all = keeper.peers.all();
+    let others = all.iter().map(|(id, peer)| {
+        let sighting = Sighting {
+            data_centre: lock(&peer.zone).as_ref().map(|z| z.data_centre.clone()),
+            // A keeper that was never heard gets the time since the start of this process.
+            heard: lock(&peer.heard).unwrap_or_default(),
+        };
+        (*id, sighting)
+    });
+    let me = Sighting {
+        data_centre: Some(keeper.settings.data_centre.clone()),
+        heard: now,
+    };
+    others.chain([(keeper.settings.id, me)]).collect()
+}
--- a/crates/shallothill-keeper/src/housekeeping.rs
+++ b/crates/shallothill-keeper/src/housekeeping.rs
@@ -18,6 +18,7 @@
     let mut knew_nodes = false;
     while ticks.recv().await.is_some() {
         count += 1;
+        keeper.watch_isolation();
         keeper.with_membership(|now, membership| membership.expire(now));
         lock(&keeper.leases).expire(keeper.timer.now());
         if !knew_nodes && keeper.knows_nodes() {
--- a/crates/shallothill-keeper/src/keeper.rs
+++ b/crates/shallothill-keeper/src/keeper.rs
@@ -1,6 +1,5 @@
 //! The state that the parts of a keeper share.
 
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -8,14 +7,13 @@
 use arc_swap::ArcSwap;
 use shallothill_core::config::Config;
 use shallothill_core::hash::ContentHash;
-use shallothill_core::ids::{KeeperId, Region};
+use shallothill_core::ids::KeeperId;
 use shallothill_core::incarnation::Incarnation;
 use shallothill_core::time::Millis;
 use shallothill_core::version::ConfigVersion;
 use shallothill_directory::{LeaseMember, LeaseOptions, LeaseReply, LeaseRequest};
 use shallothill_runtime::timer::Timer;
-use shallothill_wire::channel::RpcChannel;
-use shallothill_wire::control::KeeperControlClient;
+use shallothill_wire::keeper_info::KeeperInfo;
 use shallothill_wire::watch::{SectionsReply, SectionsRequest};
 use tokio::sync::watch;
 
@@ -23,8 +21,9 @@
 use crate::ledger::LedgerHandle;
 use crate::log::LogHandle;
 use crate::membership::Membership;
-use crate::peer::KeeperPeerClient;
+use crate::peers::{Peer, Peers};
 use crate::published::Published;
+use crate::roster::{Roster, RosterOptions};
 use crate::settings::Settings;
 
 /// `HEARD_FOR` is how long another keeper counts as heard after its last answer.
@@ -33,23 +32,34 @@
 /// `VERSION_MAX` is far above any version that is ever reached; a higher one comes from a fault.
 const VERSION_MAX: ConfigVersion = ConfigVersion(1 << 48);
 
+/// `ISOLATED_AFTER` is longer than a usual change of the primary.
+const ISOLATED_AFTER: Duration = Duration::from_millis(1500);
+
 /// `START_MIN` covers the time between two reports of a node, 2 s, with a failed one.
 const START_MIN: Duration = Duration::from_secs(5);
 
 /// `START_MAX` bounds the wait for keepers that do not answer.
 const START_MAX: Duration = Duration::from_secs(8);
 
-/// `Peer` holds the connections to another keeper.
+/// `KeeperParts` is what a keeper is built from.
 #[derive(Debug)]
-pub struct Peer {
-    /// The region whose group it serves.
-    pub region: Region,
-    /// Its service for keepers.
-    pub peer: RpcChannel<KeeperPeerClient>,
-    /// Its service for nodes, which answers questions on keys.
-    pub control: RpcChannel<KeeperControlClient>,
-    /// When it answered last.
-    pub heard: Mutex<Option<Millis>>,
+pub struct KeeperParts {
+    /// The settings.
+    pub settings: Settings,
+    /// The timer service.
+    pub timer: Timer,
+    /// The life of the process.
+    pub incarnation: Incarnation,
+    /// The state machine of the config log.
+    pub state: Arc<Mutex<ConfigState>>,
+    /// Which sections changed in recent versions.
+    pub sections: Arc<Mutex<SectionHistory>>,
+    /// The ledger member.
+    pub ledger: LedgerHandle,
+    /// The config log.
+    pub log: LogHandle,
+    /// The other keepers.
+    pub peers: Arc<Peers>,
 }
 
 /// `Keeper` is the shared state of the keeper's tasks and servers.
@@ -76,9 +86,12 @@
     /// The config log.
     pub log: LogHandle,
     /// The other keepers.
-    pub peers: BTreeMap<KeeperId, Peer>,
+    pub peers: Arc<Peers>,
+    /// Who belongs to the group, where keepers are discovered.
+    pub roster: Mutex<Roster>,
     /// The text that was checked last, by its hash, so that it is not read again to be served.
     pub checked: Mutex<Option<(ContentHash, Arc<Config>)>>,
+    isolation: Mutex<Option<Millis>>,
     news: watch::Sender<()>,
     highest: watch::Sender<ConfigVersion>,
     ahead: Mutex<Option<(ConfigVersion, SocketAddr)>>,
@@ -86,26 +99,25 @@
 
 impl Keeper {
     /// `new` shares the given parts.
-    pub fn new(
-        settings: Settings,
-        timer: Timer,
-        incarnation: Incarnation,
-        state: Arc<Mutex<ConfigState>>,
-        sections: Arc<Mutex<SectionHistory>>,
-        ledger: LedgerHandle,
-        log: LogHandle,
-    ) -> Self {
-        let peers = settings.others().map(|k| {
-            let peer = Peer {
-                region: k.region.clone(),
-                peer: RpcChannel::new(k.peer_address),
-                control: RpcChannel::new(k.control_address),
-                heard: Mutex::new(None),
-            };
-            (k.id, peer)
-        });
+    pub fn new(parts: KeeperParts) -> Self {
+        let KeeperParts {
+            settings,
+            timer,
+            incarnation,
+            state,
+            sections,
+            ledger,
+            log,
+            peers,
+        } = parts;
+        let options = RosterOptions {
+            tolerated_losses: settings.tolerated_losses,
+            ..RosterOptions::default()
+        };
         Self {
-            peers: peers.collect(),
+            peers,
+            roster: Mutex::new(Roster::new(options)),
+            isolation: Mutex::default(),
             membership: Mutex::new(Membership::new(settings.id, incarnation)),
             leases: Mutex::new(LeaseMember::new(
                 settings.id,
@@ -221,7 +233,7 @@
 
     /// `heard` notes that a keeper answered.
     pub fn heard(&self, from: KeeperId) {
-        if let Some(peer) = self.peers.get(&from) {
+        if let Some(peer) = self.peers.get(from) {
             *lock(&peer.heard) = Some(self.timer.now());
         }
     }
@@ -232,9 +244,57 @@
         lock(&peer.heard).is_some_and(|at| now.saturating_since(at) < HEARD_FOR)
     }
 
+    /// `watch_isolation` notes whether a primary is known; call it about every 300 ms.
+    pub fn watch_isolation(&self) {
+        let alone = self.log.status().primary.is_none();
+        let mut since = lock(&self.isolation);
+        if !alone {
+            *since = None;
+        } else if since.is_none() {
+            *since = Some(self.timer.now());
+        }
+        let isolated = self.isolated_since(*since);
+        drop(since);
+        if isolated {
+            self.wake();
+        }
+    }
+
+    /// `is_isolated` tells whether no primary has been known for a while, so that accepted versions
+    /// may be missing here.
+    pub fn is_isolated(&self) -> bool {
+        let since = *lock(&self.isolation);
+        self.isolated_since(since)
+    }
+
+    fn isolated_since(&self, since: Option<Millis>) -> bool {
+        let now = self.timer.now();
+        since.is_some_and(|at| now.saturating_since(at) >= ISOLATED_AFTER)
+    }
+
+    /// `known_keepers` lists the keepers whose places are known, this one included.
+    pub fn known_keepers(&self) -> Vec<KeeperInfo> {
+        let me = KeeperInfo {
+            id: self.settings.id,
+            zone: self.settings.zone(),
+            control_address: self.settings.control_address,
+        };
+        let all = self.peers.all();
+        let others = all.iter().filter_map(|(id, peer)| {
+            let zone = lock(&peer.zone).clone()?;
+            Some(KeeperInfo {
+                id: *id,
+                zone,
+                control_address: peer.control.address(),
+            })
+        });
+        others.chain([me]).collect()
+    }
+
     /// `heard_keepers` lists the other keepers that answered lately.
     pub fn heard_keepers(&self) -> Vec<KeeperId> {
-        let heard = self.peers.iter().filter(|(_, peer)| self.is_heard(peer));
+        let all = self.peers.all();
+        let heard = all.iter().filter(|(_, peer)| self.is_heard(peer));
         heard.map(|(id, _)| *id).collect()
     }
 
@@ -243,8 +303,8 @@
     pub fn silent_keepers(&self) -> Vec<KeeperId> {
         let now = self.timer.now();
         let last = |peer: &Peer| lock(&peer.heard).unwrap_or_default();
-        let silent = self
-            .peers
+        let all = self.peers.all();
+        let silent = all
             .iter()
             .filter(|(_, peer)| now.saturating_since(last(peer)) >= HEARD_FOR);
         silent.map(|(id, _)| *id).collect()
@@ -258,7 +318,7 @@
             return true;
         }
         let age = self.timer.now().saturating_since(Millis(0));
-        let all_heard = || self.peers.values().all(|p| lock(&p.heard).is_some());
+        let all_heard = || self.peers.all().values().all(|p| lock(&p.heard).is_some());
         age >= START_MAX || age >= START_MIN && all_heard()
     }
 
--- a/crates/shallothill-keeper/src/key_status.rs
+++ b/crates/shallothill-keeper/src/key_status.rs
@@ -46,7 +46,8 @@
         return keeper.ledger.query(key.clone()).await;
     }
     let key = key.clone();
-    let control = &keeper.peers.get(&member)?.control;
+    let peer = keeper.peers.get(member)?;
+    let control = &peer.control;
     let call = control.call(ASK_TIMEOUT, |client, cx| async move {
         client.query_key(cx, key).await
     });
--- a/crates/shallothill-keeper/src/ledger/recover.rs
+++ b/crates/shallothill-keeper/src/ledger/recover.rs
@@ -65,7 +65,7 @@
 
 // Returns `None` for a member that did not answer, and `Some(None)` when nothing is to be asked.
 async fn ask(keeper: &Keeper, recovery: &Recovery, id: KeeperId) -> Option<Option<RecoveryReply>> {
-    let Some(peer) = keeper.peers.get(&id) else {
+    let Some(peer) = keeper.peers.get(id) else {
         return Some(None);
     };
     let Some(req) = recovery.request(id) else {
--- a/crates/shallothill-keeper/src/log/driver.rs
+++ b/crates/shallothill-keeper/src/log/driver.rs
@@ -23,6 +23,7 @@
 use crate::fatal::Fatal;
 use crate::keeper::lock;
 use crate::ledger::LedgerHandle;
+use crate::settings::LogTimes;
 
 /// `TICK` is the time between two looks of the replica at its deadlines.
 const TICK: Duration = Duration::from_millis(20);
@@ -42,6 +43,8 @@
     pub members: Vec<KeeperId>,
     /// Whether the operator creates a new group.
     pub new_group: bool,
+    /// The times of the log.
+    pub times: LogTimes,
     /// The timer service.
     pub timer: Timer,
     /// The config log.
@@ -87,6 +90,7 @@
     status: watch::Sender<LogStatus>,
     applied: watch::Sender<()>,
     proposals: BTreeMap<RequestId, (Change, ProposeAnswer)>,
+    changes: BTreeMap<RequestId, ReadAnswer>,
     reads: BTreeMap<ReadToken, ReadAnswer>,
     next_read: u64,
     formed: bool,
@@ -104,7 +108,7 @@
             create_group: parts.new_group,
             seed: rand::random(),
             max_payload_bytes: PAYLOAD_MAX_BYTES,
-            ..ReplicaOptions::default()
+            ..parts.times.apply(ReplicaOptions::default())
         };
         let standing = parts.durable.hard.as_ref().map(|h| h.standing);
         if let Some(snapshot) = &parts.durable.snapshot {
@@ -129,6 +133,7 @@
             status: parts.status,
             applied: parts.applied,
             proposals: BTreeMap::new(),
+            changes: BTreeMap::new(),
             reads: BTreeMap::new(),
             next_read: 0,
             formed: false,
@@ -171,6 +176,11 @@
                 let request = Request { id, payload };
                 Event::Propose { request }
             }
+            Command::ChangeMembers(members, tx) => {
+                let id = RequestId(rand::random());
+                self.changes.insert(id, tx);
+                Event::ChangeMembers { id, members }
+            }
             Command::Read(tx) => {
                 self.next_read += 1;
                 let token = ReadToken(self.next_read);
@@ -247,6 +257,16 @@
     }
 
     fn reply(&mut self, request: RequestId, result: ProposeResult) {
+        if let Some(tx) = self.changes.remove(&request) {
+            let answer = match result {
+                ProposeResult::Committed(_) => Ok(()),
+                ProposeResult::NotPrimary { primary } => Err(refusal(self.me, primary)),
+                other => Err(Refusal::Unavailable(format!("{other:?}"))),
+            };
+            // The primary looks at the group again soon, whoever waits.
+            let _ = tx.send(answer);
+            return;
+        }
         let Some((change, tx)) = self.proposals.remove(&request) else {
             return;
         };
--- a/crates/shallothill-keeper/src/log/handle.rs
+++ b/crates/shallothill-keeper/src/log/handle.rs
@@ -26,6 +26,8 @@
 pub enum Command {
     /// Puts a change into the log and answers once it is applied.
     Propose(Change, oneshot::Sender<Result<Outcome, Refusal>>),
+    /// Changes the members by one and answers once that is committed.
+    ChangeMembers(Vec<KeeperId>, oneshot::Sender<Result<(), Refusal>>),
     /// Answers once the applied state is current.
     Read(oneshot::Sender<Result<(), Refusal>>),
 }
@@ -83,6 +85,14 @@
         self.call(Command::Read).await
     }
 
+    /// `change_members` adds or removes one member.
+    ///
+    /// Fails with a [`Refusal`] on keepers other than the primary, while another change is under
+    /// way, and when too few of the new members answer.
+    pub async fn change_members(&self, members: Vec<KeeperId>) -> Result<(), Refusal> {
+        self.call(|tx| Command::ChangeMembers(members, tx)).await
+    }
+
     /// `status` returns the driver's main figures.
     pub fn status(&self) -> LogStatus {
         self.status.borrow().clone()
--- a/crates/shallothill-keeper/src/log/links.rs
+++ b/crates/shallothill-keeper/src/log/links.rs
@@ -14,6 +14,7 @@
 use tokio_util::task::TaskTracker;
 
 use crate::peer::KeeperPeerClient;
+use crate::peers::Peers;
 
 /// `QUEUE_MAX` bounds the messages that wait for one keeper; more are dropped, and the replica
 /// sends them again.
@@ -26,44 +27,61 @@
 /// `CALL_TIMEOUT` bounds a call; a later answer would be of no use to the replica.
 const CALL_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// `Links` holds a queue for each other keeper.
+/// `Links` holds a queue for each other keeper that messages were sent to.
 #[derive(Debug)]
 pub struct Links {
+    me: KeeperId,
+    peers: Arc<Peers>,
+    tasks: TaskTracker,
+    stop: CancellationToken,
     queues: BTreeMap<KeeperId, mpsc::Sender<Message>>,
 }
 
 impl Links {
-    /// `start` spawns a task for each keeper of `others` that ends when `stop` is cancelled.
-    pub fn start(
+    /// `new` starts without queues; the task of each one ends when `stop` is cancelled.
+    pub fn new(
         me: KeeperId,
-        others: impl IntoIterator<Item = (KeeperId, SocketAddr)>,
+        peers: Arc<Peers>,
         tasks: &TaskTracker,
         stop: &CancellationToken,
     ) -> Self {
-        let mut queues = BTreeMap::new();
-        for (id, address) in others {
-            let (tx, rx) = mpsc::channel(QUEUE_MAX);
-            let channel = Arc::new(RpcChannel::new(address));
-            let stop = stop.clone();
-            tasks.spawn(async move {
-                tokio::select! {
-                    () = run(me, channel, rx) => {}
-                    () = stop.cancelled() => {}
-                }
-            });
-            queues.insert(id, tx);
+        Self {
+            me,
+            peers,
+            tasks: tasks.clone(),
+            stop: stop.clone(),
+            queues: BTreeMap::new(),
         }
-        Self { queues }
     }
 
-    /// `send` queues a message, or drops it when the queue is full.
-    pub fn send(&self, to: KeeperId, msg: Message) {
+    /// `send` queues a message, or drops it when the queue is full or the keeper has no address.
+    pub fn send(&mut self, to: KeeperId, msg: Message) {
+        if !self.queues.contains_key(&to) {
+            let Some(address) = self.peers.log_address(to) else {
+                return;
+            };
+            let queue = self.start(address);
+            self.queues.insert(to, queue);
+        }
         if let Some(queue) = self.queues.get(&to)
             && queue.try_send(msg).is_err()
         {
             debug!("config: the queue to keeper {to} is full");
         }
     }
+
+    fn start(&self, address: SocketAddr) -> mpsc::Sender<Message> {
+        let (tx, rx) = mpsc::channel(QUEUE_MAX);
+        let channel = Arc::new(RpcChannel::new(address));
+        let (me, stop) = (self.me, self.stop.clone());
+        self.tasks.spawn(async move {
+            tokio::select! {
+                () = run(me, channel, rx) => {}
+                () = stop.cancelled() => {}
+            }
+        });
+        tx
+    }
 }
 
 async fn run(
--- a/crates/shallothill-keeper/src/operators.rs
+++ b/crates/shallothill-keeper/src/operators.rs
@@ -111,7 +111,8 @@
     });
     let grants: Vec<serde_json::Value> = grants.collect();
     drop(leases);
-    let peers = keeper.peers.iter().map(|(id, peer)| {
+    let all = keeper.peers.all();
+    let peers = all.iter().map(|(id, peer)| {
         json!({
             "keeper": id,
             "address": peer.peer.address(),
--- a/crates/shallothill-keeper/src/peer.rs
+++ b/crates/shallothill-keeper/src/peer.rs
@@ -10,7 +10,7 @@
 use shallothill_ledger::{RecoveryReply, RecoveryRequest};
 use shallothill_replica::Message;
 use shallothill_wire::crash::CrashNotice;
-use shallothill_wire::operator::{SubmitReply, SubmitRequest};
+use shallothill_wire::operator::{CurrentText, SubmitReply, SubmitRequest};
 use shallothill_wire::watch::{ConfigUpdate, SectionsReply, SectionsRequest};
 use shallothill_wire::{channel, transport};
 use tarpc::client;
@@ -71,6 +71,26 @@
     pub nodes: Vec<NodeVersion>,
 }
 
+/// `MeetRequest` introduces a keeper to another one.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct MeetRequest {
+    /// The keeper.
+    pub from: KeeperId,
+    /// The place that it stands in.
+    pub zone: Zone,
+    /// Whether it holds the whole log, so that it can become a member.
+    pub whole: bool,
+}
+
+/// `MeetReply` tells a keeper where to ask further.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct MeetReply {
+    /// The place of the answering keeper.
+    pub zone: Zone,
+    /// The primary of the config log, as far as the answering keeper knows.
+    pub primary: Option<KeeperId>,
+}
+
 /// `KeeperPeer` is what keepers ask of each other.
 #[tarpc::service]
 pub trait KeeperPeer {
@@ -84,6 +104,11 @@
     async fn status() -> PeerStatus;
     /// `submit` carries an operator's submission to the primary of the config log.
     async fn submit(req: SubmitRequest) -> SubmitReply;
+    /// `current` returns the accepted text at the primary of the config log, no older than any
+    /// acknowledgement before the call; `None` when that is not certain.
+    async fn current() -> Option<CurrentText>;
+    /// `meet` introduces a keeper; the primary makes it a member.
+    async fn meet(req: MeetRequest) -> MeetReply;
     /// `replica` delivers a message of the config log; it may be dropped.
     async fn replica(from: KeeperId, msg: Message);
     /// `recover` answers a ledger member that lost its disk; `None` while this one recovers too.
--- a/crates/shallothill-keeper/src/peer_server.rs
+++ b/crates/shallothill-keeper/src/peer_server.rs
@@ -7,13 +7,13 @@
 use shallothill_core::version::ConfigVersion;
 use shallothill_ledger::{RecoveryReply, RecoveryRequest};
 use shallothill_replica::Message;
-use shallothill_wire::operator::{SubmitReply, SubmitRequest};
+use shallothill_wire::operator::{CurrentText, SubmitReply, SubmitRequest};
 use shallothill_wire::watch::{ConfigUpdate, SectionsReply, SectionsRequest};
 use tarpc::context::Context;
 use tokio::sync::mpsc;
 
 use crate::keeper::{Keeper, lock};
-use crate::peer::{KeeperPeer, PeerStatus, SyncReply, SyncRequest};
+use crate::peer::{KeeperPeer, MeetReply, MeetRequest, PeerStatus, SyncReply, SyncRequest};
 use crate::{status, submit};
 
 /// `WAIT_MAX` bounds a long poll of another keeper.
@@ -88,8 +88,29 @@
         submit::submit(&self.keeper, req, false).await
     }
 
+    async fn current(self, _: Context) -> Option<CurrentText> {
+        submit::current_here(&self.keeper).await.ok()
+    }
+
+    async fn meet(self, _: Context, req: MeetRequest) -> MeetReply {
+        let keeper = &self.keeper;
+        keeper.peers.note_zone(req.from, &req.zone);
+        let status = keeper.log.status();
+        let leads = status.primary == Some(keeper.settings.id);
+        let member = status
+            .replica
+            .is_some_and(|r| r.members.contains(&req.from));
+        if leads && req.whole && !member {
+            lock(&keeper.roster).ask_to_join(keeper.timer.now(), req.from);
+        }
+        MeetReply {
+            zone: keeper.settings.zone(),
+            primary: status.primary,
+        }
+    }
+
     async fn replica(self, _: Context, from: KeeperId, msg: Message) {
-        if self.keeper.peers.contains_key(&from) {
+        if self.keeper.peers.accepts(from) {
             // The replica repeats what is dropped while the driver is busy.
             let _ = self.messages.try_send((from, msg));
         }
--- a/crates/shallothill-keeper/src/process.rs
+++ b/crates/shallothill-keeper/src/process.rs
@@ -26,13 +26,15 @@
 use crate::data::Data;
 use crate::errors;
 use crate::fatal::Fatal;
-use crate::keeper::Keeper;
+use crate::group::Group;
+use crate::keeper::{Keeper, KeeperParts};
 use crate::ledger::LedgerHandle;
 use crate::listeners::Listeners;
 use crate::log::{Driver, Links, LogHandle, Parts};
 use crate::operators::Operators;
 use crate::peer::KeeperPeer;
 use crate::peer_server::PeerServer;
+use crate::peers::Peers;
 use crate::settings::Settings;
 use crate::{housekeeping, ledger, metrics, publisher, sync};
 
@@ -79,6 +81,7 @@
         options: StartOptions,
     ) -> errors::Result<Self> {
         settings.check()?;
+        let settings = settings.with_id();
         let control_address = address(&listeners.control)?;
         let peer_address = address(&listeners.peer)?;
         let admin_address = address(&listeners.admin)?;
@@ -93,11 +96,12 @@
         let (log, commands, status) = LogHandle::new();
         let (applied, applied_rx) = watch::channel(());
         let (messages_tx, messages) = mpsc::channel(MESSAGES_MAX);
-        let others = settings.others().map(|k| (k.id, k.peer_address));
+        let peers = Arc::new(Peers::new(&settings));
         let driver = Driver::try_new(Parts {
             me: settings.id,
             members: settings.members(),
-            new_group: options.new_group,
+            new_group: options.new_group && is_founder(&settings),
+            times: settings.log.clone(),
             timer: timer.clone(),
             disk: data.disk,
             durable: data.durable,
@@ -106,7 +110,7 @@
             ledger: ledger.clone(),
             commands,
             messages,
-            links: Links::start(settings.id, others, &tasks, &stop),
+            links: Links::new(settings.id, Arc::clone(&peers), &tasks, &stop),
             status,
             applied,
             fatal: fatal_tx,
@@ -114,7 +118,16 @@
         let metrics =
             runtime_metrics::client("shallothill.keeper", settings.process.metrics_address)?;
         let life = Incarnation(rand::random());
-        let keeper = Keeper::new(settings, timer, life, state, sections, ledger, log);
+        let keeper = Keeper::new(KeeperParts {
+            settings,
+            timer,
+            incarnation: life,
+            state,
+            sections,
+            ledger,
+            log,
+            peers,
+        });
         let process = Self {
             control_address,
             peer_address,
@@ -193,18 +206,32 @@
         let operators = Arc::new(Operators(keeper()));
         tasks.spawn(admin::serve(listeners.admin, operators, stop()));
         tasks.spawn(publisher::run(keeper(), applied, stop()));
-        tasks.spawn(until_stopped(ledger::recover(keeper()), stop()));
+        if self.keeper.settings.discovers() {
+            let group = Group {
+                keeper: keeper(),
+                tasks: tasks.clone(),
+                stop: stop(),
+            };
+            tasks.spawn(group.run());
+        } else {
+            tasks.spawn(until_stopped(ledger::recover(keeper()), stop()));
+            for id in self.keeper.peers.all().keys() {
+                tasks.spawn(sync::follow(keeper(), *id, stop()));
+            }
+        }
         tasks.spawn(until_stopped(housekeeping::run(keeper()), stop()));
         tasks.spawn(until_stopped(
             metrics::run(keeper(), self.metrics.clone()),
             stop(),
         ));
-        for id in self.keeper.peers.keys() {
-            tasks.spawn(sync::follow(keeper(), *id, stop()));
-        }
     }
 }
 
+// Of keepers that find each other, the seeds form a new group and the others join it.
+fn is_founder(settings: &Settings) -> bool {
+    !settings.discovers() || settings.members().contains(&settings.id)
+}
+
 async fn until_stopped(task: impl Future<Output = ()>, stop: CancellationToken) {
     tokio::select! {
         () = task => {}
--- a/crates/shallothill-keeper/src/publisher.rs
+++ b/crates/shallothill-keeper/src/publisher.rs
@@ -76,7 +76,7 @@
         return false;
     }
     let checked = lock(&keeper.checked).as_ref().map(|(hash, _)| *hash);
-    !keeper.peers.is_empty() && checked != Some(ContentHash::of(text.as_bytes()))
+    !keeper.peers.all().is_empty() && checked != Some(ContentHash::of(text.as_bytes()))
 }
 
 /// `publish_applied` serves the version that the log has applied, if it is newer.
--- a/crates/shallothill-keeper/src/status.rs
+++ b/crates/shallothill-keeper/src/status.rs
@@ -26,7 +26,8 @@
 
 /// `collect` asks the other keepers for their nodes and sums up each data centre.
 pub async fn collect(keeper: &Keeper) -> StatusReply {
-    let asked = keeper.peers.iter().map(|(id, peer)| async move {
+    let all = keeper.peers.all();
+    let asked = all.iter().map(|(id, peer)| async move {
         let call = peer.peer.call(
             ASK_TIMEOUT,
             |client, cx| async move { client.status(cx).await },
--- a/crates/shallothill-keeper/src/submit.rs
+++ b/crates/shallothill-keeper/src/submit.rs
@@ -7,8 +7,8 @@
 use shallothill_config::limits::TEXT_MAX_BYTES;
 use shallothill_core::config::Fault;
 use shallothill_core::hash::ContentHash;
-use shallothill_wire::operator::{SubmitReply, SubmitRequest};
-use tokio::task;
+use shallothill_wire::operator::{CurrentText, SubmitReply, SubmitRequest};
+use tokio::{task, time};
 
 use crate::clock;
 use crate::config_state::{Change, Outcome};
@@ -28,6 +28,9 @@
 /// keeps its id.
 const COMMIT_TIMEOUT: Duration = Duration::from_secs(8);
 
+/// `READ_TIMEOUT` bounds a read of the accepted text.
+const READ_TIMEOUT: Duration = Duration::from_millis(900);
+
 /// `submit` checks the text, puts it into the log and returns what became of it.
 ///
 /// A keeper that is not the primary passes the submission on, once: `forward` is false for what
@@ -65,7 +68,7 @@
             unavailable("the primary of the config log is changing")
         }
         Err(Refusal::NotPrimary(primary)) => {
-            let Some(peer) = keeper.peers.get(&primary) else {
+            let Some(peer) = keeper.peers.get(primary) else {
                 return Some(unavailable("no primary of the config log is known"));
             };
             let sent = req.clone();
@@ -82,6 +85,41 @@
     Some(reply)
 }
 
+/// `current` returns the accepted text, no older than any acknowledgement before the call.
+///
+/// Fails when no quorum confirms that in time.
+pub async fn current(keeper: &Keeper) -> Result<CurrentText, Refusal> {
+    let late = || Refusal::Unavailable("no quorum of keepers answered in time".to_owned());
+    let primary = match time::timeout(READ_TIMEOUT, current_here(keeper)).await {
+        Ok(Err(Refusal::NotPrimary(primary))) => primary,
+        Ok(answer) => return answer,
+        Err(_) => return Err(late()),
+    };
+    let peer = keeper.peers.get(primary).ok_or_else(late)?;
+    let call = peer.peer.call(READ_TIMEOUT, |client, cx| async move {
+        client.current(cx).await
+    });
+    call.await.ok().flatten().ok_or_else(late)
+}
+
+/// `current_here` is [`current`] at the primary only.
+pub async fn current_here(keeper: &Keeper) -> Result<CurrentText, Refusal> {
+    keeper.log.read().await?;
+    let state = lock(&keeper.state);
+    Ok(CurrentText {
+        version: state.version(),
+        label: state.label(),
+        text: state.text().as_ref().to_owned(),
+    })
+}
+
+// A change that few keepers hold could be lost with their disks.
+fn is_large_enough(keeper: &Keeper) -> bool {
+    let needed = lock(&keeper.roster).options().needed();
+    let members = keeper.log.status().replica.map_or(0, |r| r.members.len());
+    !keeper.settings.discovers() || members >= needed
+}
+
 async fn check(keeper: &Keeper, req: &SubmitRequest) -> Result<(), SubmitReply> {
     let text = req.text.clone();
     let checked = task::spawn_blocking(move || {
@@ -101,6 +139,10 @@
 async fn at_primary(keeper: &Keeper, req: &SubmitRequest) -> Result<SubmitReply, Refusal> {
     // Only the current state tells a resend, or a base that is out of date, from a new change.
     keeper.log.read().await?;
+    if !is_large_enough(keeper) {
+        let reason = "the group of keepers is not complete yet";
+        return Err(Refusal::Unavailable(reason.to_owned()));
+    }
     let text_hash = ContentHash::of(req.text.as_bytes());
     // Read before the state: nodes act on a version only after the log has applied it.
     let in_force = *keeper.highest().borrow();
@@ -110,7 +152,11 @@
             drop(state);
             return Ok(reply(keeper, outcome));
         }
-        if req.base != state.version() {
+        let fits = match req.labels {
+            Some(labels) => labels.base == state.label() && labels.new > labels.base,
+            None => req.base == state.version(),
+        };
+        if !fits {
             let conflict = Outcome::Conflict(state.version());
             drop(state);
             return Ok(reply(keeper, conflict));
@@ -118,7 +164,8 @@
         Change {
             change_id: req.change_id.clone(),
             operator: req.operator.clone(),
-            base: req.base,
+            base: state.version(),
+            labels: req.labels,
             in_force,
             text_hash,
             proposed: clock::now(),
--- a/crates/shallothill-keeper/src/sync.rs
+++ b/crates/shallothill-keeper/src/sync.rs
@@ -9,8 +9,9 @@
 use shallothill_directory::Cursor;
 use tokio_util::sync::CancellationToken;
 
-use crate::keeper::{Keeper, Peer};
+use crate::keeper::Keeper;
 use crate::peer::{SyncReply, SyncRequest};
+use crate::peers::Peer;
 
 /// `WAIT` is the longest time between two answers of another keeper; three of them fit the time
 /// after which a keeper counts as silent.
@@ -28,13 +29,13 @@
 
 /// `follow` polls the keeper `id` until `stop` is cancelled.
 pub async fn follow(keeper: Arc<Keeper>, id: KeeperId, stop: CancellationToken) {
-    let Some(peer) = keeper.peers.get(&id) else {
+    let Some(peer) = keeper.peers.get(id) else {
         return;
     };
     let mut follower = Follower {
         keeper: &keeper,
         id,
-        peer,
+        peer: &peer,
         cursor: None,
         loads_at: None,
         relay: Vec::new(),
--- a/crates/shallothill-keeper/tests/common/mod.rs
+++ b/crates/shallothill-keeper/tests/common/mod.rs
@@ -18,7 +18,7 @@
 use shallothill_keeper::keeper::Keeper;
 use shallothill_keeper::listeners::Listeners;
 use shallothill_keeper::process::{Process, StartOptions};
-use shallothill_keeper::settings::{KeeperSettings, Settings};
+use shallothill_keeper::settings::{KeeperSettings, LogTimes, Settings};
 use shallothill_runtime::settings::Common;
 use shallothill_testing::builders::ConfigBuilder;
 use shallothill_testing::http::Client;
@@ -77,7 +77,7 @@
         let data_centre = DataCentre::try_new("central-1").unwrap();
         let keepers: Vec<KeeperSettings> = (0..n)
             .map(|i| KeeperSettings {
-                id: KeeperId(i as u16 + 1),
+                id: KeeperId(i as u32 + 1),
                 region: region.clone(),
                 data_centre: data_centre.clone(),
                 control_address: addresses[3 * i],
@@ -98,6 +98,9 @@
                 metrics_every: 10,
             },
             regions: vec![region.clone()],
+            seeds: Vec::new(),
+            tolerated_losses: 0,
+            log: LogTimes::default(),
             keepers: keepers.clone(),
         });
         Self {
@@ -198,6 +201,7 @@
             change_id: id.to_owned(),
             operator: "op".to_owned(),
             text: text.to_owned(),
+            labels: None,
         };
         let body = rmp_serde::to_vec_named(&req).unwrap();
         let (status, body) = self.send(i, Method::POST, "/config/submit", body).await;
--- a/crates/shallothill-keeper/tests/config_state.rs
+++ b/crates/shallothill-keeper/tests/config_state.rs
@@ -17,6 +17,7 @@
         in_force: ConfigVersion(0),
         text_hash: ContentHash::of(text.as_bytes()),
         proposed: UnixMillis(1),
+        labels: None,
         patch: TextPatch::make(&state.text(), text),
     }
 }
@@ -128,7 +129,7 @@
 #[test]
 fn section_history_covers_its_steps_and_nothing_else() {
     let manifest = |n: u64| {
-        let ids = [SectionId::Regions, SectionId::Routes((n % 2) as u8)];
+        let ids = [SectionId::Fleet, SectionId::Routes((n % 2) as u8)];
         ids.map(|id| (id, ContentHash(0, n / 500)))
             .into_iter()
             .collect::<Manifest>()
--- a/crates/shallothill-ledger/tests/claims/schedules.rs
+++ b/crates/shallothill-ledger/tests/claims/schedules.rs
@@ -38,7 +38,7 @@
 }
 
 /// Runs one schedule per seed and returns the first seed in which a key was dispatched twice.
-fn first_doubled(size: u16, fault: Fault) -> Option<u64> {
+fn first_doubled(size: u32, fault: Fault) -> Option<u64> {
     (0..SCHEDULES)
         .map(|n| (n << 32) | SCHEDULE_BYTES)
         .find(|seed| {
--- a/crates/shallothill-ledger/tests/claims/support/group.rs
+++ b/crates/shallothill-ledger/tests/claims/support/group.rs
@@ -49,7 +49,7 @@
 }
 
 impl Group {
-    pub fn new(size: u16, fault: Fault) -> Self {
+    pub fn new(size: u32, fault: Fault) -> Self {
         let ids: Vec<KeeperId> = (1..=size).map(KeeperId).collect();
         let first = Record::Whole {
             incarnation: Incarnation(1),
--- a/crates/shallothill-node/src/attempt.rs
+++ b/crates/shallothill-node/src/attempt.rs
@@ -6,6 +6,7 @@
 use hyper::http::uri::PathAndQuery;
 use hyper::{Method, Response};
 use shallothill_core::class::Class;
+use shallothill_core::config::OncePer;
 use shallothill_core::hash::Fingerprint;
 use shallothill_core::health::ServingState;
 use shallothill_core::idempotency::IdempotencyKey;
@@ -35,6 +36,12 @@
     pub class: Class,
     /// Whether running the request twice does no harm.
     pub idempotent: bool,
+    /// Over which sends a non-idempotent request runs at most once.
+    pub once_per: OncePer,
+    /// The rank within the class; 0 goes first.
+    pub rank: u8,
+    /// Backend servers that the request may be sent to, in place of the service's number.
+    pub attempts: Option<u8>,
     /// The key of a non-idempotent request.
     pub key: Option<IdempotencyKey>,
     /// When the answer is no longer of use.
@@ -101,6 +108,8 @@
     pub crash: Option<u64>,
     /// Whether the gate itself produced the reply, rather than the path to it.
     pub from_gate: bool,
+    /// Whether the request was written to a backend server, which may have refused to run it.
+    pub reached: bool,
 }
 
 impl Reply {
@@ -117,6 +126,6 @@
     /// A refusal that another backend server would repeat, such as a wrong key, is final.
     pub fn allows_retry(&self, idempotent: bool) -> bool {
         let status = self.response.status().as_u16();
-        matches!(status, 502..=504) && self.outcome.allows_retry(idempotent)
+        matches!(status, 500..=504) && self.outcome.allows_retry(idempotent)
     }
 }
--- a/crates/shallothill-node/src/config/route_table.rs
+++ b/crates/shallothill-node/src/config/route_table.rs
@@ -26,11 +26,19 @@
     Unknown,
 }
 
-/// `RouteTable` maps path prefixes to routes; the longest prefix at a `/` boundary wins.
+/// `RouteTable` maps hosts and path prefixes to routes; routes of the request's host go before
+/// those of every host, and among them the longest prefix at a `/` boundary wins.
 #[derive(Debug, Default)]
 pub struct RouteTable {
-    by_prefix: HashMap<String, Vec<Arc<NamedRoute>>>,
+    by_host: HashMap<String, HostTable>,
+    any_host: HostTable,
     by_name: HashMap<RouteName, Arc<NamedRoute>>,
+}
+
+/// `HostTable` maps path prefixes to the routes of one host.
+#[derive(Debug, Default)]
+struct HostTable {
+    by_prefix: HashMap<String, Vec<Arc<NamedRoute>>>,
     // Bounds the prefixes that are tried for a path with many segments.
     longest: usize,
 }
@@ -40,32 +48,26 @@
     pub fn new<'a>(routes: impl IntoIterator<Item = (&'a RouteName, &'a Route)>) -> Self {
         let mut table = Self::default();
         for (name, route) in routes {
-            let prefix = route.path.trim_end_matches('/').to_owned();
-            table.longest = table.longest.max(prefix.len());
             let named = Arc::new(NamedRoute {
                 name: name.clone(),
                 route: route.clone(),
             });
             table.by_name.insert(name.clone(), Arc::clone(&named));
-            table.by_prefix.entry(prefix).or_default().push(named);
+            let host = match &route.host {
+                Some(host) => table.by_host.entry(host.clone()).or_default(),
+                None => &mut table.any_host,
+            };
+            host.add(named);
         }
         table
     }
 
-    /// `find` looks up the route of a request.
-    pub fn find(&self, method: &str, path: &str) -> Lookup {
-        let path = path.trim_end_matches('/');
-        let mut end = path.len();
-        loop {
-            if end <= self.longest
-                && let Some(routes) = path.get(..end).and_then(|p| self.by_prefix.get(p))
-            {
-                return choose(routes, method);
-            }
-            match path.get(..end).and_then(|p| p.rfind('/')) {
-                Some(slash) => end = slash,
-                None => return Lookup::Unknown,
-            }
+    /// `find` looks up the route of a request for `host`, which may have a port.
+    pub fn find(&self, method: &str, host: Option<&str>, path: &str) -> Lookup {
+        let of_host = host.and_then(|h| self.host_table(h));
+        match of_host.map(|t| t.find(method, path)) {
+            None | Some(Lookup::Unknown) => self.any_host.find(method, path),
+            Some(found) => found,
         }
     }
 
@@ -83,15 +85,54 @@
     pub fn is_empty(&self) -> bool {
         self.by_name.is_empty()
     }
+
+    fn host_table(&self, host: &str) -> Option<&HostTable> {
+        let without_port = host.rsplit_once(':').map_or(host, |(name, _)| name);
+        let known = |h: &str| self.by_host.get(h);
+        known(host)
+            .or_else(|| known(without_port))
+            .or_else(|| known(&host.to_ascii_lowercase()))
+            .or_else(|| known(&without_port.to_ascii_lowercase()))
+    }
+}
+
+impl HostTable {
+    fn add(&mut self, named: Arc<NamedRoute>) {
+        let prefix = named.route.path.trim_end_matches('/').to_owned();
+        self.longest = self.longest.max(prefix.len());
+        self.by_prefix.entry(prefix).or_default().push(named);
+    }
+
+    fn find(&self, method: &str, path: &str) -> Lookup {
+        let trimmed = path.trim_end_matches('/');
+        let mut end = trimmed.len();
+        loop {
+            if end <= self.longest
+                && let Some(routes) = trimmed.get(..end).and_then(|p| self.by_prefix.get(p))
+            {
+                let goes_on = path.as_bytes().get(end) == Some(&b'/');
+                let matches = |r: &&Arc<NamedRoute>| goes_on || !r.route.below;
+                if routes.iter().any(|r| matches(&r)) {
+                    return choose(routes.iter().filter(matches), method);
+                }
+            }
+            match trimmed.get(..end).and_then(|p| p.rfind('/')) {
+                Some(slash) => end = slash,
+                None => return Lookup::Unknown,
+            }
+        }
+    }
 }
 
-fn choose(routes: &[Arc<NamedRoute>], method: &str) -> Lookup {
-    let accepts = |r: &&Arc<NamedRoute>| r.route.methods.iter().any(|m| m == method);
-    if let Some(found) = routes.iter().find(accepts) {
+fn choose<'a>(routes: impl Iterator<Item = &'a Arc<NamedRoute>> + Clone, method: &str) -> Lookup {
+    let accepts = |r: &&Arc<NamedRoute>| {
+        let methods = &r.route.methods;
+        methods.is_empty() || methods.iter().any(|m| m == method)
+    };
+    if let Some(found) = routes.clone().find(accepts) {
         return Lookup::Found(Arc::clone(found));
     }
     let mut methods: Vec<&str> = routes
-        .iter()
         .flat_map(|r| r.route.methods.iter().map(String::as_str))
         .collect();
     methods.sort_unstable();
--- a/crates/shallothill-node/src/config/snapshot.rs
+++ b/crates/shallothill-node/src/config/snapshot.rs
@@ -63,7 +63,7 @@
                     let service = same.map_or_else(|| Arc::new(*service.clone()), Arc::clone);
                     services.insert(name.clone(), service);
                 }
-                Section::Regions(list) => regions.clone_from(list),
+                Section::Fleet(list, _) => regions.clone_from(list),
                 Section::Routes(..) | Section::Callers(..) => {}
             }
         }
--- a/crates/shallothill-node/src/control/keepers.rs
+++ b/crates/shallothill-node/src/control/keepers.rs
@@ -1,27 +1,41 @@
 //! The keepers as the node reaches them.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 
+use arc_swap::ArcSwap;
 use shallothill_core::ids::{KeeperId, Region, Zone};
 use shallothill_wire::channel::RpcChannel;
 use shallothill_wire::control::KeeperControlClient;
+use shallothill_wire::keeper_info::KeeperInfo;
 
 use crate::settings::KeeperAddress;
 
 /// `Keeper` is one keeper.
 #[derive(Debug)]
 pub struct Keeper {
-    id: KeeperId,
-    zone: Zone,
+    info: KeeperInfo,
+    /// The region whose ledger group and leases it serves, which may differ from where it stands;
+    /// `None` for a keeper that was discovered.
+    serves: Option<Region>,
     channel: RpcChannel<KeeperControlClient>,
     heard: AtomicBool,
 }
 
 impl Keeper {
+    fn new(info: KeeperInfo, serves: Option<Region>) -> Self {
+        Self {
+            channel: RpcChannel::new(info.control_address),
+            info,
+            serves,
+            heard: AtomicBool::new(false),
+        }
+    }
+
     /// `id` returns the number of the keeper.
     pub fn id(&self) -> KeeperId {
-        self.id
+        self.info.id
     }
 
     /// `channel` returns the connection.
@@ -41,52 +55,104 @@
 }
 
 /// `Keepers` lists all keepers, those of the own data centre first, then those of the own region.
+///
+/// The list is that of the settings, or starts empty and is learned from seeds.
 #[derive(Debug)]
 pub struct Keepers {
-    all: Vec<Arc<Keeper>>,
-    // The region whose ledger group and leases a keeper serves may differ from where it stands.
-    serves: Vec<(Region, Arc<Keeper>)>,
+    zone: Zone,
+    discovers: bool,
+    all: ArcSwap<Vec<Arc<Keeper>>>,
+    seeds: ArcSwap<Vec<SocketAddr>>,
 }
 
 impl Keepers {
     /// `new` orders `keepers` for a node at `zone`.
     pub fn new(zone: &Zone, keepers: &[KeeperAddress]) -> Self {
-        let mut all = Vec::new();
-        let mut serves = Vec::new();
-        for k in keepers {
-            let keeper = Arc::new(Keeper {
+        let of = |k: &KeeperAddress| {
+            let info = KeeperInfo {
                 id: k.id,
                 zone: Zone {
                     region: k.region.clone(),
                     data_centre: k.data_centre.clone(),
                 },
-                channel: RpcChannel::new(k.control_address),
-                heard: AtomicBool::new(false),
-            });
-            serves.push((k.region.clone(), Arc::clone(&keeper)));
-            all.push(keeper);
-        }
-        all.sort_by_key(|k| {
-            let distance = if k.zone.data_centre == zone.data_centre {
-                0
-            } else if k.zone.region == zone.region {
-                1
-            } else {
-                2
+                control_address: k.control_address,
             };
-            (distance, k.id)
-        });
-        Self { all, serves }
+            Arc::new(Keeper::new(info, Some(k.region.clone())))
+        };
+        let mut all: Vec<Arc<Keeper>> = keepers.iter().map(of).collect();
+        sort(zone, &mut all);
+        Self {
+            zone: zone.clone(),
+            discovers: false,
+            all: ArcSwap::from_pointee(all),
+            seeds: ArcSwap::default(),
+        }
+    }
+
+    /// `discovered` starts without keepers; `seeds` are addresses for nodes at which some answer.
+    pub fn discovered(zone: &Zone, seeds: &[SocketAddr]) -> Self {
+        Self {
+            discovers: true,
+            seeds: ArcSwap::from_pointee(seeds.to_vec()),
+            ..Self::new(zone, &[])
+        }
+    }
+
+    /// `discovers` tells whether the list is learned from seeds.
+    pub fn discovers(&self) -> bool {
+        self.discovers
+    }
+
+    /// `seeds` returns the addresses at which keepers are looked for.
+    pub fn seeds(&self) -> Arc<Vec<SocketAddr>> {
+        self.seeds.load_full()
+    }
+
+    /// `set_seeds` replaces the seeds.
+    pub fn set_seeds(&self, seeds: Vec<SocketAddr>) {
+        self.seeds.store(Arc::new(seeds));
+    }
+
+    /// `learn` replaces the list; connections to keepers that stay are kept. Returns whether a
+    /// keeper came or went.
+    pub fn learn(&self, infos: Vec<KeeperInfo>) -> bool {
+        let before = self.all();
+        let of = |info: KeeperInfo| {
+            let known = before.iter().find(|k| k.info == info);
+            known.map_or_else(|| Arc::new(Keeper::new(info, None)), Arc::clone)
+        };
+        let mut all: Vec<Arc<Keeper>> = infos.into_iter().map(of).collect();
+        sort(&self.zone, &mut all);
+        all.dedup_by_key(|k| k.id());
+        let ids = |list: &[Arc<Keeper>]| list.iter().map(|k| k.id()).collect::<Vec<_>>();
+        let changed = ids(&before) != ids(&all);
+        self.all.store(Arc::new(all));
+        changed
     }
 
     /// `all` returns the keepers, nearest first.
-    pub fn all(&self) -> &[Arc<Keeper>] {
-        &self.all
+    pub fn all(&self) -> Arc<Vec<Arc<Keeper>>> {
+        self.all.load_full()
     }
 
-    /// `group` returns the keepers that serve the ledger and the leases of `region`.
+    /// `group` returns the keepers that serve the ledger and the leases of `region`; there are none
+    /// where keepers are discovered, because such a group must not change by itself.
     pub fn group(&self, region: &Region) -> Vec<Arc<Keeper>> {
-        let members = self.serves.iter().filter(|(r, _)| r == region);
-        members.map(|(_, k)| Arc::clone(k)).collect()
+        let all = self.all();
+        let members = all.iter().filter(|k| k.serves.as_ref() == Some(region));
+        members.cloned().collect()
     }
 }
+
+fn sort(zone: &Zone, keepers: &mut [Arc<Keeper>]) {
+    keepers.sort_by_key(|k| {
+        let distance = if k.info.zone.data_centre == zone.data_centre {
+            0
+        } else if k.info.zone.region == zone.region {
+            1
+        } else {
+            2
+        };
+        (distance, k.id())
+    });
+}
--- a/crates/shallothill-node/src/control/mod.rs
+++ b/crates/shallothill-node/src/control/mod.rs
@@ -1,6 +1,7 @@
 //! The node's exchange with keepers: reports, the watch and the configuration.
 
 mod config_fetch;
+mod discovery;
 mod keepers;
 mod probe;
 mod report;
@@ -8,6 +9,7 @@
 mod watch;
 
 pub use config_fetch::ConfigFetch;
+pub use discovery::Discovery;
 pub use keepers::{Keeper, Keepers};
 pub use probe::{Move, Probe};
 pub use report::Reporter;
--- a/crates/shallothill-node/src/control/probe.rs
+++ b/crates/shallothill-node/src/control/probe.rs
@@ -107,8 +107,8 @@
 
     async fn ask(&self, places: impl Iterator<Item = usize>) -> Option<(ConfigVersion, usize)> {
         let asked: FuturesUnordered<_> = places
-            .filter_map(|i| Some((i, self.keepers.all().get(i)?)))
-            .map(|(i, keeper)| async move { Some((version_of(keeper, TIMEOUT).await?, i)) })
+            .filter_map(|i| Some((i, self.keepers.all().get(i).cloned()?)))
+            .map(|(i, keeper)| async move { Some((version_of(&keeper, TIMEOUT).await?, i)) })
             .collect();
         let answers: Vec<Option<(ConfigVersion, usize)>> = asked.collect().await;
         answers.into_iter().flatten().max()
--- a/crates/shallothill-node/src/control/report.rs
+++ b/crates/shallothill-node/src/control/report.rs
@@ -112,7 +112,7 @@
     }
 
     async fn send(&self, req: &ReportRequest) -> Option<ReportReply> {
-        for keeper in self.keepers.all() {
+        for keeper in self.keepers.all().iter() {
             let req = req.clone();
             let call =
                 keeper.channel().call(
--- a/crates/shallothill-node/src/control/startup.rs
+++ b/crates/shallothill-node/src/control/startup.rs
@@ -19,7 +19,8 @@
 /// none of them answers.
 pub async fn learn_version(keepers: &Keepers) -> Option<ConfigVersion> {
     let ask = |keeper: Arc<Keeper>| async move { probe::version_of(&keeper, TIMEOUT).await };
-    let sources = keepers.all().iter().take(SOURCES_MAX).cloned();
+    let all = keepers.all();
+    let sources = all.iter().take(SOURCES_MAX).cloned();
     let asked: FuturesUnordered<_> = sources.map(ask).collect();
     let answers: Vec<Option<ConfigVersion>> = asked.collect().await;
     answers.into_iter().flatten().max()
--- a/crates/shallothill-node/src/control/watch.rs
+++ b/crates/shallothill-node/src/control/watch.rs
@@ -75,8 +75,11 @@
                 at = 0;
                 moved = now;
             }
-            let Some(keeper) = self.keepers.all().get(at) else {
-                return;
+            let all = self.keepers.all();
+            let Some(keeper) = all.get(at).or_else(|| all.first()) else {
+                // The service ends only with the process.
+                let _ = self.timer.after(ROUND_PAUSE).await;
+                continue;
             };
             let watched = tokio::select! {
                 watched = self.watch(keeper, &mut position) => watched,
@@ -93,11 +96,11 @@
                 silent = 0;
                 continue;
             }
-            at = (at + 1) % self.keepers.all().len();
+            at = (at + 1) % all.len();
             moved = now;
             silent += 1;
-            if silent >= self.keepers.all().len() {
-                if silent == self.keepers.all().len() {
+            if silent >= all.len() {
+                if silent == all.len() {
                     warn!("watch: no keeper answers; the last configuration and directory stay");
                 }
                 // The service ends only with the process.
@@ -128,7 +131,12 @@
         }
         let now = self.timer.now();
         position.keeper = Some(keeper.id());
+        let isolated = reply.isolated;
         self.take(keeper, position, reply, now).await;
+        if isolated && self.keepers.all().len() > 1 {
+            info!("watch: keeper {} is isolated", keeper.id());
+            return false;
+        }
         true
     }
 
--- a/crates/shallothill-node/src/dump.rs
+++ b/crates/shallothill-node/src/dump.rs
@@ -54,7 +54,8 @@
     }
 
     fn dump_keepers(&self) -> Value {
-        let keepers = self.keepers().all().iter();
+        let all = self.keepers().all();
+        let keepers = all.iter();
         let one = |k: &Arc<Keeper>| json!({"id": k.id(), "address": k.channel().address(), "heard": k.heard()});
         keepers.map(one).collect()
     }
--- a/crates/shallothill-node/src/entry/attempts.rs
+++ b/crates/shallothill-node/src/entry/attempts.rs
@@ -60,7 +60,8 @@
         let left = head
             .deadline
             .saturating_duration_since(time::Instant::now());
-        let options = RetryOptions::from_service(&service);
+        let mut options = RetryOptions::from_service(&service);
+        options.max_attempts = head.attempts.unwrap_or(options.max_attempts);
         let pursuit = Pursuit {
             attempts: retry::Attempts::new(head.idempotent, now + left),
             budget: self.budget(&head.service),
@@ -107,7 +108,11 @@
                 worst = Some(ended);
                 break;
             }
-            let next = p.attempts.ended(now, outcome, &p.options, &p.budget);
+            let next = if ended.reply.reached {
+                p.attempts.ended(now, outcome, &p.options, &p.budget)
+            } else {
+                p.attempts.refused(now, &p.options)
+            };
             worst = Some(worse(worst, ended));
             match next {
                 Next::Wait => {}
--- a/crates/shallothill-node/src/entry/handler.rs
+++ b/crates/shallothill-node/src/entry/handler.rs
@@ -8,6 +8,7 @@
 use crate::attempt::Reply;
 use crate::body::Body;
 use crate::entry::{Entry, InFlight};
+use crate::header_filter;
 use crate::listener::Answer;
 
 impl Answer for Entry {
@@ -15,7 +16,7 @@
         let response = match self.prepare(req).await {
             Ok(prepared) => {
                 let (reply, in_flight) = self.run(prepared).await;
-                finish(reply, in_flight)
+                self.finish(reply, in_flight)
             }
             Err(denied) => {
                 let mut response = denied.refusal.response();
@@ -24,6 +25,7 @@
                 {
                     response.headers_mut().insert(header::ALLOW, allow);
                 }
+                self.translate(&mut response);
                 response
             }
         };
@@ -32,11 +34,34 @@
     }
 }
 
-fn finish(reply: Reply, in_flight: InFlight) -> Response<Body> {
-    let mut response = reply.response.map(|body| body.guarded_by_entry(in_flight));
-    response.headers_mut().insert(
-        HeaderName::from_static(headers::OUTCOME),
-        HeaderValue::from_static(reply.outcome.as_str()),
-    );
-    response
+impl Entry {
+    fn finish(&self, reply: Reply, in_flight: InFlight) -> Response<Body> {
+        let mut response = reply.response.map(|body| body.guarded_by_entry(in_flight));
+        response.headers_mut().insert(
+            HeaderName::from_static(headers::OUTCOME),
+            HeaderValue::from_static(reply.outcome.as_str()),
+        );
+        self.translate(&mut response);
+        response
+    }
+
+    // Writes what the node itself has to say in the headers of the interface.
+    fn translate(&self, response: &mut Response<Body>) {
+        let interface = &self.parts.interface;
+        let map = response.headers_mut();
+        if self.leaving() {
+            map.insert(header::CONNECTION, HeaderValue::from_static("close"));
+        }
+        let after_ms =
+            header_filter::text(map, headers::RETRY_AFTER_MS).and_then(|v| v.parse::<u64>().ok());
+        if let Some(ms) = after_ms.filter(|_| interface.fractional_retry_after) {
+            let seconds = format!("{}.{:03}", ms / 1000, ms % 1000);
+            if let Ok(value) = HeaderValue::from_str(&seconds) {
+                map.insert(header::RETRY_AFTER, value);
+            }
+        }
+        if !interface.own_headers {
+            header_filter::strip_own(map);
+        }
+    }
 }
--- a/crates/shallothill-node/src/entry/mod.rs
+++ b/crates/shallothill-node/src/entry/mod.rs
@@ -10,7 +10,9 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, PoisonError, RwLock};
 
+use hyper::header::HeaderValue;
 use shallothill_core::ids::ServiceName;
+use shallothill_core::version::ConfigVersion;
 use shallothill_policy::limits::CallerLimits;
 use shallothill_policy::retry::Budget;
 use shallothill_runtime::timer::Timer;
@@ -20,6 +22,7 @@
 use crate::counters::Counters;
 use crate::crashes::Crashes;
 use crate::gate::Gate;
+use crate::interface::Interface;
 use crate::peer::Links;
 use crate::settings::Bounds;
 use crate::view::View;
@@ -32,6 +35,10 @@
 pub struct EntryParts {
     /// The node, to recognise its own gate.
     pub node: shallothill_core::ids::NodeName,
+    /// How callers speak.
+    pub interface: Arc<Interface>,
+    /// The service of this host, as backend servers are told it.
+    pub origin_service: Option<HeaderValue>,
     /// Limits.
     pub bounds: Bounds,
     /// The timer service.
@@ -60,6 +67,7 @@
     parts: EntryParts,
     budgets: RwLock<HashMap<ServiceName, Arc<Budget>>>,
     serving: AtomicBool,
+    leaving: AtomicBool,
 }
 
 impl Entry {
@@ -69,6 +77,7 @@
             parts,
             budgets: RwLock::default(),
             serving: AtomicBool::new(false),
+            leaving: AtomicBool::new(false),
         }
     }
 
@@ -77,6 +86,33 @@
         self.serving.store(true, Ordering::Relaxed);
     }
 
+    /// `stop_serving` lets callers look for another node; requests that come all the same are
+    /// served.
+    pub fn stop_serving(&self) {
+        self.leaving.store(true, Ordering::Relaxed);
+    }
+
+    /// `ready` tells whether callers may be sent here.
+    pub fn ready(&self) -> bool {
+        let configured = self.parts.store.version() > ConfigVersion(0);
+        self.serving() && configured && !self.leaving()
+    }
+
+    /// `leaving` tells whether the node is being stopped.
+    pub fn leaving(&self) -> bool {
+        self.leaving.load(Ordering::Relaxed)
+    }
+
+    /// `refresh_budgets` divides the saved retries of each service by the number of `nodes`.
+    pub fn refresh_budgets(&self, nodes: usize) {
+        let cfg = self.parts.store.load();
+        let budgets = self.budgets.read().unwrap_or_else(PoisonError::into_inner);
+        for (name, budget) in budgets.iter() {
+            let saved = cfg.service(name).and_then(|s| s.retry_budget_saved);
+            budget.share(saved, nodes);
+        }
+    }
+
     /// `serving` tells whether requests are served.
     pub fn serving(&self) -> bool {
         self.serving.load(Ordering::Relaxed)
--- a/crates/shallothill-node/src/entry/prepare.rs
+++ b/crates/shallothill-node/src/entry/prepare.rs
@@ -7,16 +7,18 @@
 use http_body_util::BodyExt;
 use hyper::Request;
 use hyper::body::{Body as _, Incoming};
-use hyper::header::{self, HeaderMap};
+use hyper::header::{self, HeaderMap, HeaderValue};
 use hyper::http::request;
 use hyper::http::uri::PathAndQuery;
+use rand::Rng;
 use shallothill_core::class::Class;
-use shallothill_core::config::{Caller, Route};
+use shallothill_core::config::{Caller, OncePer, Route, Target};
 use shallothill_core::hash;
 use shallothill_core::hash::Fingerprint;
 use shallothill_core::headers;
 use shallothill_core::idempotency::IdempotencyKey;
-use shallothill_core::ids::CallerName;
+use shallothill_core::ids::{CallerName, ServiceName};
+use shallothill_core::version::ConfigVersion;
 use shallothill_policy::limits::Permit;
 use tokio::time;
 use tokio::time::Instant;
@@ -69,13 +71,16 @@
 impl Entry {
     /// `prepare` checks a request, counts it against its caller's limit and reads its body.
     pub(crate) async fn prepare(&self, req: Request<Incoming>) -> Result<Prepared, Denied> {
-        if !self.serving() {
+        let cfg = self.parts.store.load_full();
+        if !self.serving() || cfg.version() == ConfigVersion(0) {
             return Err(NOT_READY.into());
         }
-        let (parts, incoming) = req.into_parts();
+        let (mut parts, incoming) = req.into_parts();
         self.check_parts(&parts)?;
-        let cfg = self.parts.store.load_full();
-        let named = match cfg.routes().find(parts.method.as_str(), parts.uri.path()) {
+        let host = requested_host(&parts);
+        let host_text = host.as_ref().and_then(|h| h.to_str().ok());
+        let method = parts.method.as_str();
+        let named = match cfg.routes().find(method, host_text, parts.uri.path()) {
             Lookup::Found(named) => named,
             Lookup::Unknown => return Err(UNKNOWN_ROUTE.into()),
             Lookup::OtherMethods(allow) => {
@@ -86,10 +91,11 @@
             }
         };
         let route = &named.route;
-        let deadline = Instant::now() + time_allowed(&parts.headers, route)?;
+        let deadline = Instant::now() + self.time_allowed(&parts.headers, route)?;
         let key = read_key(&parts.headers, route)?;
         let caller = known_caller(&parts.headers, &cfg);
         let class = class_of(&parts.headers, route, caller.as_ref().map(|(_, c)| *c));
+        let service = choose_service(&route.target).ok_or(UNKNOWN_ROUTE)?;
         if incoming.size_hint().lower() > route.max_body_bytes {
             return Err(BODY_TOO_LARGE.into());
         }
@@ -102,7 +108,16 @@
             .transpose()
             .map_err(|r| over_limit(r.retry_after))?;
         let (payload, fingerprint) = self.read(&parts, incoming, route, &key, deadline).await?;
-        let head = build_head(parts, &named, class, key, deadline, fingerprint);
+        self.set_origin(&mut parts.headers);
+        let facts = Facts {
+            host,
+            service,
+            class,
+            key,
+            deadline,
+            fingerprint,
+        };
+        let head = build_head(parts, &named, facts);
         Ok(Prepared {
             head: Arc::new(head),
             payload,
@@ -127,6 +142,28 @@
         Ok(())
     }
 
+    // Backend servers rely on this header, so that what a caller sent there is replaced.
+    fn set_origin(&self, map: &mut HeaderMap) {
+        let Some(name) = &self.parts.interface.origin_service else {
+            return;
+        };
+        map.remove(name);
+        if let Some(value) = &self.parts.origin_service {
+            map.insert(name, value.clone());
+        }
+    }
+
+    fn time_allowed(&self, map: &HeaderMap, route: &Route) -> Result<Duration, Refusal> {
+        let name = self.parts.interface.deadline_ms.as_str();
+        if !map.contains_key(name) {
+            return Ok(route.deadline);
+        }
+        let asked = header_filter::text(map, name)
+            .and_then(|v| v.parse().ok())
+            .ok_or(BAD_DEADLINE)?;
+        Ok(route.deadline.min(Duration::from_millis(asked)))
+    }
+
     // Reads a body that fits into memory, so that it can be sent again. The rest of a larger one
     // is passed on as it arrives.
     async fn read(
@@ -189,16 +226,32 @@
     hash::fingerprint(parts.method.as_str(), path, prefix)
 }
 
-fn build_head(
-    parts: request::Parts,
-    named: &NamedRoute,
+fn requested_host(parts: &request::Parts) -> Option<HeaderValue> {
+    let authority = || parts.uri.authority().and_then(|a| a.as_str().parse().ok());
+    parts.headers.get(header::HOST).cloned().or_else(authority)
+}
+
+fn choose_service(target: &Target) -> Option<ServiceName> {
+    let total = target.total_weight();
+    let point = if total > 0 {
+        rand::rng().random_range(0..total)
+    } else {
+        0
+    };
+    target.choose(point).cloned()
+}
+
+/// `Facts` is what was worked out about a request before its head is built.
+struct Facts {
+    host: Option<HeaderValue>,
+    service: ServiceName,
     class: Class,
     key: Option<IdempotencyKey>,
     deadline: Instant,
     fingerprint: Fingerprint,
-) -> Head {
-    let authority = || parts.uri.authority().and_then(|a| a.as_str().parse().ok());
-    let host = parts.headers.get(header::HOST).cloned().or_else(authority);
+}
+
+fn build_head(parts: request::Parts, named: &NamedRoute, facts: Facts) -> Head {
     let mut map = parts.headers;
     header_filter::strip_hop_by_hop(&mut map);
     header_filter::strip_own(&mut map);
@@ -211,31 +264,24 @@
     Head {
         method: parts.method,
         path: parts.uri.path_and_query().cloned().unwrap_or_else(root),
-        host,
+        host: facts.host,
         headers: map,
-        service: named.route.service.clone(),
+        service: facts.service,
         route: named.name.clone(),
-        class,
+        class: facts.class,
         idempotent: named.route.idempotent,
-        key,
-        deadline,
-        fingerprint,
+        once_per: named.route.once_per,
+        rank: named.route.rank,
+        attempts: named.route.attempts,
+        key: facts.key,
+        deadline: facts.deadline,
+        fingerprint: facts.fingerprint,
         max_body: named.route.max_body_bytes,
     }
 }
 
-fn time_allowed(map: &HeaderMap, route: &Route) -> Result<Duration, Refusal> {
-    if !map.contains_key(headers::DEADLINE_MS) {
-        return Ok(route.deadline);
-    }
-    let asked = header_filter::text(map, headers::DEADLINE_MS)
-        .and_then(|v| v.parse().ok())
-        .ok_or(BAD_DEADLINE)?;
-    Ok(route.deadline.min(Duration::from_millis(asked)))
-}
-
 fn read_key(map: &HeaderMap, route: &Route) -> Result<Option<IdempotencyKey>, Refusal> {
-    if route.idempotent {
+    if route.idempotent || route.once_per == OncePer::Attempt {
         return Ok(None);
     }
     let text = header_filter::text(map, headers::IDEMPOTENCY_KEY).ok_or(BAD_KEY)?;
@@ -265,9 +311,8 @@
 }
 
 fn over_limit(retry_after: Duration) -> Refusal {
-    let seconds = retry_after.as_secs() + u64::from(retry_after.subsec_nanos() > 0);
     Refusal {
-        retry_after: Some(u32::try_from(seconds.max(1)).unwrap_or(u32::MAX)),
+        retry_after: Some(retry_after),
         ..OVER_LIMIT
     }
 }
--- a/crates/shallothill-node/src/gate/announcement.rs
+++ b/crates/shallothill-node/src/gate/announcement.rs
@@ -26,4 +26,18 @@
     pub state: Announced,
     /// Requests that it runs at a time.
     pub slots: u16,
+    /// When it started, in milliseconds since 1970, or 0 where it does not tell. Of two backend
+    /// servers at one address, the one that started later is there.
+    #[serde(default)]
+    pub started_ms: u64,
+    /// Orders the announcements since the start, or 0 where it does not tell.
+    #[serde(default)]
+    pub sequence: u64,
+}
+
+impl Announcement {
+    /// `order` tells which of two announcements of one backend server is newer.
+    pub fn order(&self) -> (u64, u64) {
+        (self.started_ms, self.sequence)
+    }
 }
--- a/crates/shallothill-node/src/gate/backend.rs
+++ b/crates/shallothill-node/src/gate/backend.rs
@@ -7,6 +7,7 @@
 
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
+use hyper::header::HeaderMap;
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
@@ -16,12 +17,17 @@
 use tokio::time::Instant;
 
 use crate::body::Body;
+use crate::header_filter;
 
 /// `FRESH_FOR` is the idle time up to which a connection is used for a non-idempotent request. A
 /// backend server may close an older one just while the request is written, and the request
 /// could not be sent again.
 const FRESH_FOR: Duration = Duration::from_secs(1);
 
+/// `KEEP_ALIVE_MARGIN` is the part of a stated idle time that is not used, for the time that a
+/// request needs to arrive and for the rounding to whole seconds.
+const KEEP_ALIVE_MARGIN: Duration = Duration::from_secs(1);
+
 /// `IDLE_MAX` is the idle time after which a connection is closed.
 const IDLE_MAX: Duration = Duration::from_secs(30);
 
@@ -35,6 +41,7 @@
     sender: http1::SendRequest<Body>,
     driver: AbortHandle,
     idle_since: Instant,
+    keep_alive: Option<Duration>,
 }
 
 impl Drop for Connection {
@@ -53,6 +60,26 @@
 }
 
 impl Connection {
+    /// `note_keep_alive` takes over the idle time that the backend server states, in whole seconds.
+    pub fn note_keep_alive(&mut self, map: &HeaderMap) {
+        let text = header_filter::text(map, "keep-alive").unwrap_or_default();
+        let stated = text
+            .split(',')
+            .find_map(|part| part.trim().strip_prefix("timeout="));
+        if let Some(seconds) = stated.and_then(|s| s.parse().ok()) {
+            self.keep_alive = Some(Duration::from_secs(seconds));
+        }
+    }
+
+    // The idle time up to which the backend server does not close the connection by itself.
+    fn usable_for(&self, fresh: bool) -> Duration {
+        match self.keep_alive {
+            Some(stated) => stated.saturating_sub(KEEP_ALIVE_MARGIN),
+            None if fresh => FRESH_FOR,
+            None => IDLE_MAX,
+        }
+    }
+
     /// `send` writes a request and waits for the headers of the answer.
     pub async fn send(&mut self, req: Request<Body>) -> Result<Response<Incoming>, SendError> {
         if self.sender.ready().await.is_err() {
@@ -99,8 +126,8 @@
     pub fn idle(&self, fresh: bool) -> Option<Connection> {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let now = Instant::now();
-        idle.retain(|c| !c.sender.is_closed() && now - c.idle_since < IDLE_MAX);
-        let connection = idle.pop_if(|c| !fresh || now - c.idle_since < FRESH_FOR)?;
+        idle.retain(|c| !c.sender.is_closed() && now - c.idle_since < c.usable_for(false));
+        let connection = idle.pop_if(|c| now - c.idle_since < c.usable_for(fresh))?;
         connection.sender.is_ready().then_some(connection)
     }
 
@@ -128,6 +155,7 @@
             sender,
             driver: driver.abort_handle(),
             idle_since: Instant::now(),
+            keep_alive: None,
         })
     }
 
--- a/crates/shallothill-node/src/gate/claimed.rs
+++ b/crates/shallothill-node/src/gate/claimed.rs
@@ -233,6 +233,7 @@
     reason: "answer-not-kept",
     retry_after: None,
     message: "the request ran and was answered before, but the answer was too large to keep",
+    reached: true,
 };
 const MAY_HAVE_RUN: Refusal = Refusal::unknown(
     "may-have-run",
@@ -242,8 +243,9 @@
     status: 409,
     outcome: Outcome::Unknown,
     reason: "in-progress",
-    retry_after: Some(1),
+    retry_after: Some(crate::refusal::RETRY_AFTER_DEFAULT),
     message: "the request with this key is in progress; send it again to receive its answer",
+    reached: true,
 };
 const KEY_REUSED: Refusal = Refusal::invalid(
     409,
--- a/crates/shallothill-node/src/gate/endpoint.rs
+++ b/crates/shallothill-node/src/gate/endpoint.rs
@@ -37,6 +37,8 @@
     pub(crate) up: bool,
     pub(crate) announced_until: Millis,
     pub(crate) announced_slots: u16,
+    /// The order of the last announcement.
+    pub(crate) announced: (u64, u64),
     waiting: HashMap<Ticket, oneshot::Sender<Result<(), admit::Refusal>>>,
     running: HashMap<Ticket, Fingerprint>,
 }
@@ -50,6 +52,7 @@
     pub(crate) health: EndpointHealth,
     pub(crate) announced_until: Millis,
     pub(crate) announced_slots: u16,
+    pub(crate) announced: (u64, u64),
 }
 
 /// `Endpoint` is one life of a backend server: from an announcement to its end or crash.
@@ -79,6 +82,7 @@
                 up: true,
                 announced_until: life.announced_until,
                 announced_slots: life.announced_slots,
+                announced: life.announced,
                 waiting: HashMap::new(),
                 running: HashMap::new(),
             }),
@@ -316,9 +320,8 @@
         admit::Refusal::Deadline => "the deadline cannot be met; allow more time or send it later",
         admit::Refusal::Shed => "a request of a higher class took the place; send it later",
     };
-    let seconds = retry_after.as_secs() + u64::from(retry_after.subsec_nanos() > 0);
     Refusal {
-        retry_after: Some(u32::try_from(seconds.max(1)).unwrap_or(u32::MAX)),
+        retry_after: Some(retry_after),
         ..Refusal::not_run(reason.as_str(), message)
     }
 }
--- a/crates/shallothill-node/src/gate/exchange.rs
+++ b/crates/shallothill-node/src/gate/exchange.rs
@@ -21,6 +21,7 @@
 use crate::gate::slot::{Running, Slot};
 use crate::gate::{Connection, Endpoint, Gate, SendError};
 use crate::header_filter;
+use crate::interface::Interface;
 use crate::refusal::Refusal;
 
 impl Gate {
@@ -34,6 +35,10 @@
         place: Option<Place>,
     ) -> Result<Reply, Refusal> {
         let (response, connection) = self.exchange(&mut slot, &head, body, head.deadline).await?;
+        if let Some(max) = self.parts.interface.whole_answer_bytes {
+            let running = Running::new(slot, connection, place);
+            return self.read_answer(running, &head, response, max).await;
+        }
         let (parts, incoming) = response.into_parts();
         let outcome = outcome_of(parts.status.as_u16());
         let body = Body::stream(Bytes::new(), incoming, u64::MAX)
@@ -53,7 +58,7 @@
         until: Instant,
     ) -> Result<(Response<Incoming>, Connection), Refusal> {
         let endpoint = Arc::clone(slot.endpoint());
-        let mut req = write_request(head, &endpoint, body);
+        let mut req = write_request(&self.parts.interface, head, &endpoint, body);
         let mut idle = endpoint.pool.idle(!head.idempotent);
         loop {
             let reused = idle.is_some();
@@ -71,7 +76,13 @@
             slot.start(head.fingerprint);
             match time::timeout_at(until, connection.send(req)).await {
                 Ok(Ok(response)) => {
-                    slot.answered(response.status().as_u16());
+                    let not_run = self.parts.interface.not_run.as_ref();
+                    if not_run.is_some_and(|name| response.headers().contains_key(name)) {
+                        slot.shed();
+                    } else {
+                        slot.answered(response.status().as_u16());
+                    }
+                    connection.note_keep_alive(response.headers());
                     return Ok((response, connection));
                 }
                 Ok(Err(SendError::NotWritten(back))) if reused => req = *back,
@@ -135,6 +146,7 @@
         load: None,
         crash: None,
         from_gate: true,
+        reached: true,
     }
 }
 
@@ -174,7 +186,12 @@
     }
 }
 
-fn write_request(head: &Head, endpoint: &Endpoint, body: Body) -> Request<Body> {
+fn write_request(
+    interface: &Interface,
+    head: &Head,
+    endpoint: &Endpoint,
+    body: Body,
+) -> Request<Body> {
     let mut req = Request::new(body);
     *req.method_mut() = head.method.clone();
     *req.version_mut() = Version::HTTP_11;
@@ -187,14 +204,18 @@
     }
     let left = head.deadline.saturating_duration_since(Instant::now());
     let left = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
-    map.insert(
-        HeaderName::from_static(headers::DEADLINE_MS),
-        HeaderValue::from(left),
-    );
-    map.insert(
-        HeaderName::from_static(headers::CLASS),
-        HeaderValue::from_static(head.class.as_str()),
-    );
+    map.insert(interface.deadline_ms.clone(), HeaderValue::from(left));
+    if interface.own_headers {
+        map.insert(
+            HeaderName::from_static(headers::CLASS),
+            HeaderValue::from_static(head.class.as_str()),
+        );
+    }
+    if let Some(name) = &interface.expected_endpoint
+        && let Ok(value) = HeaderValue::from_str(endpoint.id.name.as_str())
+    {
+        map.insert(name, value);
+    }
     if let Some(key) = &head.key
         && let Ok(value) = HeaderValue::from_str(&key.to_string())
     {
--- a/crates/shallothill-node/src/gate/lifecycle.rs
+++ b/crates/shallothill-node/src/gate/lifecycle.rs
@@ -1,8 +1,8 @@
 //! Announcements, crashes and departures of backend servers.
 
 use std::collections::BTreeMap;
-use std::sync::Arc;
 use std::sync::atomic::Ordering;
+use std::sync::{Arc, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use log::{info, warn};
@@ -18,6 +18,7 @@
 use shallothill_wire::crash::CrashNotice;
 use tokio::time;
 
+use crate::gate::departed::Departed;
 use crate::gate::endpoint::Life;
 use crate::gate::{Announced, Announcement, Endpoint, Gate, Pool};
 
@@ -28,9 +29,18 @@
 const IDLE_CONNECTIONS: u16 = 64;
 
 impl Gate {
-    /// `announce` takes an announcement, which holds for the lease.
+    /// `announce` takes an announcement, which holds for the lease. One that is older than what is
+    /// known changes nothing.
     pub fn announce(self: &Arc<Self>, service: &ServiceName, name: &EndpointName, a: Announcement) {
         let key = (service.clone(), name.clone());
+        if self.is_outdated(&key, &a) {
+            info!("gate: an old announcement of {service}/{name} is ignored");
+            return;
+        }
+        if self.stopping.load(Ordering::Relaxed) {
+            return;
+        }
+        self.drop_predecessors(&key, &a);
         let known = self.endpoints.load().get(&key).cloned();
         let until = self.parts.timer.now() + self.parts.bounds.announce_lease();
         if let Some(endpoint) = &known
@@ -38,8 +48,10 @@
         {
             let mut inner = endpoint.lock();
             let leaving = inner.gate.state() == ServingState::Draining;
-            if inner.up && (!leaving || a.state == Announced::Draining) {
+            let same_life = inner.announced.0 == a.started_ms;
+            if inner.up && same_life && (!leaving || a.state == Announced::Draining) {
                 inner.announced_until = until;
+                inner.announced = a.order();
                 if inner.announced_slots != a.slots {
                     inner.announced_slots = a.slots;
                     let (gate, _) = self.options(service, a.slots);
@@ -73,12 +85,47 @@
             return false;
         };
         info!("gate: {} has left", endpoint.id);
+        let started_ms = endpoint.lock().announced.0;
+        self.departed().insert(key.clone(), started_ms);
         endpoint.drain();
         endpoint.pool.clear();
         self.replace(key, None);
         true
     }
 
+    fn departed(&self) -> MutexGuard<'_, Departed> {
+        self.departed.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    // Announcements may arrive late, after a newer one or after the end of their sender.
+    fn is_outdated(&self, key: &(ServiceName, EndpointName), a: &Announcement) -> bool {
+        if self.departed().has_ended(key, a.started_ms) {
+            return true;
+        }
+        let newer = |(other, e): (&(ServiceName, EndpointName), &Arc<Endpoint>)| {
+            let known = e.lock().announced;
+            if other == key {
+                known > a.order()
+            } else {
+                e.pool.address() == a.address && a.started_ms > 0 && known.0 > a.started_ms
+            }
+        };
+        self.endpoints.load().iter().any(newer)
+    }
+
+    // A backend server that starts at an address shows that the one before it there has gone.
+    fn drop_predecessors(&self, key: &(ServiceName, EndpointName), a: &Announcement) {
+        let earlier = |(other, e): (&(ServiceName, EndpointName), &Arc<Endpoint>)| {
+            let known = e.lock().announced.0;
+            let same_place = other != key && e.pool.address() == a.address;
+            (same_place && known > 0 && known < a.started_ms).then(|| other.clone())
+        };
+        let gone: Vec<_> = self.endpoints.load().iter().filter_map(earlier).collect();
+        for (service, name) in gone {
+            self.withdraw(&service, &name);
+        }
+    }
+
     /// `expire` withdraws backend servers that no longer announce themselves.
     pub fn expire(&self) {
         let now = self.parts.timer.now();
@@ -93,6 +140,7 @@
 
     /// `drain_all` refuses all new work, when the node stops.
     pub fn drain_all(&self) {
+        self.stopping.store(true, Ordering::Relaxed);
         for endpoint in self.endpoints.load().values() {
             endpoint.drain();
         }
@@ -229,6 +277,7 @@
             health,
             announced_until: self.parts.timer.now() + self.parts.bounds.announce_lease(),
             announced_slots: a.slots,
+            announced: a.order(),
         };
         let max_idle = usize::from(a.slots.clamp(1, IDLE_CONNECTIONS));
         let pool = Pool::new(a.address, self.parts.bounds.connect_timeout(), max_idle);
--- a/crates/shallothill-node/src/gate/mod.rs
+++ b/crates/shallothill-node/src/gate/mod.rs
@@ -1,8 +1,10 @@
 //! The gate role: guards the backend servers on the node's host.
 
 mod announcement;
+mod answer;
 mod backend;
 mod claimed;
+mod departed;
 mod endpoint;
 mod exchange;
 mod ledger;
@@ -11,9 +13,11 @@
 mod watchdog;
 
 use std::collections::BTreeMap;
-use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::{Arc, Mutex};
 
 use arc_swap::ArcSwap;
+use shallothill_core::config::OncePer;
 use shallothill_core::ids::{EndpointName, NodeName, Region, ServiceName};
 use shallothill_core::incarnation::Incarnation;
 use shallothill_policy::pick::ReportedLoad;
@@ -27,6 +31,8 @@
 use crate::config::Store;
 use crate::control::Keepers;
 use crate::crashes::Crashes;
+use crate::gate::departed::Departed;
+use crate::interface::Interface;
 use crate::refusal::Refusal;
 use crate::settings::Bounds;
 
@@ -43,6 +49,8 @@
 /// `GateParts` is what a gate is built from.
 #[derive(Debug)]
 pub struct GateParts {
+    /// How backend servers speak.
+    pub interface: Arc<Interface>,
     /// The node.
     pub node: NodeName,
     /// The node's region.
@@ -74,6 +82,8 @@
 pub struct Gate {
     parts: GateParts,
     endpoints: ArcSwap<Endpoints>,
+    departed: Mutex<Departed>,
+    stopping: AtomicBool,
     lives: std::sync::atomic::AtomicU64,
 }
 
@@ -83,6 +93,8 @@
         Self {
             parts,
             endpoints: ArcSwap::default(),
+            departed: Mutex::default(),
+            stopping: AtomicBool::new(false),
             lives: std::sync::atomic::AtomicU64::new(0),
         }
     }
@@ -147,15 +159,19 @@
             let slot = endpoint.admit(head.class, trial, head.deadline).await?;
             return self.forward(slot, head, attempt.body, place).await;
         }
-        let Some(key) = head.key.clone() else {
-            return Err(NO_KEY);
+        let key = match head.once_per {
+            OncePer::Attempt => None,
+            OncePer::Key => Some(head.key.clone().ok_or(NO_KEY)?),
         };
         let expected = expected_bytes(&attempt.body, head.max_body);
         // Held until the request has been written.
         let reserved = self.parts.buffers.reserve(expected).ok_or(NO_MEMORY)?;
         let body = exchange::read_whole(&mut attempt.body, head.deadline).await?;
         let slot = endpoint.admit(head.class, false, head.deadline).await?;
-        let reply = self.run_claimed(slot, head, key, body, place).await;
+        let reply = match key {
+            Some(key) => self.run_claimed(slot, head, key, body, place).await,
+            None => self.forward(slot, head, Body::full(body), place).await,
+        };
         drop(reserved);
         reply
     }
@@ -164,7 +180,7 @@
 /// `quarantined` refuses a request that crashed backend servers.
 pub(crate) fn quarantined(left: std::time::Duration) -> Refusal {
     Refusal {
-        retry_after: Some(u32::try_from(left.as_secs().max(1)).unwrap_or(u32::MAX)),
+        retry_after: Some(left),
         ..Refusal::not_run(
             "quarantined",
             "the same request was in flight when backend servers crashed; it is held back",
--- a/crates/shallothill-node/src/gate/slot.rs
+++ b/crates/shallothill-node/src/gate/slot.rs
@@ -60,6 +60,11 @@
         self.observe(evidence);
     }
 
+    /// `shed` notes an answer that says that the request was not run.
+    pub(crate) fn shed(&mut self) {
+        self.observe(Evidence::Shed);
+    }
+
     /// `broken` notes that the connection broke before the answer was complete.
     pub(crate) fn broken(&mut self) {
         self.served = None;
--- a/crates/shallothill-node/src/lib.rs
+++ b/crates/shallothill-node/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod errors;
 pub mod gate;
 pub mod header_filter;
+pub mod interface;
 pub mod listener;
 pub mod node;
 pub mod peer;
--- a/crates/shallothill-node/src/node/build.rs
+++ b/crates/shallothill-node/src/node/build.rs
@@ -4,6 +4,8 @@
 use std::time::{SystemTime, UNIX_EPOCH};
 
 use cadence::StatsdClient;
+use hyper::header::HeaderValue;
+use shallothill_core::ids::ServiceName;
 use shallothill_core::incarnation::Incarnation;
 use shallothill_policy::limits::{CallerLimits, LimitOptions};
 use shallothill_policy::quarantine::QuarantineOptions;
@@ -19,6 +21,7 @@
 use crate::crashes::Crashes;
 use crate::entry::{Entry, EntryParts};
 use crate::gate::{Gate, GateParts, Ledger};
+use crate::interface::Interface;
 use crate::node::{Addresses, Node};
 use crate::peer::Links;
 use crate::settings::Settings;
@@ -28,6 +31,7 @@
     /// `build` puts the parts together without starting them.
     pub(super) fn build(
         settings: Settings,
+        interface: Interface,
         addresses: Addresses,
         metrics: StatsdClient,
         stop: CancellationToken,
@@ -38,7 +42,11 @@
         let zone = settings.zone();
         let bounds = settings.bounds.clone();
         let store = Arc::new(Store::default());
-        let keepers = Arc::new(Keepers::new(&zone, &settings.keepers));
+        let keepers = Arc::new(if settings.seeds.is_empty() {
+            Keepers::new(&zone, &settings.keepers)
+        } else {
+            Keepers::discovered(&zone, &settings.seeds)
+        });
         let view = Arc::new(View::new(settings.node.clone(), zone));
         let links = Arc::new(Links::new(bounds.connect_timeout()));
         let options = QuarantineOptions::default();
@@ -54,7 +62,9 @@
             timer.clone(),
             background.clone(),
         ));
+        let interface = Arc::new(interface);
         let gate = Arc::new(Gate::new(GateParts {
+            interface: Arc::clone(&interface),
             node: settings.node.clone(),
             region: settings.region.clone(),
             incarnation,
@@ -68,7 +78,8 @@
             buffers,
             tasks: background.clone(),
         }));
-        let entry = Arc::new(new_entry(&gate, &view, &links, &counters));
+        let origin = settings.host_service.as_ref();
+        let entry = Arc::new(new_entry(&gate, &view, &links, &counters, origin));
         Self {
             settings,
             incarnation,
@@ -85,6 +96,7 @@
             changed,
             metrics,
             stop,
+            close: CancellationToken::new(),
             end: CancellationToken::new(),
             connections: TaskTracker::new(),
             background,
@@ -97,10 +109,13 @@
     view: &Arc<View>,
     links: &Arc<Links>,
     counters: &Arc<Counters>,
+    origin: Option<&ServiceName>,
 ) -> Entry {
     let parts = gate.parts();
     Entry::new(EntryParts {
         node: parts.node.clone(),
+        interface: Arc::clone(&parts.interface),
+        origin_service: origin.and_then(|s| HeaderValue::from_str(s.as_str()).ok()),
         buffers: parts.buffers.clone(),
         bounds: parts.bounds.clone(),
         timer: parts.timer.clone(),
--- a/crates/shallothill-node/src/node/mod.rs
+++ b/crates/shallothill-node/src/node/mod.rs
@@ -21,12 +21,15 @@
 
 use crate::announce::AnnounceServer;
 use crate::config::Store;
-use crate::control::{ConfigFetch, Keepers, Move, Probe, Reporter, Watcher, learn_version};
+use crate::control::{
+    ConfigFetch, Discovery, Keepers, Move, Probe, Reporter, Watcher, learn_version,
+};
 use crate::counters::{Counters, Gauges};
 use crate::crashes::Crashes;
 use crate::entry::Entry;
 use crate::errors;
 use crate::gate::Gate;
+use crate::interface::Interface;
 use crate::listener::{Answer, Listener};
 use crate::node::sockets::Sockets;
 use crate::peer::{Links, PeerServer};
@@ -76,6 +79,8 @@
     changed: Arc<Notify>,
     metrics: StatsdClient,
     stop: CancellationToken,
+    /// Closes the listeners, some time after `stop`.
+    close: CancellationToken,
     /// Ends what goes on until all requests are answered.
     end: CancellationToken,
     connections: TaskTracker,
@@ -87,10 +92,19 @@
     ///
     /// Fails with `Runtime` when an address is taken.
     pub async fn start(settings: Settings, stop: CancellationToken) -> errors::Result<Arc<Self>> {
+        Self::start_with(settings, Interface::default(), stop).await
+    }
+
+    /// `start_with` is [`Self::start`] for callers and backend servers that speak `interface`.
+    pub async fn start_with(
+        settings: Settings,
+        interface: Interface,
+        stop: CancellationToken,
+    ) -> errors::Result<Arc<Self>> {
         let sockets = Sockets::bind(&settings).await?;
         let addresses = sockets.addresses(&settings);
         let metrics = metrics::client("shallothill.node", settings.process.metrics_address)?;
-        let node = Arc::new(Self::build(settings, addresses, metrics, stop));
+        let node = Arc::new(Self::build(settings, interface, addresses, metrics, stop));
         node.listen(sockets);
         node.follow_keepers();
         tokio::spawn(Arc::clone(&node).tick());
@@ -142,7 +156,7 @@
             bounds: self.settings.bounds.clone(),
             timer: self.timer.clone(),
             counters: Arc::clone(&self.counters),
-            stop: self.stop.clone(),
+            stop: self.close.clone(),
             tasks: self.connections.clone(),
         }
     }
@@ -186,7 +200,16 @@
             timer: self.timer.clone(),
         };
         tokio::spawn(watcher.run(self.end.clone()));
-        tokio::spawn(probe.run(self.end.clone()));
+        if self.keepers.discovers() {
+            // Discovered keepers tell themselves when they are isolated.
+            let discovery = Discovery {
+                keepers: Arc::clone(&self.keepers),
+                timer: self.timer.clone(),
+            };
+            tokio::spawn(discovery.run(self.end.clone()));
+        } else {
+            tokio::spawn(probe.run(self.end.clone()));
+        }
         tokio::spawn(fetch.run(Arc::clone(&self.gate), self.end.clone()));
         self.connections.spawn(reporter.run(self.stop.clone()));
     }
@@ -204,6 +227,7 @@
                 _ = refresh.recv() => {
                     self.view.refresh(self.timer.now());
                     self.gate.expire();
+                    self.entry.refresh_budgets(self.view.size());
                 }
                 _ = tidy.recv() => self.links.drop_idle(),
                 _ = send.recv() => self.counters.send(&self.metrics, &mut sent, self.gauges()),
@@ -251,7 +275,11 @@
     /// `run_until_stopped` waits for the stop and finishes what is in flight.
     pub async fn run_until_stopped(&self) {
         self.stop.cancelled().await;
+        self.entry.stop_serving();
         self.gate.drain_all();
+        // The service ends only with the process.
+        let _ = self.timer.after(self.settings.bounds.lame_duck()).await;
+        self.close.cancel();
         self.connections.close();
         self.background.close();
         let finished = async {
--- a/crates/shallothill-node/src/peer/codec.rs
+++ b/crates/shallothill-node/src/peer/codec.rs
@@ -9,6 +9,7 @@
 use hyper::http::uri::PathAndQuery;
 use hyper::{Request, Response, Uri, Version};
 use shallothill_core::class::Class;
+use shallothill_core::config::OncePer;
 use shallothill_core::hash::Fingerprint;
 use shallothill_core::headers;
 use shallothill_core::idempotency::IdempotencyKey;
@@ -63,6 +64,12 @@
     if !head.idempotent {
         put(map, headers::IDEMPOTENT, "false");
     }
+    if !head.idempotent && head.once_per == OncePer::Attempt {
+        put(map, headers::ONCE_PER, "attempt");
+    }
+    if head.rank > 0 {
+        put(map, headers::RANK, &head.rank.to_string());
+    }
     if let Some(key) = &head.key {
         put(map, headers::IDEMPOTENCY_KEY, &key.to_string());
     }
@@ -90,6 +97,11 @@
     let trial = text(headers::TRIAL).is_some();
     let (max_body, idempotent_here) = max_body(&route);
     let idempotent = idempotent_here && text(headers::IDEMPOTENT) != Some("false");
+    let once_per = match text(headers::ONCE_PER) {
+        Some("attempt") => OncePer::Attempt,
+        _ => OncePer::Key,
+    };
+    let rank = number(headers::RANK).and_then(|n| u8::try_from(n).ok());
     let key = text(headers::IDEMPOTENCY_KEY)
         .filter(|_| !idempotent)
         .and_then(|k| IdempotencyKey::try_parse(k).ok());
@@ -108,6 +120,9 @@
         route,
         class,
         idempotent,
+        once_per,
+        rank: rank.unwrap_or(0),
+        attempts: None,
         key,
         deadline,
         fingerprint,
@@ -137,6 +152,9 @@
     if let Some(load) = reply.load {
         put(map, headers::LOAD, &attempt::load_to_header(load));
     }
+    if reply.reached {
+        put(map, headers::REACHED, "true");
+    }
     if let Some(crash) = reply.crash {
         put(map, headers::CRASH, &crash.to_string());
     }
@@ -155,10 +173,14 @@
     let version = text(headers::CONFIG_VERSION).and_then(|v| v.parse().ok());
     let load = text(headers::LOAD).and_then(attempt::load_from_header);
     let crash = text(headers::CRASH).and_then(|v| v.parse().ok());
-    let reason = parts.headers.get(headers::REASON).cloned();
+    let reached = text(headers::REACHED).is_some();
+    let kept = [headers::REASON, headers::RETRY_AFTER_MS];
+    let kept = kept.map(|name| (name, parts.headers.get(name).cloned()));
     header_filter::strip_own(&mut parts.headers);
-    if let Some(reason) = reason {
-        parts.headers.insert(headers::REASON, reason);
+    for (name, value) in kept {
+        if let Some(value) = value {
+            parts.headers.insert(name, value);
+        }
     }
     let body = Body::stream(Bytes::new(), incoming, u64::MAX).until(deadline);
     let reply = Reply {
@@ -167,6 +189,7 @@
         load,
         crash,
         from_gate: true,
+        reached,
     };
     Some((reply, ConfigVersion(version.unwrap_or(0))))
 }
--- a/crates/shallothill-node/src/refusal.rs
+++ b/crates/shallothill-node/src/refusal.rs
@@ -1,5 +1,7 @@
 //! Responses that the node produces itself.
 
+use std::time::Duration;
+
 use bytes::Bytes;
 use hyper::header::{self, HeaderName, HeaderValue};
 use hyper::{Response, StatusCode};
@@ -9,6 +11,9 @@
 use crate::attempt::Reply;
 use crate::body::Body;
 
+/// `RETRY_AFTER_DEFAULT` is told to callers whose request may be served at any moment.
+pub(crate) const RETRY_AFTER_DEFAULT: Duration = Duration::from_secs(1);
+
 /// `Refusal` describes a response that the node produces itself.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Refusal {
@@ -18,10 +23,12 @@
     pub outcome: Outcome,
     /// The machine-readable reason.
     pub reason: &'static str,
-    /// Seconds after which the caller may send the request again.
-    pub retry_after: Option<u32>,
+    /// The time after which the caller may send the request again.
+    pub retry_after: Option<Duration>,
     /// What is wrong and what to do.
     pub message: &'static str,
+    /// Whether the request was written to a backend server.
+    pub reached: bool,
 }
 
 impl Refusal {
@@ -31,8 +38,17 @@
             status: 503,
             outcome: Outcome::RefusedNotRun,
             reason,
-            retry_after: Some(1),
+            retry_after: Some(RETRY_AFTER_DEFAULT),
             message,
+            reached: false,
+        }
+    }
+
+    /// `declined` tells that a backend server received the request and said that it did not run it.
+    pub const fn declined(reason: &'static str, message: &'static str) -> Self {
+        Self {
+            reached: true,
+            ..Self::not_run(reason, message)
         }
     }
 
@@ -44,6 +60,7 @@
             reason,
             retry_after: None,
             message,
+            reached: false,
         }
     }
 
@@ -55,6 +72,7 @@
             reason,
             retry_after: None,
             message,
+            reached: true,
         }
     }
 
@@ -66,6 +84,7 @@
             reason,
             retry_after: None,
             message,
+            reached: true,
         }
     }
 
@@ -86,8 +105,13 @@
             HeaderName::from_static(headers::REASON),
             HeaderValue::from_static(self.reason),
         );
-        if let Some(seconds) = self.retry_after {
-            map.insert(header::RETRY_AFTER, HeaderValue::from(seconds));
+        if let Some(after) = self.retry_after {
+            let ms = u64::try_from(after.as_millis()).unwrap_or(u64::MAX).max(1);
+            map.insert(header::RETRY_AFTER, HeaderValue::from(ms.div_ceil(1000)));
+            map.insert(
+                HeaderName::from_static(headers::RETRY_AFTER_MS),
+                HeaderValue::from(ms),
+            );
         }
         response
     }
@@ -100,6 +124,7 @@
             load: None,
             crash: None,
             from_gate: true,
+            reached: self.reached,
         }
     }
 
--- a/crates/shallothill-node/src/settings.rs
+++ b/crates/shallothill-node/src/settings.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use serde::Deserialize;
-use shallothill_core::ids::{DataCentre, KeeperId, NodeName, Region, Zone};
+use shallothill_core::ids::{DataCentre, KeeperId, NodeName, Region, ServiceName, Zone};
 use shallothill_runtime::settings;
 
 use crate::errors;
@@ -29,10 +29,19 @@
     pub announce_address: SocketAddr,
     /// The settings that all processes have.
     pub process: settings::Common,
+    /// The service of this host, which backend servers are told with requests from here.
+    #[serde(default)]
+    pub host_service: Option<ServiceName>,
     /// The regions over which idempotency keys are hashed; the same in all processes.
+    #[serde(default)]
     pub regions: Vec<Region>,
-    /// All keepers.
+    /// All keepers, or none where they are found through `seeds`.
+    #[serde(default)]
     pub keepers: Vec<KeeperAddress>,
+    /// Addresses for nodes at which some keepers answer, in place of `keepers`. Routes whose
+    /// requests run at most once for each key need `keepers`.
+    #[serde(default)]
+    pub seeds: Vec<SocketAddr>,
     /// Bounds on connections, memory and times.
     #[serde(default)]
     pub bounds: Bounds,
@@ -80,6 +89,9 @@
     pub claim_timeout_ms: u64,
     /// Milliseconds for which an announcement holds.
     pub announce_lease_ms: u64,
+    /// Milliseconds for which a stopping node still accepts callers, so that they can find
+    /// another one.
+    pub lame_duck_ms: u64,
     /// Milliseconds for which a stopping node waits for requests in flight.
     pub stop_timeout_ms: u64,
 }
@@ -99,6 +111,7 @@
             connect_timeout_ms: 500,
             claim_timeout_ms: 1000,
             announce_lease_ms: 10_000,
+            lame_duck_ms: 0,
             stop_timeout_ms: 30_000,
         }
     }
@@ -130,6 +143,11 @@
         Duration::from_millis(self.announce_lease_ms)
     }
 
+    /// `lame_duck` returns the time for which a stopping node accepts callers.
+    pub fn lame_duck(&self) -> Duration {
+        Duration::from_millis(self.lame_duck_ms)
+    }
+
     /// `stop_timeout` returns the time for which a stopping node waits.
     pub fn stop_timeout(&self) -> Duration {
         Duration::from_millis(self.stop_timeout_ms)
@@ -150,7 +168,11 @@
     /// `check` fails with `Settings` when values do not fit together.
     pub fn check(&self) -> errors::Result<()> {
         let fail = |message: String| errors::SettingsSnafu { message }.fail();
-        if !self.regions.contains(&self.region) {
+        if !self.seeds.is_empty() && !self.keepers.is_empty() {
+            return fail("`keepers` and `seeds` exclude each other; remove one".to_owned());
+        }
+        let listed = !self.keepers.is_empty();
+        if listed && !self.regions.contains(&self.region) {
             return fail(format!(
                 "`region` {} is not in `regions`; add it",
                 self.region
@@ -159,8 +181,8 @@
         if self.peer_address.ip().is_unspecified() {
             return fail("`peer_address` has no host; give the address of this host".to_owned());
         }
-        if self.keepers.is_empty() {
-            return fail("`keepers` is empty; list all keepers".to_owned());
+        if self.keepers.is_empty() && self.seeds.is_empty() {
+            return fail("`keepers` is empty; list all keepers, or some as `seeds`".to_owned());
         }
         let mut ids = BTreeSet::new();
         for keeper in &self.keepers {
--- a/crates/shallothill-node/src/view.rs
+++ b/crates/shallothill-node/src/view.rs
@@ -114,6 +114,11 @@
         from.choose_multiple(&mut rand::rng(), n).copied().collect()
     }
 
+    /// `size` returns the number of known nodes.
+    pub fn size(&self) -> usize {
+        self.lock().nodes.len()
+    }
+
     /// `nodes` returns the latest reports.
     pub fn nodes(&self) -> Vec<(NodeReport, Contact)> {
         self.lock().nodes.values().cloned().collect()
--- a/crates/shallothill-node/tests/refusals.rs
+++ b/crates/shallothill-node/tests/refusals.rs
@@ -20,7 +20,7 @@
     let mut cfg = cluster::config();
     let name = ServiceName::try_new("courier").unwrap();
     let service = cfg.services.get_mut(&name).unwrap();
-    service.slots = 1;
+    service.slots = Some(1);
     service.queue = 4;
     cfg
 }
--- a/crates/shallothill-node/tests/support/cluster.rs
+++ b/crates/shallothill-node/tests/support/cluster.rs
@@ -9,7 +9,9 @@
 
 use serde_json::json;
 use shallothill_core::class::Class;
-use shallothill_core::config::{Caller, Config, Disposition, Floor, Route, Service};
+use shallothill_core::config::{
+    Caller, Config, Disposition, Floor, OncePer, Route, Service, Target,
+};
 use shallothill_core::ids::{
     CallerName, DataCentre, KeeperId, NodeName, Region, RouteName, ServiceName,
 };
@@ -33,7 +35,7 @@
 pub fn service() -> Service {
     Service {
         depends_on: Vec::new(),
-        slots: 5,
+        slots: Some(5),
         connections: 300,
         queue: 10,
         floor: Floor::Total(1),
@@ -41,20 +43,28 @@
         expected_latency: Duration::from_millis(5),
         cold_start_requests: 5,
         retry_budget_percent: 100,
+        retry_budget_saved: None,
         max_attempts: 3,
         hedge_after: None,
         cross_region_bytes_per_s: None,
+        health_path: None,
     }
 }
 
 pub fn route(path: &str, method: &str, idempotent: bool) -> Route {
     Route {
-        service: ServiceName::try_new("courier").unwrap(),
+        target: Target::from(ServiceName::try_new("courier").unwrap()),
+        host: None,
         methods: vec![method.to_owned()],
         path: path.to_owned(),
+        below: false,
         idempotent,
+        once_per: OncePer::Key,
         class: Class::Shop,
+        rank: 0,
         deadline: Duration::from_secs(10),
+        objective: None,
+        attempts: None,
         max_body_bytes: 1024 * 1024,
     }
 }
@@ -76,6 +86,7 @@
     };
     Config {
         regions: vec![Region::try_new(REGION).unwrap()],
+        limits: None,
         services: BTreeMap::from([(ServiceName::try_new("courier").unwrap(), service())]),
         routes: routes
             .into_iter()
@@ -91,6 +102,8 @@
 
 pub fn settings(name: &str, keepers: &[KeeperAddress], bounds: Bounds) -> Settings {
     Settings {
+        host_service: None,
+        seeds: Vec::new(),
         node: NodeName::try_new(name).unwrap(),
         region: Region::try_new(REGION).unwrap(),
         data_centre: DataCentre::try_new("north-1").unwrap(),
--- a/crates/shallothill-node/tests/support/keepers.rs
+++ b/crates/shallothill-node/tests/support/keepers.rs
@@ -23,6 +23,7 @@
 use shallothill_node::settings::KeeperAddress;
 use shallothill_wire::control::KeeperControl;
 use shallothill_wire::crash::CrashNotice;
+use shallothill_wire::keeper_info::KeeperInfo;
 use shallothill_wire::report::{ReportReply, ReportRequest};
 use shallothill_wire::watch::{
     ConfigUpdate, SectionsReply, SectionsRequest, WatchReply, WatchRequest,
@@ -186,6 +187,7 @@
                     config_version: version,
                     directory: Some(delta),
                     crashes: self.shared.crashes.lock().unwrap().clone(),
+                    isolated: false,
                 };
             }
             time::sleep(Duration::from_millis(10)).await;
@@ -202,6 +204,10 @@
         }
     }
 
+    async fn keepers(self, _: Context) -> Vec<KeeperInfo> {
+        Vec::new()
+    }
+
     async fn claim(self, _: Context, req: ClaimRequest) -> ClaimReply {
         *self
             .shared
--- a/crates/shallothill-policy/src/admit/options.rs
+++ b/crates/shallothill-policy/src/admit/options.rs
@@ -42,7 +42,7 @@
     /// `from_service` takes the bounds from the configuration and the announced `slots`.
     pub fn from_service(service: &Service, slots: u16) -> Self {
         Self {
-            slots: slots.min(service.slots).max(1),
+            slots: slots.min(service.slots.unwrap_or(u16::MAX)).max(1),
             queue: service.queue,
             connections: service.connections,
             expected_latency: service.expected_latency,
--- a/crates/shallothill-policy/src/retry/attempts.rs
+++ b/crates/shallothill-policy/src/retry/attempts.rs
@@ -9,6 +9,10 @@
 
 const MOST_ATTEMPTS: usize = 8;
 
+// Refusals by gates cost a message between nodes and no backend server's time; more of them in a
+// row mean that the service is full.
+const MOST_REFUSALS: u8 = 3;
+
 /// `Next` tells what follows an ended attempt.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Next {
@@ -26,6 +30,7 @@
     idempotent: bool,
     deadline: Millis,
     made: u8,
+    refused: u8,
     running: u8,
     used: [EndpointKey; MOST_ATTEMPTS],
     worst: Outcome,
@@ -39,6 +44,7 @@
             idempotent,
             deadline,
             made: 0,
+            refused: 0,
             running: 0,
             used: [EndpointKey::default(); MOST_ATTEMPTS],
             worst: Outcome::RefusedNotRun,
@@ -87,6 +93,25 @@
         Next::Return(self.worst)
     }
 
+    /// `refused` decides what follows an attempt that reached no backend server. Another one costs
+    /// nothing of the budget, which bounds the load on backend servers.
+    pub fn refused(&mut self, now: Millis, options: &RetryOptions) -> Next {
+        self.running = self.running.saturating_sub(1);
+        self.refused = self.refused.saturating_add(1);
+        if self.responding {
+            return Next::Return(Outcome::RefusedNotRun);
+        }
+        if self.running > 0 {
+            return Next::Wait;
+        }
+        // An attempt that may have run is repeated only where that does no harm.
+        let allowed = self.worst.allows_retry(self.idempotent);
+        if allowed && self.refused <= MOST_REFUSALS && self.may_add(now, options) {
+            return Next::Retry;
+        }
+        Next::Return(self.worst)
+    }
+
     /// `hedge` decides at `now` whether a second attempt runs beside one that was sent at `sent`;
     /// a true result has taken it from the budget.
     pub fn hedge(
@@ -114,8 +139,9 @@
     }
 
     fn may_add(&self, now: Millis, options: &RetryOptions) -> bool {
-        let most = options.max_attempts.min(MOST_ATTEMPTS as u8);
-        self.made < most && now < self.deadline
+        let reached = self.made.saturating_sub(self.refused);
+        let room = usize::from(self.made) < MOST_ATTEMPTS;
+        room && reached < options.max_attempts && now < self.deadline
     }
 }
 
--- a/crates/shallothill-replica/tests/bus/mod.rs
+++ b/crates/shallothill-replica/tests/bus/mod.rs
@@ -72,7 +72,7 @@
 
 impl Bus {
     /// A new group of `n` members, numbered from 1.
-    pub fn new_group(seed: u64, n: u16, options: ReplicaOptions) -> Self {
+    pub fn new_group(seed: u64, n: u32, options: ReplicaOptions) -> Self {
         let mut bus = Self {
             now: 0,
             rng: StdRng::seed_from_u64(seed),
@@ -103,7 +103,7 @@
     }
 
     /// A group of `n` members that has a primary.
-    pub fn formed(seed: u64, n: u16, broken: Broken) -> Self {
+    pub fn formed(seed: u64, n: u32, broken: Broken) -> Self {
         let mut options = options(seed);
         options.broken = broken;
         let mut bus = Self::new_group(seed, n, options);
@@ -150,7 +150,7 @@
         }
     }
 
-    pub fn cut(&mut self, from: u16, to: u16) {
+    pub fn cut(&mut self, from: u32, to: u32) {
         self.cuts.insert((KeeperId(from), KeeperId(to)));
     }
 
@@ -162,7 +162,7 @@
         primaries.max_by_key(|s| s.view).map(|s| s.me)
     }
 
-    pub fn commit(&self, id: u16) -> Op {
+    pub fn commit(&self, id: u32) -> Op {
         let replica = self
             .hosts
             .get(&KeeperId(id))
@@ -175,7 +175,7 @@
         running.map(|r| r.status().view.0).max().unwrap_or(0)
     }
 
-    pub fn standing(&self, id: u16) -> Option<Standing> {
+    pub fn standing(&self, id: u32) -> Option<Standing> {
         let replica = self.hosts.get(&KeeperId(id))?.replica.as_ref()?;
         Some(replica.status().standing)
     }
--- a/crates/shallothill-replica/tests/bus/schedule.rs
+++ b/crates/shallothill-replica/tests/bus/schedule.rs
@@ -67,7 +67,7 @@
 }
 
 /// Runs a group of `n` through 40 s of random faults, then ends them and checks the result.
-pub fn run_schedule(seed: u64, n: u16, with_members: bool, broken: Broken) -> Bus {
+pub fn run_schedule(seed: u64, n: u32, with_members: bool, broken: Broken) -> Bus {
     let mut bus = Bus::formed(seed, n, broken);
     bus.faults = Faults {
         drop: 30,
--- a/crates/shallothill-replica/tests/election.rs
+++ b/crates/shallothill-replica/tests/election.rs
@@ -32,13 +32,13 @@
     views: u64,
 }
 
-fn apply(bus: &mut Bus, n: u16, cuts: Cuts) {
+fn apply(bus: &mut Bus, n: u32, cuts: Cuts) {
     bus.cuts.clear();
     let primary = bus.primary().unwrap_or(KeeperId(1));
     let members: Vec<KeeperId> = (1..=n).map(KeeperId).collect();
     let mut others: Vec<KeeperId> = members.iter().copied().filter(|k| *k != primary).collect();
     others.shuffle(&mut bus.rng);
-    let spare = usize::from(n - 1) / 2;
+    let spare = (n - 1) as usize / 2;
     let hit = match cuts {
         Cuts::MutePrimary => vec![(primary, true)],
         Cuts::OneWayMinority => {
@@ -60,7 +60,7 @@
     }
 }
 
-fn measure(seed: u64, n: u16, rule: ElectionRule, cuts: Cuts) -> Figures {
+fn measure(seed: u64, n: u32, rule: ElectionRule, cuts: Cuts) -> Figures {
     let mut options = bus::options(seed);
     options.election = rule;
     let mut bus = Bus::new_group(seed, n, options);
@@ -90,7 +90,7 @@
     figures
 }
 
-fn total(seeds: &[u64], n: u16, rule: ElectionRule, cuts: Cuts) -> Figures {
+fn total(seeds: &[u64], n: u32, rule: ElectionRule, cuts: Cuts) -> Figures {
     let mut total = Figures::default();
     for seed in seeds {
         let one = measure(*seed, n, rule, cuts);
@@ -110,7 +110,7 @@
     total
 }
 
-fn compare(seeds: &[u64], n: u16) {
+fn compare(seeds: &[u64], n: u32) {
     for cuts in [Cuts::MutePrimary, Cuts::OneWayMinority, Cuts::Random] {
         let chosen = total(seeds, n, ElectionRule::MostCompleteLog, cuts);
         total(seeds, n, ElectionRule::Rotation, cuts);
--- a/crates/shallothill-replica/tests/rules.rs
+++ b/crates/shallothill-replica/tests/rules.rs
@@ -14,7 +14,7 @@
     ReplicaOptions, Role, Standing, SyncToken, View,
 };
 
-fn k(id: u16) -> KeeperId {
+fn k(id: u32) -> KeeperId {
     KeeperId(id)
 }
 
--- a/crates/shallothill-replica/tests/schedules.rs
+++ b/crates/shallothill-replica/tests/schedules.rs
@@ -6,7 +6,7 @@
 use bus::schedule::{SEEDS, run_schedule};
 use shallothill_replica::Broken;
 
-fn assert_holds(n: u16, with_members: bool) {
+fn assert_holds(n: u32, with_members: bool) {
     let mut accepted = 0;
     for seed in SEEDS {
         let bus = run_schedule(seed, n, with_members, Broken::default());
--- a/crates/shallothill-runtime/src/admin.rs
+++ b/crates/shallothill-runtime/src/admin.rs
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
+use hyper::header::HeaderMap;
 use hyper::service;
 use hyper::{Method, Request, Response, StatusCode, header};
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -34,6 +35,8 @@
     pub path: String,
     /// The query without `?`, or an empty text.
     pub query: String,
+    /// The headers.
+    pub headers: HeaderMap,
     /// The whole body.
     pub body: Bytes,
 }
@@ -121,6 +124,7 @@
                 method: parts.method.clone(),
                 path: parts.uri.path().to_owned(),
                 query: parts.uri.query().unwrap_or_default().to_owned(),
+                headers: parts.headers,
                 body: body.to_bytes(),
             };
             let unknown = || {
--- a/crates/shallothill-storage/tests/folder.rs
+++ b/crates/shallothill-storage/tests/folder.rs
@@ -6,7 +6,7 @@
 use shallothill_core::ids::KeeperId;
 use shallothill_storage::{DataFolder, Error, FolderOptions, Log, Position, inspect};
 
-fn options(keeper: u16) -> FolderOptions {
+fn options(keeper: u32) -> FolderOptions {
     FolderOptions {
         keeper: KeeperId(keeper),
         ..FolderOptions::default()
--- a/crates/shallothill-testing/src/bin/demo/fleet.rs
+++ b/crates/shallothill-testing/src/bin/demo/fleet.rs
@@ -159,7 +159,7 @@
             let (region, data_centre) = self.deployment.data_centre(region * 2 + in_region / 2);
             let free = ports::free(self.ip(0, i), 3)?;
             places.push(KeeperPlace {
-                id: u16::try_from(i + 1)?,
+                id: u32::try_from(i + 1)?,
                 region: region.to_owned(),
                 data_centre,
                 control_address: free[0],
--- a/crates/shallothill-testing/src/builders.rs
+++ b/crates/shallothill-testing/src/builders.rs
@@ -70,7 +70,7 @@
 #[derive(Clone, Debug, Serialize)]
 pub struct KeeperPlace {
     /// The number.
-    pub id: u16,
+    pub id: u32,
     /// The region whose ledger group it belongs to.
     pub region: String,
     /// The data centre.
--- a/crates/shallothill-wire/src/control.rs
+++ b/crates/shallothill-wire/src/control.rs
@@ -9,6 +9,7 @@
 use tarpc::client;
 
 use crate::channel;
+use crate::keeper_info::KeeperInfo;
 use crate::report::{ReportReply, ReportRequest};
 use crate::transport;
 use crate::watch::{SectionsReply, SectionsRequest, WatchReply, WatchRequest};
@@ -22,6 +23,8 @@
     async fn watch(req: WatchRequest) -> WatchReply;
     /// `sections` returns sections of a configuration version.
     async fn sections(req: SectionsRequest) -> SectionsReply;
+    /// `keepers` lists the keepers that the answering one knows, itself included.
+    async fn keepers() -> Vec<KeeperInfo>;
     /// `claim` supports a claim on a key; the answer is durable.
     async fn claim(req: ClaimRequest) -> ClaimReply;
     /// `query_key` tells what the keeper holds for a key.
--- a/crates/shallothill-wire/src/lib.rs
+++ b/crates/shallothill-wire/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod control;
 pub mod crash;
 pub mod errors;
+pub mod keeper_info;
 pub mod operator;
 pub mod report;
 pub mod transport;
--- a/crates/shallothill-wire/src/operator.rs
+++ b/crates/shallothill-wire/src/operator.rs
@@ -25,6 +25,29 @@
     pub operator: String,
     /// The whole text.
     pub text: String,
+    /// The operator's own labels of the versions, in place of `base`.
+    pub labels: Option<Labels>,
+}
+
+/// `Labels` are numbers that operators give to versions. They rise, and a change is accepted only
+/// on top of the version that has the label `base`.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Labels {
+    /// The label of the version that the text is based on; 0 before the first one.
+    pub base: u64,
+    /// The label of the new version, above `base`.
+    pub new: u64,
+}
+
+/// `CurrentText` is the accepted text.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct CurrentText {
+    /// Its version.
+    pub version: ConfigVersion,
+    /// Its label, 0 without one.
+    pub label: u64,
+    /// The text.
+    pub text: String,
 }
 
 /// `SubmitReply` is the answer to a submission; a resend gets the first answer again.
--- a/crates/shallothill-wire/src/watch.rs
+++ b/crates/shallothill-wire/src/watch.rs
@@ -33,6 +33,9 @@
     pub directory: Option<Delta>,
     /// Crash notices of other nodes since the cursor.
     pub crashes: Vec<CrashNotice>,
+    /// Whether the keeper has heard no primary of the config log for a while, so that it may miss
+    /// accepted versions and another keeper should be followed.
+    pub isolated: bool,
 }
 
 /// `ConfigUpdate` leads from a version that the node has to a newer one.
