policy, node: estimate spells of gray failure from single answers

Cause: 19 to 36% of the requests fail with the 500 of a backend server. Failures outside of spells, among them those of a called service, take 40 ms and more.

Ruled out: the detector alone (three bad requests and a summary of the keepers take longer than a spell) and health checks (they pass).

Change: the gate follows the probability of a spell (two-state chain, weighed by each answer; a failure much faster than usual counts 45 to 1, a slow one 1.5 to 1). Requests that run at most once are refused as not run above 0.4, repeatable ones are trials above 0.6; entries go on to the next gate, up to eight. `gray_percent` of a service holds the expected share; 0, the default, switches it off.

New test: policy/tests/gray.rs.

--- a/crates/shallothill-bench/src/scenarios/scale.rs
+++ b/crates/shallothill-bench/src/scenarios/scale.rs
@@ -160,6 +160,7 @@
         disposition: Disposition::CAUTIOUS,
         expected_latency: Duration::from_millis(40),
         cold_start_requests: 50,
+        gray_percent: 0,
         retry_budget_percent: 10,
         retry_budget_saved: None,
         max_attempts: 3,
--- a/crates/shallothill-config/src/diff.rs
+++ b/crates/shallothill-config/src/diff.rs
@@ -113,6 +113,7 @@
             "cold_start_requests",
             Some(s.cold_start_requests.to_string()),
         ),
+        ("gray_percent", Some(s.gray_percent.to_string())),
         (
             "retry_budget_percent",
             Some(s.retry_budget_percent.to_string()),
--- a/crates/shallothill-config/src/service.rs
+++ b/crates/shallothill-config/src/service.rs
@@ -12,7 +12,7 @@
 use crate::node::{Entry, Node, Value};
 use crate::scalars;
 
-const FIELDS: [&str; 14] = [
+const FIELDS: [&str; 15] = [
     "depends_on",
     "slots",
     "connections",
@@ -21,6 +21,7 @@
     "disposition",
     "expected_latency",
     "cold_start_requests",
+    "gray_percent",
     "retry_budget_percent",
     "retry_budget_saved",
     "max_attempts",
@@ -50,6 +51,7 @@
     let expected_latency = fields.required("expected_latency", faults, scalars::duration);
     let cold_start_requests = fields.optional("cold_start_requests", faults, &any);
     let percent = scalars::number(0, 100u8);
+    let gray_percent = fields.optional("gray_percent", faults, scalars::number(0, 90u8));
     let retry_budget_percent = fields.optional("retry_budget_percent", faults, percent);
     let retry_budget_saved = fields.optional("retry_budget_saved", faults, &any);
     let attempts = scalars::number(1, limits::ATTEMPTS_MAX);
@@ -71,6 +73,7 @@
         disposition: disposition?,
         expected_latency: expected_latency?,
         cold_start_requests: cold_start_requests?.unwrap_or(COLD_START_REQUESTS_DEFAULT),
+        gray_percent: gray_percent?.unwrap_or(0),
         retry_budget_percent: retry_budget_percent?.unwrap_or(RETRY_BUDGET_PERCENT_DEFAULT),
         retry_budget_saved: retry_budget_saved?,
         max_attempts: max_attempts?.unwrap_or(MAX_ATTEMPTS_DEFAULT),
--- a/crates/shallothill-config/src/write.rs
+++ b/crates/shallothill-config/src/write.rs
@@ -69,6 +69,7 @@
         "disposition": s.disposition.between(0.0, 1.0),
         "expected_latency": duration(s.expected_latency),
         "cold_start_requests": s.cold_start_requests,
+        "gray_percent": s.gray_percent,
         "retry_budget_percent": s.retry_budget_percent,
         "retry_budget_saved": s.retry_budget_saved,
         "max_attempts": s.max_attempts,
--- a/crates/shallothill-core/src/config/service.rs
+++ b/crates/shallothill-core/src/config/service.rs
@@ -27,6 +27,9 @@
     pub expected_latency: Duration,
     /// Requests that a cold backend server serves before it takes its full share.
     pub cold_start_requests: u32,
+    /// The share of time, in percent, for which a backend server fails most requests in spells
+    /// while its health checks pass; 0 where none are expected.
+    pub gray_percent: u8,
     /// Retries allowed per 100 first attempts.
     pub retry_budget_percent: u8,
     /// Retries that all nodes together may save up for a burst of failures; `None` lets each node
--- a/crates/shallothill-core/tests/values.rs
+++ b/crates/shallothill-core/tests/values.rs
@@ -33,6 +33,7 @@
         disposition: Disposition::CAUTIOUS,
         expected_latency: Duration::from_millis(40),
         cold_start_requests: 50,
+        gray_percent: 0,
         retry_budget_percent: 10,
         retry_budget_saved: None,
         max_attempts: 3,
--- a/crates/shallothill-node/src/attempt.rs
+++ b/crates/shallothill-node/src/attempt.rs
@@ -63,6 +63,8 @@
     pub number: u8,
     /// Whether the attempt tests an ejected backend server.
     pub trial: bool,
+    /// Whether the gate is to admit the request although its backend server is suspected.
+    pub insists: bool,
     /// The body.
     pub body: Body,
 }
--- a/crates/shallothill-node/src/entry/attempts.rs
+++ b/crates/shallothill-node/src/entry/attempts.rs
@@ -190,6 +190,7 @@
             endpoint: endpoint.info.id.clone(),
             number: p.attempts.made(),
             trial: picked.trial,
+            insists: p.head.idempotent && p.attempts.is_last_resort(),
             body,
         };
         let id = endpoint.info.id.clone();
--- a/crates/shallothill-node/src/gate/endpoint.rs
+++ b/crates/shallothill-node/src/gate/endpoint.rs
@@ -15,6 +15,8 @@
 use shallothill_policy::admit::{Admission, GateOptions, GateRequest, Start, Ticket};
 use shallothill_policy::detect::{DetectOptions, Evidence};
 use shallothill_policy::eject::EndpointHealth;
+use shallothill_policy::gray;
+use shallothill_policy::gray::{GrayOptions, Sign};
 use shallothill_policy::pick::ReportedLoad;
 use shallothill_runtime::timer::Timer;
 use tokio::sync::oneshot;
@@ -30,6 +32,7 @@
 pub(crate) struct Inner {
     pub(crate) gate: admit::Gate,
     pub(crate) health: EndpointHealth,
+    pub(crate) gray: gray::Estimate,
     /// Tokens to give back at the keepers; the watchdog sends them.
     pub(crate) releases: Vec<ReleaseRequest>,
     /// When a summary was last asked for.
@@ -50,6 +53,7 @@
     pub(crate) crash: u64,
     pub(crate) gate: admit::Gate,
     pub(crate) health: EndpointHealth,
+    pub(crate) gray: GrayOptions,
     pub(crate) announced_until: Millis,
     pub(crate) announced_slots: u16,
     pub(crate) announced: (u64, u64),
@@ -77,6 +81,7 @@
             inner: Mutex::new(Inner {
                 gate: life.gate,
                 health: life.health,
+                gray: gray::Estimate::new(life.gray),
                 releases: Vec::new(),
                 summary_asked: Millis(0),
                 up: true,
@@ -127,9 +132,27 @@
         inner.pump(self.now());
     }
 
+    /// `spare` keeps requests away from a backend server that is likely in a spell of gray failure.
+    ///
+    /// Fails with a refusal as not run.
+    pub(crate) fn spare(&self, idempotent: bool) -> Result<(), Refusal> {
+        let now = self.now();
+        if self.lock().gray.admits(now, idempotent) {
+            return Ok(());
+        }
+        Err(SUSPECT)
+    }
+
+    /// `is_suspect` tells whether the backend server is likely in a spell of gray failure.
+    pub(crate) fn is_suspect(&self) -> bool {
+        let now = self.now();
+        self.lock().gray.is_suspect(now)
+    }
+
     /// `set_options` takes over a changed configuration.
-    pub(crate) fn set_options(&self, gate: GateOptions, detect: DetectOptions) {
+    pub(crate) fn set_options(&self, gate: GateOptions, detect: DetectOptions, gray: GrayOptions) {
         let mut inner = self.lock();
+        inner.gray.set_options(gray);
         inner.gate.set_options(gate);
         inner.health.detector().set_options(detect);
         inner.pump(self.now());
@@ -209,10 +232,18 @@
         inner.health.started(now, ticket);
     }
 
-    /// `observe` takes the evidence of a started request.
-    pub(crate) fn observe(&self, ticket: Ticket, evidence: Evidence) {
+    /// `observe` takes the evidence of a request that started `age` ago.
+    pub(crate) fn observe(&self, ticket: Ticket, evidence: Evidence, age: Duration) {
         let now = self.now();
         let mut inner = self.lock();
+        let usual = inner.gate.usual_latency();
+        match evidence {
+            Evidence::Served(_) => inner.gray.observe(now, Sign::Served, usual),
+            Evidence::Failed | Evidence::Reset => {
+                inner.gray.observe(now, Sign::Failed(age), usual);
+            }
+            Evidence::Shed | Evidence::Abandoned => {}
+        }
         let release = inner.health.finished(now, ticket, evidence);
         inner.releases.extend(release);
         inner.refresh(now);
@@ -221,7 +252,7 @@
     /// `broke_off` takes the evidence of an answer that broke off after its headers.
     pub(crate) fn broke_off(&self, ticket: Ticket) {
         self.lock().health.started(self.now(), ticket);
-        self.observe(ticket, Evidence::Reset);
+        self.observe(ticket, Evidence::Reset, Duration::MAX / 16);
     }
 
     /// `finish` frees the slot of `ticket`; `served` is the latency of a successful answer.
@@ -312,6 +343,11 @@
     "the backend server does not listen; send the request again",
 );
 
+const SUSPECT: Refusal = Refusal::not_run(
+    "suspect",
+    "the backend server fails most requests now; send the request again",
+);
+
 fn refusal(reason: admit::Refusal, retry_after: Duration) -> Refusal {
     let message = match reason {
         admit::Refusal::Draining => "the backend server is leaving; send the request again",
--- a/crates/shallothill-node/src/gate/lifecycle.rs
+++ b/crates/shallothill-node/src/gate/lifecycle.rs
@@ -15,6 +15,7 @@
 use shallothill_policy::admit::GateOptions;
 use shallothill_policy::detect::{DetectOptions, Detector};
 use shallothill_policy::eject::{EjectOptions, Ejector, EndpointHealth};
+use shallothill_policy::gray::GrayOptions;
 use shallothill_wire::crash::CrashNotice;
 use tokio::time;
 
@@ -54,7 +55,7 @@
                 inner.announced = a.order();
                 if inner.announced_slots != a.slots {
                     inner.announced_slots = a.slots;
-                    let (gate, _) = self.options(service, a.slots);
+                    let (gate, ..) = self.options(service, a.slots);
                     inner.gate.set_options(gate);
                 }
                 drop(inner);
@@ -151,8 +152,8 @@
     pub fn reconfigure(&self) {
         for ((service, _), endpoint) in self.endpoints.load().iter() {
             let slots = endpoint.lock().announced_slots;
-            let (gate, detect) = self.options(service, slots);
-            endpoint.set_options(gate, detect);
+            let (gate, detect, gray) = self.options(service, slots);
+            endpoint.set_options(gate, detect, gray);
         }
     }
 
@@ -256,7 +257,7 @@
             node: self.parts.node.clone(),
             name: name.clone(),
         };
-        let (options, detect) = self.options(service, a.slots);
+        let (options, detect, gray) = self.options(service, a.slots);
         let number = self.lives.fetch_add(1, Ordering::Relaxed);
         let crash = (self.parts.incarnation.0 << LIVES_BITS) | number;
         let health = match former {
@@ -275,6 +276,7 @@
             crash,
             gate: admit::Gate::new(options, a.state == Announced::Cold),
             health,
+            gray,
             announced_until: self.parts.timer.now() + self.parts.bounds.announce_lease(),
             announced_slots: a.slots,
             announced: a.order(),
@@ -304,12 +306,17 @@
         EndpointHealth::new(Detector::new(detect), ejector)
     }
 
-    fn options(&self, service: &ServiceName, slots: u16) -> (GateOptions, DetectOptions) {
+    fn options(
+        &self,
+        service: &ServiceName,
+        slots: u16,
+    ) -> (GateOptions, DetectOptions, GrayOptions) {
         let snapshot = self.parts.store.load();
         match snapshot.service(service) {
             Some(service) => (
                 GateOptions::from_service(service, slots),
                 DetectOptions::from_service(service),
+                GrayOptions::from_service(service),
             ),
             None => {
                 let fallback = GateOptions {
@@ -318,7 +325,7 @@
                 };
                 let disposition = Disposition::CAUTIOUS;
                 let detect = DetectOptions::new(fallback.expected_latency, disposition);
-                (fallback, detect)
+                (fallback, detect, GrayOptions::default())
             }
         }
     }
--- a/crates/shallothill-node/src/gate/mod.rs
+++ b/crates/shallothill-node/src/gate/mod.rs
@@ -154,6 +154,9 @@
                 }
             }
         };
+        if !attempt.insists {
+            endpoint.spare(head.idempotent)?;
+        }
         if head.idempotent {
             let trial = attempt.trial;
             let slot = endpoint.admit(head.class, trial, head.deadline).await?;
@@ -199,6 +202,9 @@
 
 fn load(endpoint: &Endpoint) -> ReportedLoad {
     let mut load = endpoint.load();
+    if endpoint.is_suspect() {
+        load.state = shallothill_core::health::ServingState::Demoted;
+    }
     if !endpoint.is_up() {
         load.state = shallothill_core::health::ServingState::Draining;
     }
--- a/crates/shallothill-node/src/gate/slot.rs
+++ b/crates/shallothill-node/src/gate/slot.rs
@@ -78,7 +78,8 @@
     fn observe(&mut self, evidence: Evidence) {
         if self.started.is_some() && !self.observed {
             self.observed = true;
-            self.endpoint.observe(self.ticket, evidence);
+            let age = self.started.map_or(Duration::ZERO, |s| s.elapsed());
+            self.endpoint.observe(self.ticket, evidence, age);
         }
     }
 }
--- a/crates/shallothill-node/src/peer/codec.rs
+++ b/crates/shallothill-node/src/peer/codec.rs
@@ -61,6 +61,9 @@
     if attempt.trial {
         put(map, headers::TRIAL, "true");
     }
+    if attempt.insists {
+        put(map, headers::INSIST, "true");
+    }
     if !head.idempotent {
         put(map, headers::IDEMPOTENT, "false");
     }
@@ -95,6 +98,7 @@
     let version = ConfigVersion(number(headers::CONFIG_VERSION)?);
     let fingerprint = Fingerprint(number(headers::FINGERPRINT)?);
     let trial = text(headers::TRIAL).is_some();
+    let insists = text(headers::INSIST).is_some();
     let (max_body, idempotent_here) = max_body(&route);
     let idempotent = idempotent_here && text(headers::IDEMPOTENT) != Some("false");
     let once_per = match text(headers::ONCE_PER) {
@@ -138,6 +142,7 @@
         endpoint,
         number: attempt_number,
         trial,
+        insists,
         body: Body::stream(Bytes::new(), incoming, max_body).until(deadline),
     };
     Some((attempt, version))
--- a/crates/shallothill-node/tests/support/cluster.rs
+++ b/crates/shallothill-node/tests/support/cluster.rs
@@ -42,6 +42,7 @@
         disposition: Disposition::CAUTIOUS,
         expected_latency: Duration::from_millis(5),
         cold_start_requests: 5,
+        gray_percent: 0,
         retry_budget_percent: 100,
         retry_budget_saved: None,
         max_attempts: 3,
--- a/crates/shallothill-policy/src/admit/gate.rs
+++ b/crates/shallothill-policy/src/admit/gate.rs
@@ -182,6 +182,11 @@
         }
     }
 
+    /// `usual_latency` returns the smoothed time of successful answers.
+    pub fn usual_latency(&self) -> Duration {
+        Duration::from_micros(self.latency_us as u64)
+    }
+
     /// `is_idle` tells whether nothing runs or waits.
     pub fn is_idle(&self) -> bool {
         self.running.is_empty() && self.queue.len() == 0
--- /dev/null
+++ b/crates/shallothill-policy/src/gray/options.rs
@@ -0,0 +1,57 @@
+//! What is expected of spells of gray failure.
+
+use std::time::Duration;
+
+use shallothill_core::config::Service;
+
+/// `GrayOptions` holds the expected share and length of spells and the limits of suspicion.
+///
+/// It answers a load of a few requests a second for each backend server, where a spell of some
+/// seconds is over before a share of errors can be measured.
+#[derive(Clone, Debug, PartialEq)]
+pub struct GrayOptions {
+    /// The share of time for which a backend server is in a spell; 0 switches the estimate off.
+    pub share: f64,
+    /// The mean length of a spell.
+    pub spell: Duration,
+    /// The share of requests that fail in a spell.
+    pub fails: f64,
+    /// The share of requests that fail outside of spells.
+    pub fails_usually: f64,
+    /// The probability of a spell from which requests that run at most once are refused.
+    pub refuse_above: f64,
+    /// The probability from which requests that may be repeated are admitted as trials only.
+    pub try_above: f64,
+    /// The time between two trials while they fail.
+    pub trial_every: Duration,
+}
+
+impl Default for GrayOptions {
+    fn default() -> Self {
+        Self {
+            share: 0.0,
+            spell: Duration::from_secs(8),
+            fails: 0.9,
+            fails_usually: 0.02,
+            refuse_above: 0.4,
+            try_above: 0.6,
+            trial_every: Duration::from_millis(700),
+        }
+    }
+}
+
+impl GrayOptions {
+    /// `from_service` takes the expected share from the configuration.
+    pub fn from_service(service: &Service) -> Self {
+        Self {
+            share: f64::from(service.gray_percent.min(90)) / 100.0,
+            ..Self::default()
+        }
+    }
+
+    // Probabilities tend to the expected share with this time constant: the chain of spells and
+    // pauses forgets its state at the sum of both rates.
+    pub(crate) fn relaxation(&self) -> Duration {
+        self.spell.mul_f64(1.0 - self.share)
+    }
+}
--- a/crates/shallothill-policy/src/lib.rs
+++ b/crates/shallothill-policy/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod admit;
 pub mod detect;
 pub mod eject;
+pub mod gray;
 pub mod limits;
 pub mod pick;
 pub mod quarantine;
--- a/crates/shallothill-policy/src/pick/service_table.rs
+++ b/crates/shallothill-policy/src/pick/service_table.rs
@@ -234,7 +234,12 @@
         }
         let fresh = self.options.load_fresh_for;
         e.stats.reported(now, fresh).is_none_or(|l| {
-            let taking = !matches!(l.state, ServingState::Draining | ServingState::Ejected);
+            let away = [
+                ServingState::Demoted,
+                ServingState::Draining,
+                ServingState::Ejected,
+            ];
+            let taking = !away.contains(&l.state);
             taking && (l.in_flight < l.slots || l.queued < l.slots)
         })
     }
--- a/crates/shallothill-policy/src/retry/attempts.rs
+++ b/crates/shallothill-policy/src/retry/attempts.rs
@@ -7,11 +7,11 @@
 use crate::retry::budget::Budget;
 use crate::retry::options::RetryOptions;
 
-const MOST_ATTEMPTS: usize = 8;
+const MOST_ATTEMPTS: usize = 12;
 
 // Refusals by gates cost a message between nodes and no backend server's time; more of them in a
 // row mean that the service is full.
-const MOST_REFUSALS: u8 = 3;
+const MOST_REFUSALS: u8 = 8;
 
 /// `Next` tells what follows an ended attempt.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -133,6 +133,12 @@
         &self.used[..usize::from(self.made).min(MOST_ATTEMPTS)]
     }
 
+    /// `is_last_resort` tells whether so many gates have refused the request that the next one should
+    /// run it although its backend server is suspected.
+    pub fn is_last_resort(&self) -> bool {
+        self.refused >= MOST_REFUSALS
+    }
+
     /// `made` returns the number of attempts so far.
     pub fn made(&self) -> u8 {
         self.made
--- /dev/null
+++ b/crates/shallothill-policy/tests/gray.rs
@@ -0,0 +1,151 @@
+//! Tests of the estimate of spells of gray failure.
+
+use std::time::Duration;
+
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use shallothill_core::time::Millis;
+use shallothill_policy::gray::{Estimate, GrayOptions, Sign};
+
+const USUAL: Duration = Duration::from_millis(300);
+const FAST: Duration = Duration::from_millis(1);
+
+fn options() -> GrayOptions {
+    GrayOptions {
+        share: 0.3,
+        ..GrayOptions::default()
+    }
+}
+
+fn served(estimate: &mut Estimate, from: u64, times: u64) {
+    for n in 0..times {
+        estimate.observe(Millis(from + n * 100), Sign::Served, USUAL);
+    }
+}
+
+/// Guards against further requests that run at most once being lost after the first sign of a spell.
+#[test]
+fn one_fast_failure_spares_requests_that_run_once() {
+    let mut estimate = Estimate::new(options());
+    served(&mut estimate, 0, 20);
+
+    estimate.observe(Millis(2_000), Sign::Failed(FAST), USUAL);
+
+    assert!(!estimate.admits(Millis(2_001), false));
+    assert!(!estimate.admits(Millis(3_500), false));
+}
+
+/// Guards against a whole service being spared when a service that it calls fails: those failures
+/// take the usual time.
+#[test]
+fn slow_failures_alone_do_not_spare() {
+    let mut estimate = Estimate::new(options());
+    served(&mut estimate, 0, 20);
+
+    for n in 0..4 {
+        estimate.observe(Millis(2_000 + n), Sign::Failed(USUAL), USUAL);
+    }
+
+    assert!(estimate.admits(Millis(2_010), false));
+}
+
+/// Guards against a backend server that stays out of use after its spell: trials find that it serves.
+#[test]
+fn served_trials_end_the_suspicion() {
+    let mut estimate = Estimate::new(options());
+    estimate.observe(Millis(0), Sign::Failed(FAST), USUAL);
+    assert!(!estimate.admits(Millis(100), true), "a trial came too soon");
+    assert!(estimate.admits(Millis(800), true), "no trial was admitted");
+
+    served(&mut estimate, 1_000, 3);
+
+    assert!(estimate.admits(Millis(1_300), false));
+}
+
+/// Guards against a service without repeatable requests losing its servers for good.
+#[test]
+fn suspicion_fades_without_requests() {
+    let mut estimate = Estimate::new(options());
+
+    estimate.observe(Millis(0), Sign::Failed(FAST), USUAL);
+
+    assert!(!estimate.admits(Millis(5_000), false));
+    assert!(estimate.admits(Millis(20_000), false));
+}
+
+/// Guards against the estimate acting where no spells are expected.
+#[test]
+fn without_an_expected_share_nothing_is_spared() {
+    let mut estimate = Estimate::new(GrayOptions::default());
+
+    for n in 0..50 {
+        estimate.observe(Millis(n), Sign::Failed(FAST), USUAL);
+    }
+
+    assert!(estimate.admits(Millis(51), false));
+}
+
+struct Server {
+    estimate: Estimate,
+    in_spell: bool,
+    until: u64,
+}
+
+/// Plays 12 servers with spells of 8 s for 30% of the time and 60 requests a second, of which a
+/// fifth may be repeated; returns the share of the others that failed or found no server.
+fn play(options: &GrayOptions, seed: u64) -> f64 {
+    const MS: u64 = 60_000;
+    let mut rng = StdRng::seed_from_u64(seed);
+    let mut servers: Vec<Server> = (0..12)
+        .map(|_| Server {
+            estimate: Estimate::new(options.clone()),
+            in_spell: rng.random_bool(0.3),
+            until: rng.random_range(0..19_000),
+        })
+        .collect();
+    let (mut asked, mut lost) = (0, 0);
+    for now in (0..MS).step_by(17) {
+        for s in &mut servers {
+            if now >= s.until {
+                s.in_spell = !s.in_spell;
+                let mean = if s.in_spell { 8_000 } else { 19_000 };
+                s.until = now + rng.random_range(mean / 2..mean * 3 / 2);
+            }
+        }
+        let idempotent = rng.random_bool(0.2);
+        let first = rng.random_range(0..servers.len());
+        let tried = (0..servers.len()).map(|i| (first + i) % 12).find(|i| {
+            let s = &mut servers[*i];
+            s.estimate.admits(Millis(now), idempotent)
+        });
+        let failed = tried.is_none_or(|i| {
+            let s = &mut servers[i];
+            let fails = rng.random_bool(if s.in_spell { 0.9 } else { 0.012 });
+            let sign = if fails {
+                Sign::Failed(FAST)
+            } else {
+                Sign::Served
+            };
+            s.estimate.observe(Millis(now), sign, USUAL);
+            fails
+        });
+        if !idempotent {
+            asked += 1;
+            lost += u32::from(failed);
+        }
+    }
+    f64::from(lost) / f64::from(asked)
+}
+
+/// Guards against bookings lost to servers that are known to fail: the estimate has to spare at
+/// least three quarters of what is lost without it.
+#[test]
+fn spells_cost_few_requests_that_run_once() {
+    for seed in [1, 2, 3, 4] {
+        let with = play(&options(), seed);
+        let without = play(&GrayOptions::default(), seed);
+
+        assert!(without > 0.2, "the spells cost only {without}");
+        assert!(with < without / 4.0, "seed {seed}: {with} of {without}");
+    }
+}
