policy: weigh fast failures by how rare they are outside of spells

Cause: the new test one_fast_failure_spares_requests_that_run_once failed: after a good history one fast failure left the probability at 0.18, below the limit, because fast and slow failures outside of spells were taken to be as frequent. The logged answers hold almost no fast failure outside of spells.

Change: fast failures outside of spells have a share of their own, 0.2%.

--- a/crates/shallothill-policy/src/gray/estimate.rs
+++ b/crates/shallothill-policy/src/gray/estimate.rs
@@ -67,10 +67,11 @@
         }
         let fails = self.options.fails;
         let usually = self.options.fails_usually;
+        let fast = self.options.fails_fast_usually;
         let (ratio, next_trial) = match sign {
             Sign::Served => ((1.0 - fails) / (1.0 - usually), now),
             Sign::Failed(after) if after * FAST_PART < usual => {
-                (fails / usually, now + self.options.trial_every)
+                (fails / fast, now + self.options.trial_every)
             }
             Sign::Failed(_) => (SLOW_RATIO, self.next_trial),
         };
--- a/crates/shallothill-policy/src/gray/options.rs
+++ b/crates/shallothill-policy/src/gray/options.rs
@@ -18,6 +18,8 @@
     pub fails: f64,
     /// The share of requests that fail outside of spells.
     pub fails_usually: f64,
+    /// The share of requests that fail outside of spells much faster than usual answers.
+    pub fails_fast_usually: f64,
     /// The probability of a spell from which requests that run at most once are refused.
     pub refuse_above: f64,
     /// The probability from which requests that may be repeated are admitted as trials only.
@@ -33,6 +35,7 @@
             spell: Duration::from_secs(8),
             fails: 0.9,
             fails_usually: 0.02,
+            fails_fast_usually: 0.002,
             refuse_above: 0.4,
             try_above: 0.6,
             trial_every: Duration::from_millis(700),
