policy, node: share suspicions within the region and direct trials; judge slowness by an own bound

Entries send one request a second to each server and learn suspicions too late: 40% of the attempts met a gate that refused, and a refusal across regions costs 80 ms. 2. Trials came by chance, so servers stayed suspected for up to 10 s after a spell. 3. The detector measured requests of 700 ms against a median of 70 ms (lookups) and demoted servers that were well: 55 to 74% of the time suspected, with spells in 30%.

Change: gates send datagrams to up to 32 nodes of the region when a server becomes suspected, full or usual, and repeat unusual states; entries send a repeatable request where a trial is wanted. `Caution` goes with each attempt: try, trust, settle after three refusals, insist after eight. Errors are judged by the estimate alone where it is on. `slow_after` of a service bounds slowness from below. Answers far below the usual time are no evidence.

--- a/crates/shallothill-bench/src/scenarios/scale.rs
+++ b/crates/shallothill-bench/src/scenarios/scale.rs
@@ -159,6 +159,7 @@
         floor: Floor::Total(6),
         disposition: Disposition::CAUTIOUS,
         expected_latency: Duration::from_millis(40),
+        slow_after: None,
         cold_start_requests: 50,
         gray_percent: 0,
         retry_budget_percent: 10,
--- a/crates/shallothill-config/src/diff.rs
+++ b/crates/shallothill-config/src/diff.rs
@@ -109,6 +109,7 @@
         ("floor", Some(floor(&s.floor))),
         ("disposition", Some(disposition.to_string())),
         ("expected_latency", Some(duration(s.expected_latency))),
+        ("slow_after", s.slow_after.map(duration)),
         (
             "cold_start_requests",
             Some(s.cold_start_requests.to_string()),
--- a/crates/shallothill-config/src/service.rs
+++ b/crates/shallothill-config/src/service.rs
@@ -12,7 +12,7 @@
 use crate::node::{Entry, Node, Value};
 use crate::scalars;
 
-const FIELDS: [&str; 15] = [
+const FIELDS: [&str; 16] = [
     "depends_on",
     "slots",
     "connections",
@@ -20,6 +20,7 @@
     "floor",
     "disposition",
     "expected_latency",
+    "slow_after",
     "cold_start_requests",
     "gray_percent",
     "retry_budget_percent",
@@ -49,6 +50,7 @@
     let floor = floor(&fields, faults);
     let disposition = fields.required("disposition", faults, scalars::disposition);
     let expected_latency = fields.required("expected_latency", faults, scalars::duration);
+    let slow_after = fields.optional("slow_after", faults, scalars::duration);
     let cold_start_requests = fields.optional("cold_start_requests", faults, &any);
     let percent = scalars::number(0, 100u8);
     let gray_percent = fields.optional("gray_percent", faults, scalars::number(0, 90u8));
@@ -72,6 +74,7 @@
         floor: floor?,
         disposition: disposition?,
         expected_latency: expected_latency?,
+        slow_after: slow_after?,
         cold_start_requests: cold_start_requests?.unwrap_or(COLD_START_REQUESTS_DEFAULT),
         gray_percent: gray_percent?.unwrap_or(0),
         retry_budget_percent: retry_budget_percent?.unwrap_or(RETRY_BUDGET_PERCENT_DEFAULT),
--- a/crates/shallothill-config/src/write.rs
+++ b/crates/shallothill-config/src/write.rs
@@ -68,6 +68,7 @@
         "floor": floor,
         "disposition": s.disposition.between(0.0, 1.0),
         "expected_latency": duration(s.expected_latency),
+        "slow_after": s.slow_after.map(duration),
         "cold_start_requests": s.cold_start_requests,
         "gray_percent": s.gray_percent,
         "retry_budget_percent": s.retry_budget_percent,
--- a/crates/shallothill-core/src/config/service.rs
+++ b/crates/shallothill-core/src/config/service.rs
@@ -25,6 +25,8 @@
     pub disposition: Disposition,
     /// Usual time of an answer; the fallback while no median of the service is known.
     pub expected_latency: Duration,
+    /// The age from which a request counts as slow at the earliest, if the operator gave one.
+    pub slow_after: Option<Duration>,
     /// Requests that a cold backend server serves before it takes its full share.
     pub cold_start_requests: u32,
     /// The share of time, in percent, for which a backend server fails most requests in spells
--- a/crates/shallothill-core/src/headers.rs
+++ b/crates/shallothill-core/src/headers.rs
@@ -24,9 +24,9 @@
 pub const REASON: &str = "x-shallothill-reason";
 /// `TRIAL` marks a trial request for an ejected backend server, on hops between nodes.
 pub const TRIAL: &str = "x-shallothill-trial";
-/// `INSIST` asks the gate to admit the request although its backend server is suspected, on hops
-/// between nodes.
-pub const INSIST: &str = "x-shallothill-insist";
+/// `CAUTION` tells the gate what it may do with the request when its backend server is suspected, on
+/// hops between nodes; absent for the usual `trust`.
+pub const CAUTION: &str = "x-shallothill-caution";
 /// `IDEMPOTENT` is `false` on hops between nodes when the entry node's route is not idempotent.
 pub const IDEMPOTENT: &str = "x-shallothill-idempotent";
 /// `FINGERPRINT` is the request's fingerprint, on hops between nodes.
--- a/crates/shallothill-node/src/attempt.rs
+++ b/crates/shallothill-node/src/attempt.rs
@@ -12,6 +12,7 @@
 use shallothill_core::idempotency::IdempotencyKey;
 use shallothill_core::ids::{EndpointId, RouteName, ServiceName};
 use shallothill_core::outcome::Outcome;
+use shallothill_policy::gray::Caution;
 use shallothill_policy::pick::ReportedLoad;
 use tokio::time::Instant;
 
@@ -63,8 +64,8 @@
     pub number: u8,
     /// Whether the attempt tests an ejected backend server.
     pub trial: bool,
-    /// Whether the gate is to admit the request although its backend server is suspected.
-    pub insists: bool,
+    /// What the gate may do with the request when its backend server is suspected.
+    pub caution: Caution,
     /// The body.
     pub body: Body,
 }
--- a/crates/shallothill-node/src/entry/attempts.rs
+++ b/crates/shallothill-node/src/entry/attempts.rs
@@ -5,8 +5,10 @@
 use std::time::Duration;
 
 use futures::stream::{FuturesUnordered, StreamExt};
+use log::info;
 use shallothill_core::config::Service;
 use shallothill_core::hash::Fingerprint;
+use shallothill_core::headers;
 use shallothill_core::ids::EndpointId;
 use shallothill_core::outcome::Outcome;
 use shallothill_core::time::Millis;
@@ -43,6 +45,8 @@
     budget: Arc<Budget>,
     attempts: retry::Attempts,
     sent: Millis,
+    // The backend server of the last attempt.
+    last: Option<(EndpointId, Tier)>,
 }
 
 impl Entry {
@@ -70,6 +74,7 @@
             service,
             options,
             sent: now,
+            last: None,
         };
         self.pursue(pursuit, permit).await
     }
@@ -104,6 +109,7 @@
             let Some(ended) = ended else { break };
             let now = self.parts.timer.now();
             let outcome = ended.reply.outcome;
+            p.log_attempt(now, &ended.reply);
             if outcome == Outcome::Answered || !ended.reply.allows_retry(p.head.idempotent) {
                 worst = Some(ended);
                 break;
@@ -183,14 +189,16 @@
             table.bytes().charge(now, bytes, limit);
         }
         let body = p.body().ok_or(NO_ENDPOINT)?;
+        let caution = p.attempts.caution();
         p.attempts.started(endpoint.key, &p.options, &p.budget);
         p.sent = now;
+        p.last = Some((endpoint.info.id.clone(), picked.tier));
         let attempt = Attempt {
             head: Arc::clone(&p.head),
             endpoint: endpoint.info.id.clone(),
             number: p.attempts.made(),
             trial: picked.trial,
-            insists: p.head.idempotent && p.attempts.is_last_resort(),
+            caution,
             body,
         };
         let id = endpoint.info.id.clone();
@@ -230,6 +238,28 @@
         self.head.idempotent.then_some(after)
     }
 
+    fn log_attempt(&self, now: Millis, reply: &Reply) {
+        let id = self.head.headers.get("x-request-id");
+        let id = id.and_then(|v| v.to_str().ok()).unwrap_or("-");
+        let (to, tier) = match &self.last {
+            Some((to, tier)) => (to.to_string(), format!("{tier:?}")),
+            None => Default::default(),
+        };
+        let reason = reply.response.headers().get(headers::REASON);
+        info!(
+            "entry: request {id} attempt {} at {to} ({tier}) took {} ms: {} {} {}, {} ms left",
+            self.attempts.made(),
+            now.saturating_since(self.sent).as_millis(),
+            reply.outcome,
+            reply.response.status().as_u16(),
+            reason.and_then(|r| r.to_str().ok()).unwrap_or("-"),
+            self.head
+                .deadline
+                .saturating_duration_since(time::Instant::now())
+                .as_millis(),
+        );
+    }
+
     fn may_repeat(&self) -> bool {
         matches!(self.payload, Some(Payload::Whole(..)))
     }
--- a/crates/shallothill-node/src/gate/endpoint.rs
+++ b/crates/shallothill-node/src/gate/endpoint.rs
@@ -16,7 +16,7 @@
 use shallothill_policy::detect::{DetectOptions, Evidence};
 use shallothill_policy::eject::EndpointHealth;
 use shallothill_policy::gray;
-use shallothill_policy::gray::{GrayOptions, Sign};
+use shallothill_policy::gray::{Caution, GrayOptions, Sign};
 use shallothill_policy::pick::ReportedLoad;
 use shallothill_runtime::timer::Timer;
 use tokio::sync::oneshot;
@@ -135,18 +135,27 @@
     /// `spare` keeps requests away from a backend server that is likely in a spell of gray failure.
     ///
     /// Fails with a refusal as not run.
-    pub(crate) fn spare(&self, idempotent: bool) -> Result<(), Refusal> {
+    pub(crate) fn spare(&self, caution: Caution) -> Result<(), Refusal> {
         let now = self.now();
-        if self.lock().gray.admits(now, idempotent) {
+        if self.lock().gray.admits(now, caution) {
             return Ok(());
         }
         Err(SUSPECT)
     }
 
-    /// `is_suspect` tells whether the backend server is likely in a spell of gray failure.
-    pub(crate) fn is_suspect(&self) -> bool {
+    /// `suspicion` returns the state to tell others while a spell of gray failure is likely:
+    /// `Ejected` when a trial is due, else `Demoted`.
+    pub(crate) fn suspicion(&self) -> Option<ServingState> {
         let now = self.now();
-        self.lock().gray.is_suspect(now)
+        let inner = self.lock();
+        if !inner.gray.is_suspect(now) {
+            return None;
+        }
+        Some(if inner.gray.wants_trial(now) {
+            ServingState::Ejected
+        } else {
+            ServingState::Demoted
+        })
     }
 
     /// `set_options` takes over a changed configuration.
@@ -238,13 +247,20 @@
         let mut inner = self.lock();
         let usual = inner.gate.usual_latency();
         match evidence {
-            Evidence::Served(_) => inner.gray.observe(now, Sign::Served, usual),
+            Evidence::Served(_) => inner.gray.observe(now, Sign::Served(age), usual),
             Evidence::Failed | Evidence::Reset => {
                 inner.gray.observe(now, Sign::Failed(age), usual);
             }
             Evidence::Shed | Evidence::Abandoned => {}
         }
-        let release = inner.health.finished(now, ticket, evidence);
+        let failed = matches!(evidence, Evidence::Failed | Evidence::Reset);
+        // Ejection waits longer after each flap, which would outlast spells of some seconds.
+        let judged = if failed && inner.gray.is_on() {
+            Evidence::Shed
+        } else {
+            evidence
+        };
+        let release = inner.health.finished(now, ticket, judged);
         inner.releases.extend(release);
         inner.refresh(now);
     }
--- a/crates/shallothill-node/src/gate/mod.rs
+++ b/crates/shallothill-node/src/gate/mod.rs
@@ -18,7 +18,7 @@
 
 use arc_swap::ArcSwap;
 use shallothill_core::config::OncePer;
-use shallothill_core::ids::{EndpointName, NodeName, Region, ServiceName};
+use shallothill_core::ids::{EndpointId, EndpointName, NodeName, Region, ServiceName};
 use shallothill_core::incarnation::Incarnation;
 use shallothill_policy::pick::ReportedLoad;
 use shallothill_runtime::timer::Timer;
@@ -114,6 +114,13 @@
         &self.parts.ledger
     }
 
+    /// `reported_loads` returns the load of each backend server as entry nodes are told it.
+    pub fn reported_loads(&self) -> Vec<(EndpointId, ReportedLoad)> {
+        let endpoints = self.endpoints.load();
+        let of = |e: &Arc<Endpoint>| (e.id.clone(), load(e));
+        endpoints.values().map(of).collect()
+    }
+
     /// `run` runs an attempt, or refuses it as not run. `local` attempts have passed the
     /// quarantine of this node at its entry role.
     pub async fn run(self: &Arc<Self>, attempt: Attempt, local: bool) -> Reply {
@@ -154,9 +161,7 @@
                 }
             }
         };
-        if !attempt.insists {
-            endpoint.spare(head.idempotent)?;
-        }
+        endpoint.spare(attempt.caution)?;
         if head.idempotent {
             let trial = attempt.trial;
             let slot = endpoint.admit(head.class, trial, head.deadline).await?;
@@ -202,8 +207,8 @@
 
 fn load(endpoint: &Endpoint) -> ReportedLoad {
     let mut load = endpoint.load();
-    if endpoint.is_suspect() {
-        load.state = shallothill_core::health::ServingState::Demoted;
+    if let Some(state) = endpoint.suspicion() {
+        load.state = state;
     }
     if !endpoint.is_up() {
         load.state = shallothill_core::health::ServingState::Draining;
--- a/crates/shallothill-node/src/lib.rs
+++ b/crates/shallothill-node/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod header_filter;
 pub mod interface;
 pub mod listener;
+pub mod neighbours;
 pub mod node;
 pub mod peer;
 pub mod refusal;
--- a/crates/shallothill-node/src/node/mod.rs
+++ b/crates/shallothill-node/src/node/mod.rs
@@ -31,6 +31,7 @@
 use crate::gate::Gate;
 use crate::interface::Interface;
 use crate::listener::{Answer, Listener};
+use crate::neighbours::Neighbours;
 use crate::node::sockets::Sockets;
 use crate::peer::{Links, PeerServer};
 use crate::settings::Settings;
@@ -106,6 +107,7 @@
         let metrics = metrics::client("shallothill.node", settings.process.metrics_address)?;
         let node = Arc::new(Self::build(settings, interface, addresses, metrics, stop));
         node.listen(sockets);
+        node.meet_neighbours().await;
         node.follow_keepers();
         tokio::spawn(Arc::clone(&node).tick());
         tokio::spawn(Arc::clone(&node).become_ready());
@@ -214,6 +216,20 @@
         self.connections.spawn(reporter.run(self.stop.clone()));
     }
 
+    // Without the exchange the node works on what answers tell it.
+    async fn meet_neighbours(&self) {
+        let bound = Neighbours::bind(
+            self.addresses.peer,
+            Arc::clone(&self.gate),
+            Arc::clone(&self.view),
+            self.timer.clone(),
+        );
+        match bound.await {
+            Ok(neighbours) => drop(tokio::spawn(neighbours.run(self.end.clone()))),
+            Err(e) => warn!("neighbours: no socket: {e}; neighbours are not told of states"),
+        }
+    }
+
     async fn tick(self: Arc<Self>) {
         let mut judge = self.timer.every(JUDGE_EVERY);
         let mut refresh = self.timer.every(REFRESH_EVERY);
--- a/crates/shallothill-node/src/peer/codec.rs
+++ b/crates/shallothill-node/src/peer/codec.rs
@@ -16,6 +16,7 @@
 use shallothill_core::ids::{EndpointId, EndpointName, NodeName, RouteName, ServiceName};
 use shallothill_core::outcome::Outcome;
 use shallothill_core::version::ConfigVersion;
+use shallothill_policy::gray::Caution;
 use tokio::time::Instant;
 
 use crate::attempt;
@@ -61,8 +62,8 @@
     if attempt.trial {
         put(map, headers::TRIAL, "true");
     }
-    if attempt.insists {
-        put(map, headers::INSIST, "true");
+    if attempt.caution != Caution::Trust {
+        put(map, headers::CAUTION, attempt.caution.as_str());
     }
     if !head.idempotent {
         put(map, headers::IDEMPOTENT, "false");
@@ -98,7 +99,7 @@
     let version = ConfigVersion(number(headers::CONFIG_VERSION)?);
     let fingerprint = Fingerprint(number(headers::FINGERPRINT)?);
     let trial = text(headers::TRIAL).is_some();
-    let insists = text(headers::INSIST).is_some();
+    let caution = Caution::from_name(text(headers::CAUTION).unwrap_or_default());
     let (max_body, idempotent_here) = max_body(&route);
     let idempotent = idempotent_here && text(headers::IDEMPOTENT) != Some("false");
     let once_per = match text(headers::ONCE_PER) {
@@ -142,7 +143,7 @@
         endpoint,
         number: attempt_number,
         trial,
-        insists,
+        caution,
         body: Body::stream(Bytes::new(), incoming, max_body).until(deadline),
     };
     Some((attempt, version))
--- a/crates/shallothill-node/src/view.rs
+++ b/crates/shallothill-node/src/view.rs
@@ -114,6 +114,19 @@
         from.choose_multiple(&mut rand::rng(), n).copied().collect()
     }
 
+    /// `neighbours` returns the addresses of up to `most` other nodes of the region, those of the own
+    /// data centre first.
+    pub fn neighbours(&self, most: usize) -> Vec<SocketAddr> {
+        let state = self.lock();
+        let near = state.nodes.values().filter_map(|(r, _)| {
+            let here = r.zone.region == self.zone.region && r.node != self.me;
+            here.then(|| (r.zone != self.zone, r.peer_address))
+        });
+        let mut near: Vec<(bool, SocketAddr)> = near.collect();
+        near.sort_unstable();
+        near.into_iter().take(most).map(|(_, a)| a).collect()
+    }
+
     /// `size` returns the number of known nodes.
     pub fn size(&self) -> usize {
         self.lock().nodes.len()
--- a/crates/shallothill-node/tests/support/cluster.rs
+++ b/crates/shallothill-node/tests/support/cluster.rs
@@ -41,6 +41,7 @@
         floor: Floor::Total(1),
         disposition: Disposition::CAUTIOUS,
         expected_latency: Duration::from_millis(5),
+        slow_after: None,
         cold_start_requests: 5,
         gray_percent: 0,
         retry_budget_percent: 100,
--- a/crates/shallothill-policy/src/detect/options.rs
+++ b/crates/shallothill-policy/src/detect/options.rs
@@ -11,6 +11,9 @@
     pub expected_latency: Duration,
     /// A request counts against its server when it takes longer than this many medians.
     pub slow_factor: f64,
+    /// The least time from which a request counts as slow, for services whose requests differ much
+    /// in their usual times; zero leaves it to the medians.
+    pub slow_after_least: Duration,
     /// Log-likelihood ratio of sick to healthy at which the server becomes suspect.
     pub threshold: f64,
     /// Different requests that must have counted against the server before it is sick.
@@ -27,6 +30,7 @@
         Self {
             expected_latency,
             slow_factor: disposition.between(4.0, 6.0),
+            slow_after_least: Duration::ZERO,
             // The evidence of three and six bad requests in a row.
             threshold: disposition.between(9.0, 19.0),
             requests: disposition.between(2.0, 4.0).round() as u32,
@@ -38,6 +42,9 @@
 
     /// `from_service` takes expected latency and disposition from the configuration.
     pub fn from_service(service: &Service) -> Self {
-        Self::new(service.expected_latency, service.disposition)
+        Self {
+            slow_after_least: service.slow_after.unwrap_or_default(),
+            ..Self::new(service.expected_latency, service.disposition)
+        }
     }
 }
--- a/crates/shallothill-policy/src/detect/reference.rs
+++ b/crates/shallothill-policy/src/detect/reference.rs
@@ -24,6 +24,7 @@
 pub(crate) struct Reference {
     expected: Duration,
     slow_factor: f64,
+    least: Duration,
     fresh_for: Duration,
     updated: Option<Millis>,
     oldest: Duration,
@@ -36,6 +37,7 @@
         Self {
             expected: options.expected_latency,
             slow_factor: options.slow_factor,
+            least: options.slow_after_least,
             fresh_for: options.summary_fresh_for,
             updated: None,
             oldest: Duration::ZERO,
@@ -49,11 +51,12 @@
     }
 
     pub(crate) fn slow_after(&self, now: Millis) -> Duration {
-        if self.is_fresh(now) {
+        let usual = if self.is_fresh(now) {
             self.slow_after
         } else {
             self.expected.mul_f64(self.slow_factor)
-        }
+        };
+        usual.max(self.least)
     }
 
     pub(crate) fn error_share(&self, now: Millis) -> f64 {
--- a/crates/shallothill-policy/src/gray/estimate.rs
+++ b/crates/shallothill-policy/src/gray/estimate.rs
@@ -4,23 +4,21 @@
 
 use shallothill_core::time::Millis;
 
+use crate::gray::caution::Caution;
 use crate::gray::options::GrayOptions;
 
 // A failure much faster than usual answers is the backend server's own. One that took the usual
-// time may come from a service that it called, and says little about the server itself.
+// time may come from a service that it called, and says nothing about the server itself.
 const FAST_PART: u32 = 8;
 
-// How much more likely a slow failure is within a spell.
-const SLOW_RATIO: f64 = 1.5;
-
 // No evidence is taken for certain, so that a few answers can always turn the estimate.
 const CERTAINTY: f64 = 0.995;
 
 /// `Sign` is what one ended request tells about a spell.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Sign {
-    /// The request was served.
-    Served,
+    /// The request was served after this time.
+    Served(Duration),
     /// The backend server failed the request, or broke off, after this time.
     Failed(Duration),
 }
@@ -34,6 +32,7 @@
     probability: f64,
     at: Millis,
     next_trial: Millis,
+    trials: u8,
 }
 
 impl Estimate {
@@ -44,6 +43,7 @@
             options,
             at: Millis(0),
             next_trial: Millis(0),
+            trials: 1,
         }
     }
 
@@ -52,6 +52,11 @@
         self.options = options;
     }
 
+    /// `is_on` tells whether spells are expected, so that errors are judged here.
+    pub fn is_on(&self) -> bool {
+        self.options.share > 0.0
+    }
+
     /// `probability` returns the probability of a spell at `now`.
     pub fn probability(&self, now: Millis) -> f64 {
         let rest = self.options.relaxation().as_secs_f64().max(0.001);
@@ -62,43 +67,58 @@
 
     /// `observe` takes the end of a request; `usual` is the usual time of an answer.
     pub fn observe(&mut self, now: Millis, sign: Sign, usual: Duration) {
-        if self.options.share <= 0.0 {
+        if !self.is_on() {
             return;
         }
         let fails = self.options.fails;
         let usually = self.options.fails_usually;
         let fast = self.options.fails_fast_usually;
-        let (ratio, next_trial) = match sign {
-            Sign::Served => ((1.0 - fails) / (1.0 - usually), now),
+        let (ratio, next_trial, trials) = match sign {
+            // Requests that cost next to nothing say little about those that cost work.
+            Sign::Served(after) if after * FAST_PART < usual => return,
+            Sign::Served(_) => ((1.0 - fails) / (1.0 - usually), now, self.options.trials),
             Sign::Failed(after) if after * FAST_PART < usual => {
-                (fails / fast, now + self.options.trial_every)
+                (fails / fast, now + self.options.trial_every, 1)
             }
-            Sign::Failed(_) => (SLOW_RATIO, self.next_trial),
+            Sign::Failed(_) => return,
         };
         let before = self.probability(now);
         let odds = before / (1.0 - before) * ratio;
         self.probability = (odds / (1.0 + odds)).clamp(1.0 - CERTAINTY, CERTAINTY);
         self.at = now;
         self.next_trial = next_trial;
+        self.trials = trials;
     }
 
     /// `admits` decides whether a request may be sent to the backend server; admitting one that may
-    /// be repeated counts as a trial while a spell is likely.
-    pub fn admits(&mut self, now: Millis, idempotent: bool) -> bool {
+    /// be tried counts as a trial while a spell is likely.
+    pub fn admits(&mut self, now: Millis, caution: Caution) -> bool {
         let probability = self.probability(now);
-        if !idempotent {
-            return probability <= self.options.refuse_above;
+        match caution {
+            Caution::Insist => return true,
+            Caution::Trust => return probability <= self.options.trust_below,
+            Caution::Settle => return probability <= self.options.refuse_above,
+            Caution::Try => {}
         }
         if probability <= self.options.try_above {
             return true;
         }
         let due = now >= self.next_trial;
         if due {
-            self.next_trial = now + self.options.trial_every;
+            self.trials = self.trials.saturating_sub(1);
+            if self.trials == 0 {
+                self.trials = 1;
+                self.next_trial = now + self.options.trial_every;
+            }
         }
         due
     }
 
+    /// `wants_trial` tells whether a request that may be tried would be admitted.
+    pub fn wants_trial(&self, now: Millis) -> bool {
+        now >= self.next_trial || self.probability(now) <= self.options.try_above
+    }
+
     /// `is_suspect` tells whether requests that run at most once are refused.
     pub fn is_suspect(&self, now: Millis) -> bool {
         self.probability(now) > self.options.refuse_above
--- a/crates/shallothill-policy/src/gray/mod.rs
+++ b/crates/shallothill-policy/src/gray/mod.rs
@@ -1,7 +1,9 @@
 //! Spells of gray failure: a backend server that fails most requests while its health checks pass.
 
+mod caution;
 mod estimate;
 mod options;
 
+pub use caution::Caution;
 pub use estimate::{Estimate, Sign};
 pub use options::GrayOptions;
--- a/crates/shallothill-policy/src/gray/options.rs
+++ b/crates/shallothill-policy/src/gray/options.rs
@@ -20,12 +20,17 @@
     pub fails_usually: f64,
     /// The share of requests that fail outside of spells much faster than usual answers.
     pub fails_fast_usually: f64,
-    /// The probability of a spell from which requests that run at most once are refused.
+    /// The probability of a spell up to which a backend server is trusted.
+    pub trust_below: f64,
+    /// The probability of a spell from which a backend server is suspected, and requests that run at
+    /// most once are refused also when others have refused them.
     pub refuse_above: f64,
     /// The probability from which requests that may be repeated are admitted as trials only.
     pub try_above: f64,
     /// The time between two trials while they fail.
     pub trial_every: Duration,
+    /// Trials that may run at the same time after one was served.
+    pub trials: u8,
 }
 
 impl Default for GrayOptions {
@@ -36,9 +41,11 @@
             fails: 0.9,
             fails_usually: 0.02,
             fails_fast_usually: 0.002,
+            trust_below: 0.15,
             refuse_above: 0.4,
             try_above: 0.6,
-            trial_every: Duration::from_millis(700),
+            trial_every: Duration::from_millis(800),
+            trials: 3,
         }
     }
 }
--- a/crates/shallothill-policy/src/pick/options.rs
+++ b/crates/shallothill-policy/src/pick/options.rs
@@ -15,6 +15,8 @@
     pub return_step: u32,
     /// Age after which a load returned by a gate is no longer used.
     pub load_fresh_for: Duration,
+    /// Age after which a suspicion returned by a gate is no longer used.
+    pub suspect_fresh_for: Duration,
     /// Share of idempotent first attempts, in thousandths, that may serve as trials.
     pub trial_share: u32,
     /// Time between two trials that one entry node sends to one ejected endpoint.
@@ -31,6 +33,7 @@
             spill_step: 40,
             return_step: 25,
             load_fresh_for: Duration::from_secs(1),
+            suspect_fresh_for: Duration::from_secs(3),
             // Half of the default retry budget: a refused trial costs one retry.
             trial_share: 50,
             trial_every: Duration::from_millis(200),
--- a/crates/shallothill-policy/src/pick/service_table.rs
+++ b/crates/shallothill-policy/src/pick/service_table.rs
@@ -26,6 +26,7 @@
 #[derive(Debug)]
 pub struct ServiceTable {
     endpoints: Vec<Endpoint>,
+    by_key: HashMap<EndpointKey, u32>,
     usual: [Vec<u32>; 3],
     last: [Vec<u32>; 3],
     ejected: Vec<u32>,
@@ -53,6 +54,7 @@
             .collect();
         let mut table = Self {
             endpoints: Vec::with_capacity(endpoints.len()),
+            by_key: HashMap::with_capacity(endpoints.len()),
             usual: Default::default(),
             last: Default::default(),
             ejected: Vec::new(),
@@ -96,6 +98,7 @@
             ServingState::Ready | ServingState::Cold => self.usual[tier as usize].push(i),
         }
         self.tiers.push(tier);
+        self.by_key.insert(endpoint.key, i);
         self.endpoints.push(endpoint);
     }
 
@@ -104,6 +107,11 @@
         &self.endpoints
     }
 
+    /// `find` returns an endpoint by its key.
+    pub fn find(&self, key: EndpointKey) -> Option<&Endpoint> {
+        self.endpoints.get(*self.by_key.get(&key)? as usize)
+    }
+
     /// `bytes` returns the count and budget of bytes across regions.
     pub fn bytes(&self) -> &ByteBudget {
         &self.bytes
@@ -155,7 +163,13 @@
         rng: &mut impl Rng,
         req: &PickRequest<'_>,
     ) -> Option<Picked<'_>> {
-        if !req.idempotent || !req.avoid.is_empty() || self.ejected.is_empty() {
+        if !req.idempotent || !req.avoid.is_empty() {
+            return None;
+        }
+        if let Some(i) = self.wanted_trial(now, rng) {
+            return Some(self.picked(i, false));
+        }
+        if self.ejected.is_empty() {
             return None;
         }
         if rng.random_range(0..ALL_PICKS) >= self.options.trial_share {
@@ -169,6 +183,26 @@
             .then(|| self.picked(i, true))
     }
 
+    // A suspected endpoint of the region whose gate wants a trial now.
+    fn wanted_trial(&self, now: Millis, rng: &mut impl Rng) -> Option<u32> {
+        for list in self.usual[..2].iter().chain(&self.last[..2]) {
+            if list.is_empty() {
+                continue;
+            }
+            let first = rng.random_range(0..list.len());
+            let drawn = (0..DRAWS.min(list.len())).map(|n| list[(first + n) % list.len()]);
+            for i in drawn {
+                let stats = &self.endpoints[i as usize].stats;
+                let reported = stats.reported(now, self.options.load_fresh_for);
+                let wants = reported.is_some_and(|l| l.state == ServingState::Ejected);
+                if wants && stats.claim_trial(now, self.options.trial_every) {
+                    return Some(i);
+                }
+            }
+        }
+        None
+    }
+
     fn start_tier(&self, rng: &mut impl Rng, req: &PickRequest<'_>) -> usize {
         let mut tier = 0;
         // A retry does not cross a region boundary while a nearer endpoint can serve it.
@@ -232,14 +266,14 @@
         if e.path.penalised(now) {
             return false;
         }
+        let suspected = [ServingState::Demoted, ServingState::Ejected];
+        let last = e.stats.reported(now, self.options.suspect_fresh_for);
+        if last.is_some_and(|l| suspected.contains(&l.state)) {
+            return false;
+        }
         let fresh = self.options.load_fresh_for;
         e.stats.reported(now, fresh).is_none_or(|l| {
-            let away = [
-                ServingState::Demoted,
-                ServingState::Draining,
-                ServingState::Ejected,
-            ];
-            let taking = !away.contains(&l.state);
+            let taking = l.state != ServingState::Draining;
             taking && (l.in_flight < l.slots || l.queued < l.slots)
         })
     }
--- a/crates/shallothill-policy/src/retry/attempts.rs
+++ b/crates/shallothill-policy/src/retry/attempts.rs
@@ -3,6 +3,7 @@
 use shallothill_core::outcome::Outcome;
 use shallothill_core::time::Millis;
 
+use crate::gray::Caution;
 use crate::pick::EndpointKey;
 use crate::retry::budget::Budget;
 use crate::retry::options::RetryOptions;
@@ -133,10 +134,11 @@
         &self.used[..usize::from(self.made).min(MOST_ATTEMPTS)]
     }
 
-    /// `is_last_resort` tells whether so many gates have refused the request that the next one should
-    /// run it although its backend server is suspected.
-    pub fn is_last_resort(&self) -> bool {
-        self.refused >= MOST_REFUSALS
+    /// `caution` returns what the next gate may do with the request when its backend server is
+    /// suspected. After many refusals a repeatable request is to be run anyway.
+    pub fn caution(&self) -> Caution {
+        let failed = self.made > self.refused;
+        Caution::of(self.idempotent, failed, self.refused)
     }
 
     /// `made` returns the number of attempts so far.
--- a/crates/shallothill-policy/tests/retry.rs
+++ b/crates/shallothill-policy/tests/retry.rs
@@ -6,6 +6,7 @@
 use arbtest::arbtest;
 use shallothill_core::outcome::Outcome;
 use shallothill_core::time::Millis;
+use shallothill_policy::gray::Caution;
 use shallothill_policy::pick::EndpointKey;
 use shallothill_policy::retry::{Attempts, Budget, Next, RetryOptions};
 
@@ -171,3 +172,25 @@
     let next = attempts.ended(Millis(1000), Outcome::Unknown, &options(), &budget);
     assert_eq!(next, Next::Return(Outcome::Unknown));
 }
+
+/// Guards against repeatable requests that no longer try suspected servers, and against second
+/// attempts that do: caution is asked before an attempt is started.
+#[test]
+fn only_first_attempts_of_repeatable_requests_are_trials() {
+    let budget = Budget::default();
+    let mut repeatable = Attempts::new(true, Millis(1000));
+    let once = Attempts::new(false, Millis(1000));
+    let first = repeatable.caution();
+
+    repeatable.started(EndpointKey(1), &options(), &budget);
+    repeatable.refused(Millis(1), &options());
+    let after_refusal = repeatable.caution();
+    repeatable.started(EndpointKey(2), &options(), &budget);
+    repeatable.ended(Millis(2), Outcome::RanAndFailed, &options(), &budget);
+    let after_failure = repeatable.caution();
+
+    assert_eq!(first, Caution::Try);
+    assert_eq!(after_refusal, Caution::Try);
+    assert_eq!(after_failure, Caution::Trust);
+    assert_eq!(once.caution(), Caution::Trust);
+}
