--- a/crates/shallothill-bench/src/scenarios/control.rs
+++ b/crates/shallothill-bench/src/scenarios/control.rs
@@ -56,6 +56,7 @@
         node: shallothill_core::ids::NodeName::try_new("node-1")?,
         config_version: ConfigVersion(1_000_000),
         cursor: Some(cursor()),
+        complete: true,
         wait_ms: 2000,
     })
 }
--- a/crates/shallothill-keeper/src/control.rs
+++ b/crates/shallothill-keeper/src/control.rs
@@ -4,11 +4,12 @@
 use std::time::Duration;
 
 use shallothill_core::idempotency::IdempotencyKey;
-use shallothill_directory::{LeaseReply, LeaseRequest, ReleaseRequest};
+use shallothill_directory::{Delta, LeaseReply, LeaseRequest, ReleaseRequest};
 use shallothill_ledger::{
     Answer, ClaimReply, ClaimRequest, CompleteRequest, Refusal, WithdrawRequest,
 };
 use shallothill_wire::control::KeeperControl;
+use shallothill_wire::crash::CrashNotice;
 use shallothill_wire::keeper_info::KeeperInfo;
 use shallothill_wire::report::{ReportReply, ReportRequest};
 use shallothill_wire::watch::{SectionsReply, SectionsRequest, WatchReply, WatchRequest};
@@ -27,11 +28,7 @@
     fn news(&self, req: &WatchRequest) -> Option<WatchReply> {
         let published = self.0.published.load();
         let config = published.update_since(req.config_version);
-        let news = if self.0.knows_nodes() {
-            lock(&self.0.membership).news(self.0.timer.now(), req.cursor)
-        } else {
-            None
-        };
+        let news = self.directory_news(req);
         let isolated = self.0.settings.discovers() && self.0.is_isolated();
         if config.is_none() && news.is_none() && !isolated {
             return None;
@@ -49,6 +46,19 @@
         })
     }
 
+    // A keeper that was just started does not know all nodes yet. What it knows is sent at once, as
+    // changes, because nodes that were started at the same time know nothing; the whole directory,
+    // after which nodes drop everything that it does not list, follows when it is complete.
+    fn directory_news(&self, req: &WatchRequest) -> Option<(Delta, Vec<CrashNotice>)> {
+        let complete = self.0.knows_nodes();
+        let cursor = req.cursor.filter(|_| req.complete || !complete);
+        let news = lock(&self.0.membership).news(self.0.timer.now(), cursor);
+        let (mut delta, crashes) = news?;
+        delta.full &= complete;
+        let empty = delta.changes.is_empty() && crashes.is_empty() && !delta.full;
+        (!empty).then_some((delta, crashes))
+    }
+
     // The thread ends only when the process does; a refusal makes the gate ask the others.
     fn refused(&self) -> ClaimReply {
         ClaimReply {
--- a/crates/shallothill-keeper/tests/nodes.rs
+++ b/crates/shallothill-keeper/tests/nodes.rs
@@ -32,6 +32,7 @@
         node: NodeName::try_new("n1").unwrap(),
         config_version: ConfigVersion(version),
         cursor,
+        complete: last.is_some(),
         wait_ms: 20_000,
     };
     let call = control.call(
--- a/crates/shallothill-node/src/control/config_fetch.rs
+++ b/crates/shallothill-node/src/control/config_fetch.rs
@@ -113,6 +113,7 @@
             node: node.clone(),
             config_version: ConfigVersion(0),
             cursor: None,
+            complete: false,
             wait_ms: 0,
         };
         let call = keeper
--- a/crates/shallothill-node/src/control/watch.rs
+++ b/crates/shallothill-node/src/control/watch.rs
@@ -60,6 +60,8 @@
 struct Position {
     keeper: Option<KeeperId>,
     cursor: Option<Cursor>,
+    /// Whether the keeper has sent its whole directory.
+    complete: bool,
 }
 
 impl Watcher {
@@ -118,6 +120,7 @@
             node: self.node.clone(),
             config_version: self.store.version(),
             cursor: position.cursor.filter(|_| !first),
+            complete: position.complete && !first,
             wait_ms: if first { 0 } else { WAIT.as_millis() as u32 },
         };
         let call = keeper.channel().call(
@@ -130,6 +133,9 @@
             info!("watch: following keeper {}", keeper.id());
         }
         let now = self.timer.now();
+        if first {
+            position.complete = false;
+        }
         position.keeper = Some(keeper.id());
         let isolated = reply.isolated;
         self.take(keeper, position, reply, now).await;
@@ -152,6 +158,7 @@
         }
         if let Some(delta) = reply.directory {
             position.cursor = Some(delta.cursor);
+            position.complete |= delta.full;
             self.view.apply(delta);
         }
         if let Some(update) = reply.config {
--- a/crates/shallothill-wire/src/watch.rs
+++ b/crates/shallothill-wire/src/watch.rs
@@ -18,6 +18,9 @@
     pub config_version: ConfigVersion,
     /// The position in this keeper's directory, if the node has one.
     pub cursor: Option<Cursor>,
+    /// Whether the node has had the whole directory of this keeper, and not only the nodes that the
+    /// keeper had heard of soon after its own start.
+    pub complete: bool,
     /// How long the keeper may wait before it answers without news, in milliseconds.
     pub wait_ms: u32,
 }
