--- a/crates/shallothill-policy/src/gray/caution.rs
+++ b/crates/shallothill-policy/src/gray/caution.rs
@@ -4,7 +4,7 @@
 const SETTLE_AFTER: u8 = 3;
 
 // More refusals in a row than this mean that no better backend server is left.
-const INSIST_AFTER: u8 = 8;
+const INSIST_AFTER: u8 = 6;
 
 /// `Caution` tells what may be done with a request whose backend server may be in a spell.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
--- a/crates/shallothill-policy/src/retry/attempts.rs
+++ b/crates/shallothill-policy/src/retry/attempts.rs
@@ -12,7 +12,7 @@
 
 // Refusals by gates cost a message between nodes and no backend server's time; more of them in a
 // row mean that the service is full.
-const MOST_REFUSALS: u8 = 8;
+const MOST_REFUSALS: u8 = 6;
 
 /// `Next` tells what follows an ended attempt.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
