--- a/crates/shallothill-config/src/route.rs
+++ b/crates/shallothill-config/src/route.rs
@@ -112,6 +112,8 @@
             (_, Err(message)) => faults.push(entry.node.at, field, message),
         }
     }
+    // The order has no meaning, so that equal splits are equal values.
+    shares.sort_by(|a, b| a.service.cmp(&b.service));
     (faults.count() == before).then_some(shares)
 }
 
--- a/crates/shallothill-node/src/entry/attempts.rs
+++ b/crates/shallothill-node/src/entry/attempts.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use futures::stream::{FuturesUnordered, StreamExt};
+use hyper::header::HeaderName;
 use log::info;
 use shallothill_core::config::Service;
 use shallothill_core::hash::Fingerprint;
@@ -109,7 +110,8 @@
             let Some(ended) = ended else { break };
             let now = self.parts.timer.now();
             let outcome = ended.reply.outcome;
-            p.log_attempt(now, &ended.reply);
+            let id = self.parts.interface.request_id.as_ref();
+            p.log_attempt(now, id, &ended.reply);
             if outcome == Outcome::Answered || !ended.reply.allows_retry(p.head.idempotent) {
                 worst = Some(ended);
                 break;
@@ -189,7 +191,7 @@
             table.bytes().charge(now, bytes, limit);
         }
         let body = p.body().ok_or(NO_ENDPOINT)?;
-        let caution = p.attempts.caution();
+        let caution = p.attempts.caution(table.endpoints().len());
         p.attempts.started(endpoint.key, &p.options, &p.budget);
         p.sent = now;
         p.last = Some((endpoint.info.id.clone(), picked.tier));
@@ -238,8 +240,8 @@
         self.head.idempotent.then_some(after)
     }
 
-    fn log_attempt(&self, now: Millis, reply: &Reply) {
-        let id = self.head.headers.get("x-request-id");
+    fn log_attempt(&self, now: Millis, id: Option<&HeaderName>, reply: &Reply) {
+        let id = id.and_then(|name| self.head.headers.get(name));
         let id = id.and_then(|v| v.to_str().ok()).unwrap_or("-");
         let (to, tier) = match &self.last {
             Some((to, tier)) => (to.to_string(), format!("{tier:?}")),
--- /dev/null
+++ b/crates/shallothill-node/tests/routes.rs
@@ -0,0 +1,68 @@
+//! Which route a request takes.
+
+use std::time::Duration;
+
+use shallothill_core::class::Class;
+use shallothill_core::config::{OncePer, Route, Target};
+use shallothill_core::ids::{RouteName, ServiceName};
+use shallothill_node::config::{Lookup, RouteTable};
+
+fn route(host: Option<&str>, path: &str, below: bool) -> Route {
+    Route {
+        target: Target::from(ServiceName::try_new("desk").unwrap()),
+        host: host.map(str::to_owned),
+        methods: Vec::new(),
+        path: path.to_owned(),
+        below,
+        idempotent: true,
+        once_per: OncePer::Key,
+        class: Class::Editor,
+        rank: 0,
+        deadline: Duration::from_secs(3),
+        objective: None,
+        attempts: None,
+        max_body_bytes: 1024,
+    }
+}
+
+fn table() -> RouteTable {
+    let routes = [
+        ("short", route(Some("a.example"), "/x", true)),
+        ("long", route(Some("a.example"), "/x/y", true)),
+        ("all", route(Some("b.example"), "/", false)),
+        ("any", route(None, "/x", false)),
+    ];
+    let named = routes.map(|(n, r)| (RouteName::try_new(n).unwrap(), r));
+    RouteTable::new(named.iter().map(|(n, r)| (n, r)))
+}
+
+fn found(host: Option<&str>, path: &str) -> Option<String> {
+    match table().find("PUT", host, path) {
+        Lookup::Found(named) => Some(named.name.to_string()),
+        Lookup::OtherMethods(_) | Lookup::Unknown => None,
+    }
+}
+
+/// Guards against requests that take the route of another host or a shorter prefix.
+#[test]
+fn host_and_longest_prefix_choose_the_route() {
+    let name = |n: &str| Some(n.to_owned());
+
+    assert_eq!(found(Some("a.example"), "/x/1"), name("short"));
+    assert_eq!(found(Some("a.example"), "/x/y/1"), name("long"));
+    assert_eq!(found(Some("A.example:8080"), "/x/y/1"), name("long"));
+    assert_eq!(found(Some("a.example"), "/x/y"), name("short"));
+    assert_eq!(found(Some("b.example"), "/whatever"), name("all"));
+    assert_eq!(found(Some("b.example"), "/"), name("all"));
+    assert_eq!(found(Some("c.example"), "/x"), name("any"));
+    assert_eq!(found(None, "/x/z"), name("any"));
+}
+
+/// Guards against a prefix that matches its own path, or half a segment, although only paths below it
+/// belong to the route.
+#[test]
+fn prefixes_match_below_at_a_slash_only() {
+    assert_eq!(found(Some("a.example"), "/xy/1"), None);
+    assert_eq!(found(Some("c.example"), "/xy"), None);
+    assert_eq!(found(Some("a.example"), "/x"), Some("any".to_owned()));
+}
--- a/crates/shallothill-policy/src/gray/caution.rs
+++ b/crates/shallothill-policy/src/gray/caution.rs
@@ -1,10 +1,10 @@
 //! How much a request may risk at a suspected backend server.
 
 // About the endpoints of a service in one region.
-const SETTLE_AFTER: u8 = 3;
+const SETTLE_AFTER: usize = 3;
 
 // More refusals in a row than this mean that no better backend server is left.
-const INSIST_AFTER: u8 = 6;
+const INSIST_AFTER: usize = 6;
 
 /// `Caution` tells what may be done with a request whose backend server may be in a spell.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -21,13 +21,14 @@
 }
 
 impl Caution {
-    /// `of` returns the caution for a request that `refused` gates have refused; `failed` tells
-    /// whether a backend server has failed it.
-    pub fn of(idempotent: bool, failed: bool, refused: u8) -> Self {
+    /// `of` returns the caution for a request that `refused` of `choices` gates have refused; `failed`
+    /// tells whether a backend server has failed it.
+    pub fn of(idempotent: bool, failed: bool, refused: u8, choices: usize) -> Self {
+        let refused = usize::from(refused);
         match (idempotent, failed) {
-            (true, _) if refused >= INSIST_AFTER => Self::Insist,
+            (true, _) if refused >= INSIST_AFTER.min(choices.saturating_sub(1)) => Self::Insist,
             (true, false) => Self::Try,
-            _ if refused >= SETTLE_AFTER => Self::Settle,
+            _ if refused >= SETTLE_AFTER.min(choices / 2) => Self::Settle,
             _ => Self::Trust,
         }
     }
--- a/crates/shallothill-policy/src/retry/attempts.rs
+++ b/crates/shallothill-policy/src/retry/attempts.rs
@@ -135,10 +135,11 @@
     }
 
     /// `caution` returns what the next gate may do with the request when its backend server is
-    /// suspected. After many refusals a repeatable request is to be run anyway.
-    pub fn caution(&self) -> Caution {
+    /// suspected, where the service has `choices` of them. After many refusals a repeatable request
+    /// is to be run anyway.
+    pub fn caution(&self, choices: usize) -> Caution {
         let failed = self.made > self.refused;
-        Caution::of(self.idempotent, failed, self.refused)
+        Caution::of(self.idempotent, failed, self.refused, choices)
     }
 
     /// `made` returns the number of attempts so far.
--- a/crates/shallothill-policy/tests/gray.rs
+++ b/crates/shallothill-policy/tests/gray.rs
@@ -123,7 +123,7 @@
         let tried = (0..servers.len()).map(|i| (first + i) % 12).find(|i| {
             let s = &mut servers[*i];
             s.estimate
-                .admits(Millis(now), Caution::of(idempotent, false, 3))
+                .admits(Millis(now), Caution::of(idempotent, false, 3, 12))
         });
         let failed = tried.is_none_or(|i| {
             let s = &mut servers[i];
--- a/crates/shallothill-policy/tests/retry.rs
+++ b/crates/shallothill-policy/tests/retry.rs
@@ -180,17 +180,33 @@
     let budget = Budget::default();
     let mut repeatable = Attempts::new(true, Millis(1000));
     let once = Attempts::new(false, Millis(1000));
-    let first = repeatable.caution();
+    let first = repeatable.caution(12);
 
     repeatable.started(EndpointKey(1), &options(), &budget);
     repeatable.refused(Millis(1), &options());
-    let after_refusal = repeatable.caution();
+    let after_refusal = repeatable.caution(12);
     repeatable.started(EndpointKey(2), &options(), &budget);
     repeatable.ended(Millis(2), Outcome::RanAndFailed, &options(), &budget);
-    let after_failure = repeatable.caution();
+    let after_failure = repeatable.caution(12);
 
     assert_eq!(first, Caution::Try);
     assert_eq!(after_refusal, Caution::Try);
     assert_eq!(after_failure, Caution::Trust);
-    assert_eq!(once.caution(), Caution::Trust);
+    assert_eq!(once.caution(12), Caution::Trust);
+}
+
+/// Guards against requests that run once being refused for good where a service has few servers:
+/// without evidence none of them is trusted, and all of them have refused after two attempts.
+#[test]
+fn few_choices_are_settled_for_sooner() {
+    let one = Attempts::new(false, Millis(1000));
+    let mut two = Attempts::new(false, Millis(1000));
+    let budget = Budget::default();
+
+    two.started(EndpointKey(1), &options(), &budget);
+    two.refused(Millis(1), &options());
+
+    assert_eq!(one.caution(1), Caution::Settle);
+    assert_eq!(two.caution(2), Caution::Settle);
+    assert_eq!(two.caution(12), Caution::Trust);
 }
