--- a/crates/shallothill-keeper/src/control.rs
+++ b/crates/shallothill-keeper/src/control.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use shallothill_core::idempotency::IdempotencyKey;
+use shallothill_core::version::ConfigVersion;
 use shallothill_directory::{Delta, LeaseReply, LeaseRequest, ReleaseRequest};
 use shallothill_ledger::{
     Answer, ClaimReply, ClaimRequest, CompleteRequest, Refusal, WithdrawRequest,
@@ -16,6 +17,7 @@
 use tarpc::context::Context;
 
 use crate::keeper::{Keeper, lock};
+use crate::submit;
 
 /// `WAIT_MAX` bounds a long poll, so that calls of nodes that are gone end.
 const WAIT_MAX: Duration = Duration::from_secs(60);
@@ -120,6 +122,12 @@
         self.0.sections(&req)
     }
 
+    async fn confirmed_version(self, _: Context) -> Option<ConfigVersion> {
+        let confirmed = submit::confirmed_version(&self.0).await.ok()?;
+        self.0.learn_version(confirmed);
+        Some(confirmed)
+    }
+
     async fn keepers(self, _: Context) -> Vec<KeeperInfo> {
         self.0.known_keepers()
     }
--- a/crates/shallothill-keeper/src/peer.rs
+++ b/crates/shallothill-keeper/src/peer.rs
@@ -107,6 +107,9 @@
     /// `current` returns the accepted text at the primary of the config log, no older than any
     /// acknowledgement before the call; `None` when that is not certain.
     async fn current() -> Option<CurrentText>;
+    /// `confirmed_version` returns the accepted version at the primary of the config log, no older
+    /// than any acknowledgement before the call; `None` when that is not certain.
+    async fn confirmed_version() -> Option<ConfigVersion>;
     /// `meet` introduces a keeper; the primary makes it a member.
     async fn meet(req: MeetRequest) -> MeetReply;
     /// `replica` delivers a message of the config log; it may be dropped.
--- a/crates/shallothill-keeper/src/peer_server.rs
+++ b/crates/shallothill-keeper/src/peer_server.rs
@@ -92,6 +92,10 @@
         submit::current_here(&self.keeper).await.ok()
     }
 
+    async fn confirmed_version(self, _: Context) -> Option<ConfigVersion> {
+        submit::confirmed_here(&self.keeper).await.ok()
+    }
+
     async fn meet(self, _: Context, req: MeetRequest) -> MeetReply {
         let keeper = &self.keeper;
         keeper.peers.note_zone(req.from, &req.zone);
--- a/crates/shallothill-keeper/src/submit.rs
+++ b/crates/shallothill-keeper/src/submit.rs
@@ -1,5 +1,6 @@
 //! Carries an operator's submission into the config log.
 
+use std::future::Future;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -7,6 +8,7 @@
 use shallothill_config::limits::TEXT_MAX_BYTES;
 use shallothill_core::config::Fault;
 use shallothill_core::hash::ContentHash;
+use shallothill_core::version::ConfigVersion;
 use shallothill_wire::operator::{CurrentText, SubmitReply, SubmitRequest};
 use tokio::{task, time};
 
@@ -89,17 +91,46 @@
 ///
 /// Fails when no quorum confirms that in time.
 pub async fn current(keeper: &Keeper) -> Result<CurrentText, Refusal> {
-    let late = || Refusal::Unavailable("no quorum of keepers answered in time".to_owned());
-    let primary = match time::timeout(READ_TIMEOUT, current_here(keeper)).await {
-        Ok(Err(Refusal::NotPrimary(primary))) => primary,
-        Ok(answer) => return answer,
-        Err(_) => return Err(late()),
+    let primary = match in_time(current_here(keeper)).await {
+        Err(Refusal::NotPrimary(primary)) => primary,
+        answer => return answer,
     };
-    let peer = keeper.peers.get(primary).ok_or_else(late)?;
+    let peer = keeper.peers.get(primary).ok_or_else(no_quorum)?;
     let call = peer.peer.call(READ_TIMEOUT, |client, cx| async move {
         client.current(cx).await
     });
-    call.await.ok().flatten().ok_or_else(late)
+    call.await.ok().flatten().ok_or_else(no_quorum)
+}
+
+/// `confirmed_version` returns the accepted version, no older than any acknowledgement before the
+/// call.
+///
+/// Fails when no quorum confirms that in time.
+pub async fn confirmed_version(keeper: &Keeper) -> Result<ConfigVersion, Refusal> {
+    let primary = match in_time(confirmed_here(keeper)).await {
+        Err(Refusal::NotPrimary(primary)) => primary,
+        answer => return answer,
+    };
+    let peer = keeper.peers.get(primary).ok_or_else(no_quorum)?;
+    let call = peer.peer.call(READ_TIMEOUT, |client, cx| async move {
+        client.confirmed_version(cx).await
+    });
+    call.await.ok().flatten().ok_or_else(no_quorum)
+}
+
+/// `confirmed_here` is [`confirmed_version`] at the primary only.
+pub async fn confirmed_here(keeper: &Keeper) -> Result<ConfigVersion, Refusal> {
+    keeper.log.read().await?;
+    Ok(lock(&keeper.state).version())
+}
+
+async fn in_time<T>(read: impl Future<Output = Result<T, Refusal>>) -> Result<T, Refusal> {
+    let read = time::timeout(READ_TIMEOUT, read).await;
+    read.unwrap_or_else(|_| Err(no_quorum()))
+}
+
+fn no_quorum() -> Refusal {
+    Refusal::Unavailable("no quorum of keepers answered in time".to_owned())
 }
 
 /// `current_here` is [`current`] at the primary only.
--- a/crates/shallothill-keeper/tests/restart.rs
+++ b/crates/shallothill-keeper/tests/restart.rs
@@ -264,3 +264,35 @@
     let message = ended.unwrap_err().to_string();
     assert!(message.starts_with("ledger:"), "{message}");
 }
+
+/// A node that starts must not take the version of a keeper that missed a change: every keeper has to
+/// name the accepted one, and none of them may name any without a quorum.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn confirmed_versions_are_accepted_ones() {
+    let mut group = Group::start(3).await;
+    let primary = group.primary().await;
+    let other = (primary + 1) % 3;
+    let third = (primary + 2) % 3;
+    let submitted = group
+        .submit_until_answered(primary, 0, "a", &common::text(2, 0))
+        .await;
+    let confirmed = async |group: &Group, i: usize| {
+        let control = group.control(i);
+        let call = control.call(common::DEADLINE, |c, cx| async move {
+            c.confirmed_version(cx).await
+        });
+        call.await.unwrap()
+    };
+
+    let at_primary = confirmed(&group, primary).await;
+    let at_other = confirmed(&group, other).await;
+    group.stop_one(primary).await;
+    group.stop_one(third).await;
+    let alone = confirmed(&group, other).await;
+
+    let version = ConfigVersion(1);
+    assert_eq!(submitted, SubmitReply::Accepted { version });
+    assert_eq!(at_primary, Some(version));
+    assert_eq!(at_other, Some(version));
+    assert_eq!(alone, None);
+}
--- a/crates/shallothill-node/src/control/discovery.rs
+++ b/crates/shallothill-node/src/control/discovery.rs
@@ -4,8 +4,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use futures::stream::{FuturesUnordered, StreamExt};
 use log::{info, warn};
+use rand::seq::IndexedRandom;
 use shallothill_runtime::timer::Timer;
 use shallothill_wire::channel::RpcChannel;
 use shallothill_wire::control::KeeperControlClient;
@@ -87,16 +87,11 @@
         }
     }
 
-    // Takes the first answer; the seeds are asked at once, since some of them may be down.
+    // One seed a round, since most seeds stand in other regions and usually each of them answers.
     async fn search(&self) -> Option<Vec<KeeperInfo>> {
         let seeds = self.keepers.seeds();
-        let mut asked: FuturesUnordered<_> = seeds.iter().map(|s| ask_seed(*s)).collect();
-        while let Some(answer) = asked.next().await {
-            if answer.is_some() {
-                return answer;
-            }
-        }
-        None
+        let seed = seeds.choose(&mut rand::rng()).copied()?;
+        ask_seed(seed).await
     }
 }
 
--- a/crates/shallothill-node/src/control/mod.rs
+++ b/crates/shallothill-node/src/control/mod.rs
@@ -13,5 +13,5 @@
 pub use keepers::{Keeper, Keepers};
 pub use probe::{Move, Probe};
 pub use report::Reporter;
-pub use startup::learn_version;
+pub use startup::{confirmed_version, learn_version};
 pub use watch::Watcher;
--- a/crates/shallothill-node/src/control/startup.rs
+++ b/crates/shallothill-node/src/control/startup.rs
@@ -12,15 +12,30 @@
 /// `TIMEOUT` bounds the wait for one source.
 const TIMEOUT: Duration = Duration::from_secs(1);
 
-/// `SOURCES_MAX` bounds the keepers that are asked.
-const SOURCES_MAX: usize = 5;
+/// `CONFIRM_TIMEOUT` bounds the wait for a keeper that asks the primary in turn.
+const CONFIRM_TIMEOUT: Duration = Duration::from_millis(1200);
+
+/// `confirmed_version` asks the keepers in turn, nearest first, for a version that a quorum confirms.
+/// A keeper that was just started, or is cut off, has an older one itself and does not know it.
+pub async fn confirmed_version(keepers: &Keepers) -> Option<ConfigVersion> {
+    for keeper in keepers.all().iter() {
+        let call = keeper.channel().call(CONFIRM_TIMEOUT, |c, cx| async move {
+            c.confirmed_version(cx).await
+        });
+        if let Ok(Some(version)) = call.await {
+            return Some(version);
+        }
+    }
+    None
+}
 
 /// `learn_version` asks several keepers for their version and returns the highest, or `None` when
-/// none of them answers.
+/// none of them answers. It serves sites at which no quorum can be reached.
 pub async fn learn_version(keepers: &Keepers) -> Option<ConfigVersion> {
     let ask = |keeper: Arc<Keeper>| async move { probe::version_of(&keeper, TIMEOUT).await };
     let all = keepers.all();
-    let sources = all.iter().take(SOURCES_MAX).cloned();
+    // A majority shares a keeper with the one that accepted the newest version.
+    let sources = all.iter().take(all.len() / 2 + 1).cloned();
     let asked: FuturesUnordered<_> = sources.map(ask).collect();
     let answers: Vec<Option<ConfigVersion>> = asked.collect().await;
     answers.into_iter().flatten().max()
--- a/crates/shallothill-node/src/node/mod.rs
+++ b/crates/shallothill-node/src/node/mod.rs
@@ -22,7 +22,8 @@
 use crate::announce::AnnounceServer;
 use crate::config::Store;
 use crate::control::{
-    ConfigFetch, Discovery, Keepers, Move, Probe, Reporter, Watcher, learn_version,
+    ConfigFetch, Discovery, Keepers, Move, Probe, Reporter, Watcher, confirmed_version,
+    learn_version,
 };
 use crate::counters::{Counters, Gauges};
 use crate::crashes::Crashes;
@@ -46,6 +47,10 @@
 /// `TIDY_EVERY` is the time between two searches for idle peers.
 const TIDY_EVERY: Duration = Duration::from_secs(30);
 
+/// `UNCONFIRMED_AFTER` is the time without a quorum after which a starting node takes the version of
+/// the keepers that answer, because a site that is cut off has to carry on alone.
+const UNCONFIRMED_AFTER: Duration = Duration::from_secs(4);
+
 /// `LEARN_AGAIN` is the pause before sources are asked for the version again.
 const LEARN_AGAIN: Duration = Duration::from_millis(200);
 
@@ -264,8 +269,13 @@
     // never brings an old configuration back into force.
     async fn become_ready(self: Arc<Self>) {
         let mut reported = false;
+        let alone = self.timer.now() + UNCONFIRMED_AFTER;
         loop {
-            if let Some(version) = learn_version(&self.keepers).await {
+            let version = match confirmed_version(&self.keepers).await {
+                None if self.timer.now() >= alone => learn_version(&self.keepers).await,
+                confirmed => confirmed,
+            };
+            if let Some(version) = version {
                 self.store.note(version);
                 break;
             }
--- a/crates/shallothill-node/tests/support/keepers.rs
+++ b/crates/shallothill-node/tests/support/keepers.rs
@@ -204,6 +204,14 @@
         }
     }
 
+    async fn confirmed_version(self, cx: Context) -> Option<ConfigVersion> {
+        let req = SectionsRequest {
+            version: ConfigVersion(0),
+            ids: Vec::new(),
+        };
+        Some(self.sections(cx, req).await.config_version)
+    }
+
     async fn keepers(self, _: Context) -> Vec<KeeperInfo> {
         Vec::new()
     }
--- a/crates/shallothill-wire/src/control.rs
+++ b/crates/shallothill-wire/src/control.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 
 use shallothill_core::idempotency::IdempotencyKey;
+use shallothill_core::version::ConfigVersion;
 use shallothill_directory::{LeaseReply, LeaseRequest, ReleaseRequest};
 use shallothill_ledger::{ClaimReply, ClaimRequest, CompleteRequest, WithdrawRequest};
 use tarpc::client;
@@ -23,6 +24,9 @@
     async fn watch(req: WatchRequest) -> WatchReply;
     /// `sections` returns sections of a configuration version.
     async fn sections(req: SectionsRequest) -> SectionsReply;
+    /// `confirmed_version` returns the accepted version, no older than any acknowledgement before
+    /// the call; `None` when no quorum confirms that.
+    async fn confirmed_version() -> Option<ConfigVersion>;
     /// `keepers` lists the keepers that the answering one knows, itself included.
     async fn keepers() -> Vec<KeeperInfo>;
     /// `claim` supports a claim on a key; the answer is durable.
