node: a starting node without a quorum asks all keepers

Ruled out: the load of the machine (the cause is in the code: with the third keeper left, two of three sources are gone for good).

Change: the fallback asks all keepers.

--- a/crates/shallothill-node/src/control/startup.rs
+++ b/crates/shallothill-node/src/control/startup.rs
@@ -29,14 +29,13 @@
     None
 }
 
-/// `learn_version` asks several keepers for their version and returns the highest, or `None` when
-/// none of them answers. It serves sites at which no quorum can be reached.
+/// `learn_version` asks all keepers for their version and returns the highest, or `None` when none of
+/// them answers. It serves sites at which no quorum can be reached, where any keeper may be the one
+/// that is left.
 pub async fn learn_version(keepers: &Keepers) -> Option<ConfigVersion> {
     let ask = |keeper: Arc<Keeper>| async move { probe::version_of(&keeper, TIMEOUT).await };
     let all = keepers.all();
-    // A majority shares a keeper with the one that accepted the newest version.
-    let sources = all.iter().take(all.len() / 2 + 1).cloned();
-    let asked: FuturesUnordered<_> = sources.map(ask).collect();
+    let asked: FuturesUnordered<_> = all.iter().cloned().map(ask).collect();
     let answers: Vec<Option<ConfigVersion>> = asked.collect().await;
     answers.into_iter().flatten().max()
 }
