keeper: answer reads at a backup from its own log

A trace of all messages of an idle fleet showed that 442 of 900 KB were texts that backups fetched from the primary for operators' reads, 8.7 KB each. Ruled out: probes of nodes (off where keepers are discovered), the search for seeds, heartbeats (162 KB in both directions to four keepers).

Change: a backup asks the primary for the confirmed version only, waits until its own log has applied it, and answers from there. It fetches the text only when it does not get there within 400 ms. The relay of the tests counts the bytes that pass.

Test: reads_at_a_backup_carry_no_text failed before; holds_reads_at_a_backup_are_never_older_than_an_acknowledgement guards the new way.

What is left of the start are watches that every change of the directory wakes.

--- a/crates/shallothill-keeper/src/submit.rs
+++ b/crates/shallothill-keeper/src/submit.rs
@@ -8,6 +8,7 @@
 use shallothill_config::limits::TEXT_MAX_BYTES;
 use shallothill_core::config::Fault;
 use shallothill_core::hash::ContentHash;
+use shallothill_core::ids::KeeperId;
 use shallothill_core::version::ConfigVersion;
 use shallothill_wire::operator::{CurrentText, SubmitReply, SubmitRequest};
 use tokio::{task, time};
@@ -33,6 +34,10 @@
 /// `READ_TIMEOUT` bounds a read of the accepted text.
 const READ_TIMEOUT: Duration = Duration::from_millis(900);
 
+/// `APPLY_TIMEOUT` is longer than the time between two heartbeats, each of which tells a keeper
+/// what it may apply.
+const APPLY_TIMEOUT: Duration = Duration::from_millis(400);
+
 /// `submit` checks the text, puts it into the log and returns what became of it.
 ///
 /// A keeper that is not the primary passes the submission on, once: `forward` is false for what
@@ -89,12 +94,19 @@
 
 /// `current` returns the accepted text, no older than any acknowledgement before the call.
 ///
+/// A keeper that is not the primary asks it for the version only and answers from its own log: the
+/// text has crossed the links between regions once already, and they are billed by volume.
+///
 /// Fails when no quorum confirms that in time.
 pub async fn current(keeper: &Keeper) -> Result<CurrentText, Refusal> {
     let primary = match in_time(current_here(keeper)).await {
         Err(Refusal::NotPrimary(primary)) => primary,
         answer => return answer,
     };
+    let version = confirmed_at(keeper, primary).await?;
+    if applied(keeper, version).await {
+        return Ok(text_of(keeper));
+    }
     let peer = keeper.peers.get(primary).ok_or_else(no_quorum)?;
     let call = peer.peer.call(READ_TIMEOUT, |client, cx| async move {
         client.current(cx).await
@@ -102,15 +114,32 @@
     call.await.ok().flatten().ok_or_else(no_quorum)
 }
 
+// Waits until the own log has applied `version`; a keeper that recovers does not get there soon.
+async fn applied(keeper: &Keeper, version: ConfigVersion) -> bool {
+    let mut news = keeper.news();
+    let end = keeper.timer.after(APPLY_TIMEOUT);
+    tokio::pin!(end);
+    while lock(&keeper.state).version() < version {
+        tokio::select! {
+            _ = news.changed() => {}
+            _ = end.as_mut() => return false,
+        }
+    }
+    true
+}
+
 /// `confirmed_version` returns the accepted version, no older than any acknowledgement before the
 /// call.
 ///
 /// Fails when no quorum confirms that in time.
 pub async fn confirmed_version(keeper: &Keeper) -> Result<ConfigVersion, Refusal> {
-    let primary = match in_time(confirmed_here(keeper)).await {
-        Err(Refusal::NotPrimary(primary)) => primary,
-        answer => return answer,
-    };
+    match in_time(confirmed_here(keeper)).await {
+        Err(Refusal::NotPrimary(primary)) => confirmed_at(keeper, primary).await,
+        answer => answer,
+    }
+}
+
+async fn confirmed_at(keeper: &Keeper, primary: KeeperId) -> Result<ConfigVersion, Refusal> {
     let peer = keeper.peers.get(primary).ok_or_else(no_quorum)?;
     let call = peer.peer.call(READ_TIMEOUT, |client, cx| async move {
         client.confirmed_version(cx).await
@@ -136,12 +165,16 @@
 /// `current_here` is [`current`] at the primary only.
 pub async fn current_here(keeper: &Keeper) -> Result<CurrentText, Refusal> {
     keeper.log.read().await?;
+    Ok(text_of(keeper))
+}
+
+fn text_of(keeper: &Keeper) -> CurrentText {
     let state = lock(&keeper.state);
-    Ok(CurrentText {
+    CurrentText {
         version: state.version(),
         label: state.label(),
         text: state.text().as_ref().to_owned(),
-    })
+    }
 }
 
 // A change that few keepers hold could be lost with their disks.
--- a/crates/shallothill-keeper/tests/common/mod.rs
+++ b/crates/shallothill-keeper/tests/common/mod.rs
@@ -22,6 +22,7 @@
 use shallothill_runtime::settings::Common;
 use shallothill_testing::builders::ConfigBuilder;
 use shallothill_testing::http::Client;
+use shallothill_testing::relay::Relay;
 use shallothill_testing::{ports, process};
 use shallothill_wire::channel::RpcChannel;
 use shallothill_wire::control::KeeperControlClient;
@@ -61,13 +62,33 @@
     /// Starts a new group of `n` keepers of one region and waits for its primary.
     pub async fn start(n: usize) -> Self {
         let mut group = Self::prepare(n);
-        for i in 0..n {
-            group.start_one(i, true).await;
+        group.start_all().await;
+        group
+    }
+
+    /// Starts all keepers of a new group and waits for its primary.
+    pub async fn start_all(&mut self) {
+        for i in 0..self.settings.len() {
+            self.start_one(i, true).await;
         }
-        for i in 0..n {
-            group.wait_quorum(i).await;
+        for i in 0..self.settings.len() {
+            self.wait_quorum(i).await;
         }
-        group
+    }
+
+    /// Puts a relay on each way from one keeper to another, before they are started.
+    pub async fn relay_peers(&mut self) -> Vec<Relay> {
+        let mut relays = Vec::new();
+        for settings in &mut self.settings {
+            let me = settings.id;
+            for other in settings.keepers.iter_mut().filter(|k| k.id != me) {
+                let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+                let relay = Relay::start(any, other.peer_address).await.unwrap();
+                other.peer_address = relay.address();
+                relays.push(relay);
+            }
+        }
+        relays
     }
 
     pub fn prepare(n: usize) -> Self {
--- a/crates/shallothill-keeper/tests/operators.rs
+++ b/crates/shallothill-keeper/tests/operators.rs
@@ -10,9 +10,10 @@
 use shallothill_core::ids::NodeName;
 use shallothill_core::time::UnixMillis;
 use shallothill_core::version::ConfigVersion;
-use shallothill_keeper::clock;
+use shallothill_keeper::{clock, submit};
 use shallothill_ledger::{Claim, ClaimId, ClaimRequest, CompleteRequest, Completion};
 use shallothill_testing::http::Client;
+use shallothill_testing::relay::Relay;
 use shallothill_wire::operator::{HistoryReply, KeyReply, ShowReply, SubmitReply};
 
 /// Submissions, their texts and their history must be visible at every keeper, also at one that is
@@ -52,6 +53,53 @@
     }
 }
 
+/// Guards against reads that carry the whole text from the primary each time, over links that are
+/// billed by volume.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn reads_at_a_backup_carry_no_text() {
+    let mut group = Group::prepare(3);
+    let relays = group.relay_peers().await;
+    group.start_all().await;
+    let backup = (group.primary().await + 1) % 3;
+    let text = common::text(4000, 0);
+    group.submit(backup, 0, "c0", &text).await;
+    let keeper = group.keeper(backup);
+    common::wait("version 1", || {
+        keeper.published.load().version() == ConfigVersion(1)
+    })
+    .await;
+    let before: u64 = relays.iter().map(Relay::carried_bytes).sum();
+
+    let mut read = Vec::new();
+    for _ in 0..20 {
+        read.push(submit::current(keeper).await.unwrap());
+    }
+
+    let carried = relays.iter().map(Relay::carried_bytes).sum::<u64>() - before;
+    assert!(read.iter().all(|r| r.text == text && r.version.0 == 1));
+    assert!(carried < text.len() as u64, "{carried} bytes");
+}
+
+/// Guards against a read at a backup that misses a change which the primary acknowledged before.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn holds_reads_at_a_backup_are_never_older_than_an_acknowledgement() {
+    let group = Group::start(3).await;
+    let primary = group.primary().await;
+    let backups = [(primary + 1) % 3, (primary + 2) % 3];
+
+    for base in 0..20 {
+        let text = common::text(3, base as u32);
+        let id = format!("change-{base}");
+        let reply = group.submit(primary, base, &id, &text).await;
+        let version = ConfigVersion(base + 1);
+        assert_eq!(reply, SubmitReply::Accepted { version });
+        for backup in backups {
+            let read = submit::current(group.keeper(backup)).await.unwrap();
+            assert_eq!((read.version, read.text), (version, text.clone()));
+        }
+    }
+}
+
 /// Of two operators with the same base, one must win and the other must get the current text.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn one_of_two_operators_with_the_same_base_wins() {
--- a/crates/shallothill-testing/src/relay.rs
+++ b/crates/shallothill-testing/src/relay.rs
@@ -1,6 +1,8 @@
 //! A TCP relay that can be cut in one direction at run time.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 
 use snafu::ResultExt;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -29,6 +31,7 @@
     address: SocketAddr,
     to_target: watch::Sender<bool>,
     from_target: watch::Sender<bool>,
+    carried: Arc<AtomicU64>,
     _stop: DropGuard,
 }
 
@@ -45,6 +48,8 @@
             .context(errors::ListenSnafu { address })?;
         let (to_target, to_cut) = watch::channel(false);
         let (from_target, from_cut) = watch::channel(false);
+        let carried = Arc::new(AtomicU64::new(0));
+        let count = Arc::clone(&carried);
         let stop = CancellationToken::new();
         let stopped = stop.clone();
         tokio::spawn(async move {
@@ -55,10 +60,11 @@
                 };
                 let Ok((near, _)) = accepted else { return };
                 let (to_cut, from_cut) = (to_cut.clone(), from_cut.clone());
+                let count = Arc::clone(&count);
                 let stopped = stopped.clone();
                 tokio::spawn(async move {
                     tokio::select! {
-                        () = forward(near, target, to_cut, from_cut) => {}
+                        () = forward(near, target, to_cut, from_cut, count) => {}
                         () = stopped.cancelled() => {}
                     }
                 });
@@ -68,6 +74,7 @@
             address,
             to_target,
             from_target,
+            carried,
             _stop: stop.drop_guard(),
         })
     }
@@ -77,6 +84,11 @@
         self.address
     }
 
+    /// `carried_bytes` returns the bytes that passed so far, in both directions together.
+    pub fn carried_bytes(&self) -> u64 {
+        self.carried.load(Ordering::Relaxed)
+    }
+
     /// `cut` holds back everything that goes in `direction`.
     pub fn cut(&self, direction: Direction) {
         self.side(direction).send_replace(true);
@@ -100,6 +112,7 @@
     target: SocketAddr,
     to_cut: watch::Receiver<bool>,
     from_cut: watch::Receiver<bool>,
+    count: Arc<AtomicU64>,
 ) {
     let Ok(far) = TcpStream::connect(target).await else {
         return;
@@ -108,12 +121,17 @@
     let (near_read, near_write) = near.into_split();
     let (far_read, far_write) = far.into_split();
     tokio::join!(
-        copy(near_read, far_write, to_cut),
-        copy(far_read, near_write, from_cut)
+        copy(near_read, far_write, to_cut, &count),
+        copy(far_read, near_write, from_cut, &count)
     );
 }
 
-async fn copy(mut from: OwnedReadHalf, mut to: OwnedWriteHalf, mut cut: watch::Receiver<bool>) {
+async fn copy(
+    mut from: OwnedReadHalf,
+    mut to: OwnedWriteHalf,
+    mut cut: watch::Receiver<bool>,
+    count: &AtomicU64,
+) {
     let mut buf = vec![0; 16 * 1024];
     loop {
         let n = from.read(&mut buf).await.unwrap_or(0);
@@ -121,6 +139,7 @@
         if cut.wait_for(|cut| !cut).await.is_err() {
             return;
         }
+        count.fetch_add(n as u64, Ordering::Relaxed);
         if n == 0 || to.write_all(&buf[..n]).await.is_err() {
             let _ = to.shutdown().await;
             return;
