keeper, node: gather news of the directory; stay with an isolated keeper while no other is better off

Cause: the trace of an idle fleet showed 1,617 answers with directory news (440 KB) to 36 nodes while it starts: each change woke each watcher, so hosts that start together cost the square of their number. Nodes also kept to the keeper of another region for their first 5 s.

Ruled out: probes and reports (they stay within the region).

Change: changes of the directory wait up to 200 ms for others, everything else is told at once. An isolated keeper says so once; the node stays with it and asks the others, nearest first, every 500 ms, and moves only to one that hears a primary. While no keeper of the own region is known, the list is asked for every 500 ms.

--- a/crates/shallothill-bench/src/scenarios/control.rs
+++ b/crates/shallothill-bench/src/scenarios/control.rs
@@ -57,6 +57,7 @@
         config_version: ConfigVersion(1_000_000),
         cursor: Some(cursor()),
         complete: true,
+        isolated: false,
         wait_ms: 2000,
     })
 }
--- a/crates/shallothill-keeper/src/control.rs
+++ b/crates/shallothill-keeper/src/control.rs
@@ -22,6 +22,10 @@
 /// `WAIT_MAX` bounds a long poll, so that calls of nodes that are gone end.
 const WAIT_MAX: Duration = Duration::from_secs(60);
 
+/// `GATHER` is the time for which changes of the directory are gathered into one answer. Each of them
+/// wakes every node: without it, hosts that start together cost the square of their number.
+const GATHER: Duration = Duration::from_millis(200);
+
 /// `ControlServer` answers nodes.
 #[derive(Clone, Debug)]
 pub struct ControlServer(pub Arc<Keeper>);
@@ -31,8 +35,8 @@
         let published = self.0.published.load();
         let config = published.update_since(req.config_version);
         let news = self.directory_news(req);
-        let isolated = self.0.settings.discovers() && self.0.is_isolated();
-        if config.is_none() && news.is_none() && !isolated {
+        let isolated = self.is_isolated();
+        if config.is_none() && news.is_none() && isolated == req.isolated {
             return None;
         }
         let (directory, crashes) = match news {
@@ -48,6 +52,11 @@
         })
     }
 
+    // Nodes of keepers that the settings list compare versions instead.
+    fn is_isolated(&self) -> bool {
+        self.0.settings.discovers() && self.0.is_isolated()
+    }
+
     // A keeper that was just started does not know all nodes yet. What it knows is sent at once, as
     // changes, because nodes that were started at the same time know nothing; the whole directory,
     // after which nodes drop everything that it does not list, follows when it is complete.
@@ -97,21 +106,26 @@
         self.0.learn_version(req.config_version);
         let wait = Duration::from_millis(u64::from(req.wait_ms)).min(WAIT_MAX);
         let mut end = self.0.timer.after(wait);
+        let mut gathered = self.0.timer.after(GATHER);
+        let mut gathering = wait > GATHER;
         let mut news = self.0.news();
         loop {
             news.mark_unchanged();
-            if let Some(reply) = self.news(&req) {
+            if let Some(reply) = self.news(&req)
+                && (!gathering || reply.is_urgent() || reply.isolated != req.isolated)
+            {
                 return reply;
             }
             tokio::select! {
                 _ = news.changed() => {}
+                _ = &mut gathered, if gathering => gathering = false,
                 _ = &mut end => {
                     return WatchReply {
                         config: None,
                         config_version: self.0.published.load().version(),
                         directory: None,
                         crashes: Vec::new(),
-                        isolated: false,
+                        isolated: self.is_isolated(),
                     };
                 }
             }
@@ -128,6 +142,10 @@
         Some(confirmed)
     }
 
+    async fn isolated(self, _: Context) -> bool {
+        self.is_isolated()
+    }
+
     async fn keepers(self, _: Context) -> Vec<KeeperInfo> {
         self.0.known_keepers()
     }
--- a/crates/shallothill-keeper/src/keeper.rs
+++ b/crates/shallothill-keeper/src/keeper.rs
@@ -18,6 +18,7 @@
 use tokio::sync::watch;
 
 use crate::config_state::{ConfigState, SectionHistory};
+use crate::isolation::Isolation;
 use crate::ledger::LedgerHandle;
 use crate::log::LogHandle;
 use crate::membership::Membership;
@@ -32,8 +33,6 @@
 /// `VERSION_MAX` is far above any version that is ever reached; a higher one comes from a fault.
 const VERSION_MAX: ConfigVersion = ConfigVersion(1 << 48);
 
-/// `ISOLATED_AFTER` is longer than a usual change of the primary.
-const ISOLATED_AFTER: Duration = Duration::from_millis(1500);
 
 /// `START_MIN` covers the time between two reports of a node, 2 s, with a failed one.
 const START_MIN: Duration = Duration::from_secs(5);
@@ -91,7 +90,7 @@
     pub roster: Mutex<Roster>,
     /// The text that was checked last, by its hash, so that it is not read again to be served.
     pub checked: Mutex<Option<(ContentHash, Arc<Config>)>>,
-    isolation: Mutex<Option<Millis>>,
+    isolation: Mutex<Isolation>,
     news: watch::Sender<()>,
     highest: watch::Sender<ConfigVersion>,
     ahead: Mutex<Option<(ConfigVersion, SocketAddr)>>,
@@ -247,15 +246,8 @@
     /// `watch_isolation` notes whether a primary is known; call it about every 300 ms.
     pub fn watch_isolation(&self) {
         let alone = self.log.status().primary.is_none();
-        let mut since = lock(&self.isolation);
-        if !alone {
-            *since = None;
-        } else if since.is_none() {
-            *since = Some(self.timer.now());
-        }
-        let isolated = self.isolated_since(*since);
-        drop(since);
-        if isolated {
+        let now = self.timer.now();
+        if lock(&self.isolation).note(now, alone) {
             self.wake();
         }
     }
@@ -263,13 +255,7 @@
     /// `is_isolated` tells whether no primary has been known for a while, so that accepted versions
     /// may be missing here.
     pub fn is_isolated(&self) -> bool {
-        let since = *lock(&self.isolation);
-        self.isolated_since(since)
-    }
-
-    fn isolated_since(&self, since: Option<Millis>) -> bool {
-        let now = self.timer.now();
-        since.is_some_and(|at| now.saturating_since(at) >= ISOLATED_AFTER)
+        lock(&self.isolation).is_isolated()
     }
 
     /// `known_keepers` lists the keepers whose places are known, this one included.
--- a/crates/shallothill-keeper/src/lib.rs
+++ b/crates/shallothill-keeper/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod fetch;
 pub mod group;
 pub mod housekeeping;
+pub mod isolation;
 pub mod keeper;
 pub mod key_status;
 pub mod ledger;
--- a/crates/shallothill-keeper/src/peer_server.rs
+++ b/crates/shallothill-keeper/src/peer_server.rs
@@ -19,6 +19,10 @@
 /// `WAIT_MAX` bounds a long poll of another keeper.
 const WAIT_MAX: Duration = Duration::from_secs(10);
 
+/// `GATHER` is the time for which changes of the directory are gathered into one answer, since links
+/// between regions are billed by volume.
+const GATHER: Duration = Duration::from_millis(200);
+
 /// `PeerServer` answers other keepers.
 #[derive(Clone, Debug)]
 pub struct PeerServer {
@@ -57,15 +61,21 @@
         self.keeper.learn_version(req.config_version);
         let wait = Duration::from_millis(u64::from(req.wait_ms)).min(WAIT_MAX);
         let mut end = self.keeper.timer.after(wait);
+        let mut gathered = self.keeper.timer.after(GATHER);
+        let mut gathering = wait > GATHER && req.cursor.is_some();
         let mut news = self.keeper.news();
         let mut ended = false;
         loop {
             news.mark_unchanged();
             if let Some(reply) = self.sync_reply(&req, ended) {
-                return reply;
+                let urgent = reply.config_version > req.config_version || !reply.crashes.is_empty();
+                if urgent || !gathering {
+                    return reply;
+                }
             }
             tokio::select! {
                 _ = news.changed() => {}
+                _ = &mut gathered, if gathering => gathering = false,
                 _ = &mut end => ended = true,
             }
         }
--- a/crates/shallothill-keeper/tests/nodes.rs
+++ b/crates/shallothill-keeper/tests/nodes.rs
@@ -33,6 +33,7 @@
         config_version: ConfigVersion(version),
         cursor,
         complete: last.is_some(),
+        isolated: false,
         wait_ms: 20_000,
     };
     let call = control.call(
@@ -121,6 +122,38 @@
     assert_eq!(**node.config(), common::config(&texts[1]));
 }
 
+/// Guards against hosts that start together and wake each watcher once for each of them, which costs
+/// the square of their number.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn changes_of_the_directory_are_gathered() {
+    const NODES: usize = 40;
+    let gather = Duration::from_millis(200);
+    let group = Group::start(1).await;
+    let control = group.control(0);
+    let mut last = watch(&control, 0, None).await;
+    let started = std::time::Instant::now();
+    let reports = async {
+        for i in 0..NODES {
+            report(&group.control(0), ready(&format!("n{i}"))).await;
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+
+    let follow = async {
+        let (mut seen, mut replies) = (0, 0);
+        while seen < NODES {
+            last = watch(&control, 0, Some(&last)).await;
+            seen += last.directory.as_ref().map_or(0, |d| d.changes.len());
+            replies += 1;
+        }
+        replies
+    };
+    let (replies, ()) = tokio::join!(follow, reports);
+
+    let most = started.elapsed().as_millis() / gather.as_millis() + 1;
+    assert!(replies as u128 <= most, "{replies} replies, at most {most}");
+}
+
 /// A node far behind must get a manifest and reach the same configuration through the sections.
 #[test]
 fn node_without_shared_history_gets_a_manifest() {
--- a/crates/shallothill-node/src/control/config_fetch.rs
+++ b/crates/shallothill-node/src/control/config_fetch.rs
@@ -114,6 +114,7 @@
             config_version: ConfigVersion(0),
             cursor: None,
             complete: false,
+            isolated: false,
             wait_ms: 0,
         };
         let call = keeper
--- a/crates/shallothill-node/src/control/discovery.rs
+++ b/crates/shallothill-node/src/control/discovery.rs
@@ -20,6 +20,13 @@
 /// `REFRESH_EVERY` is the time between two looks at the group of a keeper that answers.
 const REFRESH_EVERY: Duration = Duration::from_secs(5);
 
+/// `NEARER_EVERY` is the time between two looks while no keeper of the own region is known, which is
+/// usual for a moment after all hosts started: what a keeper of another region sends is billed.
+const NEARER_EVERY: Duration = Duration::from_millis(500);
+
+/// `NEARER_LOOKS` bounds these looks, for regions without a keeper.
+const NEARER_LOOKS: u32 = 20;
+
 /// `LOOK_EVERY` is the time between two looks at whether a keeper still answers.
 const LOOK_EVERY: Duration = Duration::from_millis(500);
 
@@ -46,6 +53,7 @@
 
     async fn follow(&self) {
         let mut lost = false;
+        let mut looks = 0;
         loop {
             let all = self.keepers.all();
             let found = match all.iter().find(|k| k.heard()) {
@@ -59,7 +67,13 @@
                     if self.keepers.learn(infos) {
                         info!("discovery: {number} keepers are known");
                     }
-                    REFRESH_EVERY
+                    if !self.keepers.has_near() && looks < NEARER_LOOKS {
+                        looks += 1;
+                        NEARER_EVERY
+                    } else {
+                        looks = 0;
+                        REFRESH_EVERY
+                    }
                 }
                 None => {
                     if !lost {
--- a/crates/shallothill-node/src/control/keepers.rs
+++ b/crates/shallothill-node/src/control/keepers.rs
@@ -135,6 +135,12 @@
         self.all.load_full()
     }
 
+    /// `has_near` tells whether a keeper of the own region is known.
+    pub fn has_near(&self) -> bool {
+        let all = self.all();
+        all.iter().any(|k| k.info.zone.region == self.zone.region)
+    }
+
     /// `group` returns the keepers that serve the ledger and the leases of `region`; there are none
     /// where keepers are discovered, because such a group must not change by itself.
     pub fn group(&self, region: &Region) -> Vec<Arc<Keeper>> {
--- a/crates/shallothill-node/src/control/probe.rs
+++ b/crates/shallothill-node/src/control/probe.rs
@@ -1,10 +1,11 @@
 //! Notices that the followed keeper is behind the others.
 
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use futures::stream::{FuturesUnordered, StreamExt};
+use shallothill_core::ids::KeeperId;
 use shallothill_core::version::ConfigVersion;
 use shallothill_runtime::timer::Timer;
 use shallothill_wire::watch::SectionsRequest;
@@ -32,6 +33,7 @@
 pub struct Move {
     to: AtomicUsize,
     told: AtomicU64,
+    isolated: Mutex<Option<KeeperId>>,
     asked: Notify,
 }
 
@@ -40,6 +42,7 @@
         Self {
             to: AtomicUsize::new(0),
             told: AtomicU64::new(u64::MAX),
+            isolated: Mutex::new(None),
             asked: Notify::new(),
         }
     }
@@ -53,6 +56,22 @@
         self.told.store(version, Ordering::Relaxed);
     }
 
+    /// `told_isolated` records the followed keeper if it says that it is isolated.
+    pub fn told_isolated(&self, keeper: Option<KeeperId>) {
+        *self.isolated.lock().unwrap_or_else(PoisonError::into_inner) = keeper;
+    }
+
+    /// `isolated` returns the followed keeper if it says that it is isolated.
+    pub fn isolated(&self) -> Option<KeeperId> {
+        *self.isolated.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// `follow` asks the watch to follow the keeper at `place` in the list.
+    pub fn follow(&self, place: usize) {
+        self.to.store(place, Ordering::Relaxed);
+        self.asked.notify_one();
+    }
+
     fn is_behind(&self, version: ConfigVersion) -> bool {
         version.0 > self.told.load(Ordering::Relaxed)
     }
@@ -99,8 +118,7 @@
             // The service ends only with the process.
             let _ = self.timer.after(GRACE).await;
             if version > self.store.version() && self.moves.is_behind(version) {
-                self.moves.to.store(place, Ordering::Relaxed);
-                self.moves.asked.notify_one();
+                self.moves.follow(place);
             }
         }
     }
--- a/crates/shallothill-node/src/control/watch.rs
+++ b/crates/shallothill-node/src/control/watch.rs
@@ -86,7 +86,7 @@
             let watched = tokio::select! {
                 watched = self.watch(keeper, &mut position) => watched,
                 to = self.moves.wait() => {
-                info!("watch: keeper {} is behind the others", keeper.id());
+                info!("watch: keeper {} is isolated or behind the others", keeper.id());
                 at = to;
                 moved = now;
                 continue;
@@ -115,12 +115,14 @@
         let first = position.keeper != Some(keeper.id());
         if first {
             self.moves.told(None);
+            self.moves.told_isolated(None);
         }
         let req = WatchRequest {
             node: self.node.clone(),
             config_version: self.store.version(),
             cursor: position.cursor.filter(|_| !first),
             complete: position.complete && !first,
+            isolated: self.moves.isolated().is_some(),
             wait_ms: if first { 0 } else { WAIT.as_millis() as u32 },
         };
         let call = keeper.channel().call(
@@ -137,12 +139,12 @@
             position.complete = false;
         }
         position.keeper = Some(keeper.id());
-        let isolated = reply.isolated;
-        self.take(keeper, position, reply, now).await;
-        if isolated && self.keepers.all().len() > 1 {
-            info!("watch: keeper {} is isolated", keeper.id());
-            return false;
+        let isolated = reply.isolated.then_some(keeper.id());
+        if isolated != self.moves.isolated() {
+            info!("watch: keeper {} is isolated: {}", keeper.id(), reply.isolated);
+            self.moves.told_isolated(isolated);
         }
+        self.take(keeper, position, reply, now).await;
         true
     }
 
--- a/crates/shallothill-node/src/node/mod.rs
+++ b/crates/shallothill-node/src/node/mod.rs
@@ -22,7 +22,7 @@
 use crate::announce::AnnounceServer;
 use crate::config::Store;
 use crate::control::{
-    ConfigFetch, Discovery, Keepers, Move, Probe, Reporter, Watcher, confirmed_version,
+    ConfigFetch, Discovery, Keepers, Move, Probe, Relocation, Reporter, Watcher, confirmed_version,
     learn_version,
 };
 use crate::counters::{Counters, Gauges};
@@ -190,7 +190,7 @@
             crashes: Arc::clone(&self.crashes),
             gate: Arc::clone(&self.gate),
             fetch: Arc::clone(&fetch),
-            moves,
+            moves: Arc::clone(&moves),
             timer: self.timer.clone(),
         };
         let reporter = Reporter {
@@ -214,6 +214,12 @@
                 timer: self.timer.clone(),
             };
             tokio::spawn(discovery.run(self.end.clone()));
+            let relocation = Relocation {
+                keepers: Arc::clone(&self.keepers),
+                moves,
+                timer: self.timer.clone(),
+            };
+            tokio::spawn(relocation.run(self.end.clone()));
         } else {
             tokio::spawn(probe.run(self.end.clone()));
         }
--- a/crates/shallothill-node/tests/support/cluster.rs
+++ b/crates/shallothill-node/tests/support/cluster.rs
@@ -142,6 +142,21 @@
         }
     }
 
+    /// Starts a node that is told seeds in place of a list of keepers.
+    pub async fn start_with_seeds(name: &str, seeds: Vec<SocketAddr>) -> Self {
+        let stop = CancellationToken::new();
+        let settings = Settings {
+            seeds,
+            ..settings(name, &[], Bounds::default())
+        };
+        let node = Node::start(settings, stop.clone()).await.unwrap();
+        Self {
+            node,
+            stop: stop.clone(),
+            _guard: stop.drop_guard(),
+        }
+    }
+
     pub fn caller(&self) -> SocketAddr {
         self.node.addresses().caller
     }
--- a/crates/shallothill-node/tests/support/keepers.rs
+++ b/crates/shallothill-node/tests/support/keepers.rs
@@ -1,14 +1,14 @@
 //! Fake keepers: one shared directory and configuration, and a real ledger member each.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use shallothill_core::config::Config;
 use shallothill_core::idempotency::IdempotencyKey;
-use shallothill_core::ids::{DataCentre, KeeperId, Region};
+use shallothill_core::ids::{DataCentre, KeeperId, Region, Zone};
 use shallothill_core::incarnation::Incarnation;
 use shallothill_core::sections;
 use shallothill_core::time::{Millis, UnixMillis};
@@ -41,6 +41,11 @@
     pub behind: Mutex<Option<(KeeperId, ConfigVersion, Config)>>,
     /// Whether ejections are granted.
     pub grants: AtomicBool,
+    /// The keepers that hear no primary.
+    pub isolated: Mutex<BTreeSet<KeeperId>>,
+    /// Watches that asked for the whole directory.
+    pub first_watches: AtomicUsize,
+    infos: Mutex<Vec<KeeperInfo>>,
     directory: Mutex<Directory>,
     crashes: Mutex<Vec<CrashNotice>>,
     pub claims: Mutex<BTreeMap<IdempotencyKey, usize>>,
@@ -84,6 +89,9 @@
             config: Mutex::new((ConfigVersion(1), cfg)),
             behind: Mutex::default(),
             grants: AtomicBool::new(false),
+            isolated: Mutex::default(),
+            first_watches: AtomicUsize::new(0),
+            infos: Mutex::default(),
             directory: Mutex::new(Directory::new(
                 KeeperId(1),
                 Incarnation(1),
@@ -121,6 +129,14 @@
             data_centre: DataCentre::try_new(&format!("{region}-1")).unwrap(),
             control_address: listener.local_addr().unwrap(),
         });
+        self.shared.infos.lock().unwrap().push(KeeperInfo {
+            id,
+            zone: Zone {
+                region: Region::try_new(region).unwrap(),
+                data_centre: DataCentre::try_new(&format!("{region}-1")).unwrap(),
+            },
+            control_address: listener.local_addr().unwrap(),
+        });
         let stop = CancellationToken::new();
         self.stops.push(stop.clone().drop_guard());
         tokio::spawn(transport::serve(listener, stop, move |channel| {
@@ -143,6 +159,12 @@
     }
 }
 
+impl Server {
+    fn is_isolated(&self) -> bool {
+        self.shared.isolated.lock().unwrap().contains(&self.id)
+    }
+}
+
 fn unix_now() -> UnixMillis {
     let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap();
     UnixMillis(since.as_millis() as u64)
@@ -175,10 +197,15 @@
 
     async fn watch(self, _: Context, req: WatchRequest) -> WatchReply {
         let until = Instant::now() + Duration::from_millis(u64::from(req.wait_ms));
+        if req.cursor.is_none() {
+            self.shared.first_watches.fetch_add(1, Ordering::Relaxed);
+        }
         loop {
+            let isolated = self.is_isolated();
             let (version, cfg) = self.shared.config_of(self.id);
             let delta = self.shared.directory.lock().unwrap().delta(req.cursor);
             let news = version > req.config_version || !delta.changes.is_empty();
+            let news = news || isolated != req.isolated;
             if news || Instant::now() >= until {
                 let manifest = sections::manifest(&sections::split(&cfg));
                 let update = ConfigUpdate::Manifest { version, manifest };
@@ -187,7 +214,7 @@
                     config_version: version,
                     directory: Some(delta),
                     crashes: self.shared.crashes.lock().unwrap().clone(),
-                    isolated: false,
+                    isolated,
                 };
             }
             time::sleep(Duration::from_millis(10)).await;
@@ -212,8 +239,12 @@
         Some(self.sections(cx, req).await.config_version)
     }
 
+    async fn isolated(self, _: Context) -> bool {
+        self.is_isolated()
+    }
+
     async fn keepers(self, _: Context) -> Vec<KeeperInfo> {
-        Vec::new()
+        self.shared.infos.lock().unwrap().clone()
     }
 
     async fn claim(self, _: Context, req: ClaimRequest) -> ClaimReply {
--- a/crates/shallothill-wire/src/control.rs
+++ b/crates/shallothill-wire/src/control.rs
@@ -27,6 +27,9 @@
     /// `confirmed_version` returns the accepted version, no older than any acknowledgement before
     /// the call; `None` when no quorum confirms that.
     async fn confirmed_version() -> Option<ConfigVersion>;
+    /// `isolated` tells whether the keeper has heard no primary of the config log for a while, so that
+    /// it may miss accepted versions.
+    async fn isolated() -> bool;
     /// `keepers` lists the keepers that the answering one knows, itself included.
     async fn keepers() -> Vec<KeeperInfo>;
     /// `claim` supports a claim on a key; the answer is durable.
--- a/crates/shallothill-wire/src/watch.rs
+++ b/crates/shallothill-wire/src/watch.rs
@@ -21,6 +21,8 @@
     /// Whether the node has had the whole directory of this keeper, and not only the nodes that the
     /// keeper had heard of soon after its own start.
     pub complete: bool,
+    /// Whether this keeper said last that it is isolated; only a change of that is news.
+    pub isolated: bool,
     /// How long the keeper may wait before it answers without news, in milliseconds.
     pub wait_ms: u32,
 }
@@ -41,6 +43,14 @@
     pub isolated: bool,
 }
 
+impl WatchReply {
+    /// `is_urgent` tells whether the reply holds more than changes of the directory, which may wait
+    /// a moment for others.
+    pub fn is_urgent(&self) -> bool {
+        self.config.is_some() || !self.crashes.is_empty()
+    }
+}
+
 /// `ConfigUpdate` leads from a version that the node has to a newer one.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum ConfigUpdate {
