policy, node: order the queue by urgency; gates bound retries; fewer refusals from afar

Cause: in an overload every request waited its turn until all were late, and ranks of routes were stored but not acted on. Change: a request that can still make its objective starts before one that is late anyway, then the rank decides, then the time left; one start in eight goes to the one that waited longest. Tests: tests/urgency.rs plays 1.4 times the capacity against the order of arrival.

Change: gates count first and repeated requests in a sliding window and have equal parts of the saved ones; where they do, entries have no budget of their own. Tests: tests/allowance.rs, with the bound over any window and against a budget at each node.

Cause: a request without a retry left asked six gates, four of them in other regions. Change: at most four refusals from other regions and three for the budget.

--- a/crates/shallothill-bench/src/scenarios/cost.rs
+++ b/crates/shallothill-bench/src/scenarios/cost.rs
@@ -111,6 +111,8 @@
         let req = GateRequest {
             class: Class::Shop,
             deadline: now + Duration::from_secs(10),
+            objective: None,
+            rank: 0,
             trial: false,
         };
         if let Admission::Run(ticket) = black_box(gate.offer(now, req)) {
--- a/crates/shallothill-bench/src/sim/ours_request.rs
+++ b/crates/shallothill-bench/src/sim/ours_request.rs
@@ -104,6 +104,8 @@
         let offer = GateRequest {
             class: request.call.class,
             deadline: millis(request.deadline),
+            objective: None,
+            rank: 0,
             trial: trial && request.call.idempotent,
         };
         let host = &mut self.hosts[server];
--- a/crates/shallothill-core/src/headers.rs
+++ b/crates/shallothill-core/src/headers.rs
@@ -38,6 +38,12 @@
 pub const ONCE_PER: &str = "x-shallothill-once-per";
 /// `RANK` is the rank of the request within its class, on hops between nodes.
 pub const RANK: &str = "x-shallothill-rank";
+/// `OBJECTIVE_MS` is the time for which an answer is still of full use, in milliseconds, on hops
+/// between nodes.
+pub const OBJECTIVE_MS: &str = "x-shallothill-objective-ms";
+/// `REPEATED` marks attempts on hops between nodes whose request may have reached a backend server
+/// before.
+pub const REPEATED: &str = "x-shallothill-repeated";
 /// `REACHED` marks responses between nodes when the request reached a backend server.
 pub const REACHED: &str = "x-shallothill-reached";
 /// `RETRY_AFTER_MS` is the time after which a refused request may be sent again, in milliseconds.
--- a/crates/shallothill-node/src/attempt.rs
+++ b/crates/shallothill-node/src/attempt.rs
@@ -47,6 +47,8 @@
     pub key: Option<IdempotencyKey>,
     /// When the answer is no longer of use.
     pub deadline: Instant,
+    /// Until when the answer is of full use, if the route says so.
+    pub objective: Option<Instant>,
     /// Identifies the request across resends.
     pub fingerprint: Fingerprint,
     /// The largest body in bytes.
@@ -64,6 +66,8 @@
     pub number: u8,
     /// Whether the attempt tests an ejected backend server.
     pub trial: bool,
+    /// Whether the request may have reached a backend server before.
+    pub repeated: bool,
     /// What the gate may do with the request when its backend server is suspected.
     pub caution: Caution,
     /// The body.
--- a/crates/shallothill-node/src/entry/attempts.rs
+++ b/crates/shallothill-node/src/entry/attempts.rs
@@ -17,7 +17,7 @@
 use shallothill_policy::pick;
 use shallothill_policy::pick::{PickRequest, Tier};
 use shallothill_policy::retry;
-use shallothill_policy::retry::{Budget, Next, RetryOptions};
+use shallothill_policy::retry::{Budget, Next, RefusedBy, RetryOptions};
 use shallothill_wire::crash::CrashNotice;
 use tokio::time;
 
@@ -119,7 +119,8 @@
             let next = if ended.reply.reached {
                 p.attempts.ended(now, outcome, &p.options, &p.budget)
             } else {
-                p.attempts.refused(now, &p.options)
+                p.attempts
+                    .refused(now, p.refused_by(&ended.reply), &p.options)
             };
             worst = Some(worse(worst, ended));
             match next {
@@ -192,6 +193,7 @@
         }
         let body = p.body().ok_or(NO_ENDPOINT)?;
         let caution = p.attempts.caution(table.endpoints().len());
+        let repeated = p.attempts.reached() > 0;
         p.attempts.started(endpoint.key, &p.options, &p.budget);
         p.sent = now;
         p.last = Some((endpoint.info.id.clone(), picked.tier));
@@ -200,6 +202,7 @@
             endpoint: endpoint.info.id.clone(),
             number: p.attempts.made(),
             trial: picked.trial,
+            repeated,
             caution,
             body,
         };
@@ -262,6 +265,17 @@
         );
     }
 
+    fn refused_by(&self, reply: &Reply) -> RefusedBy {
+        let reason = reply.response.headers().get(headers::REASON);
+        if reason.is_some_and(|r| r.as_bytes() == gate::RETRY_BUDGET.as_bytes()) {
+            return RefusedBy::Budget;
+        }
+        match self.last {
+            Some((_, Tier::Other)) => RefusedBy::Far,
+            _ => RefusedBy::Near,
+        }
+    }
+
     fn may_repeat(&self) -> bool {
         matches!(self.payload, Some(Payload::Whole(..)))
     }
--- a/crates/shallothill-node/src/entry/mod.rs
+++ b/crates/shallothill-node/src/entry/mod.rs
@@ -103,16 +103,6 @@
         self.leaving.load(Ordering::Relaxed)
     }
 
-    /// `refresh_budgets` divides the saved retries of each service by the number of `nodes`.
-    pub fn refresh_budgets(&self, nodes: usize) {
-        let cfg = self.parts.store.load();
-        let budgets = self.budgets.read().unwrap_or_else(PoisonError::into_inner);
-        for (name, budget) in budgets.iter() {
-            let saved = cfg.service(name).and_then(|s| s.retry_budget_saved);
-            budget.share(saved, nodes);
-        }
-    }
-
     /// `serving` tells whether requests are served.
     pub fn serving(&self) -> bool {
         self.serving.load(Ordering::Relaxed)
--- a/crates/shallothill-node/src/entry/prepare.rs
+++ b/crates/shallothill-node/src/entry/prepare.rs
@@ -91,7 +91,9 @@
             }
         };
         let route = &named.route;
-        let deadline = Instant::now() + self.time_allowed(&parts.headers, route)?;
+        let arrived = Instant::now();
+        let deadline = arrived + self.time_allowed(&parts.headers, route)?;
+        let objective = route.objective.map(|o| arrived + o);
         let key = read_key(&parts.headers, route)?;
         let caller = known_caller(&parts.headers, &cfg);
         let class = class_of(&parts.headers, route, caller.as_ref().map(|(_, c)| *c));
@@ -115,6 +117,7 @@
             class,
             key,
             deadline,
+            objective,
             fingerprint,
         };
         let head = build_head(parts, &named, facts);
@@ -248,6 +251,7 @@
     class: Class,
     key: Option<IdempotencyKey>,
     deadline: Instant,
+    objective: Option<Instant>,
     fingerprint: Fingerprint,
 }
 
@@ -275,6 +279,7 @@
         attempts: named.route.attempts,
         key: facts.key,
         deadline: facts.deadline,
+        objective: facts.objective,
         fingerprint: facts.fingerprint,
         max_body: named.route.max_body_bytes,
     }
--- a/crates/shallothill-node/src/gate/endpoint.rs
+++ b/crates/shallothill-node/src/gate/endpoint.rs
@@ -5,7 +5,6 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use shallothill_core::class::Class;
 use shallothill_core::hash::Fingerprint;
 use shallothill_core::health::ServingState;
 use shallothill_core::ids::EndpointId;
@@ -18,11 +17,13 @@
 use shallothill_policy::gray;
 use shallothill_policy::gray::{Caution, GrayOptions, Sign};
 use shallothill_policy::pick::ReportedLoad;
+use shallothill_policy::retry::{Allowance, AllowanceOptions};
 use shallothill_runtime::timer::Timer;
 use tokio::sync::oneshot;
 use tokio::time;
 use tokio::time::Instant;
 
+use crate::attempt::Head;
 use crate::gate::Pool;
 use crate::gate::slot::Slot;
 use crate::refusal::Refusal;
@@ -33,6 +34,8 @@
     pub(crate) gate: admit::Gate,
     pub(crate) health: EndpointHealth,
     pub(crate) gray: gray::Estimate,
+    /// The part in the retries of the service, where gates bound them.
+    allowance: Option<Allowance>,
     /// Tokens to give back at the keepers; the watchdog sends them.
     pub(crate) releases: Vec<ReleaseRequest>,
     /// When a summary was last asked for.
@@ -82,6 +85,7 @@
                 gate: life.gate,
                 health: life.health,
                 gray: gray::Estimate::new(life.gray),
+                allowance: None,
                 releases: Vec::new(),
                 summary_asked: Millis(0),
                 up: true,
@@ -143,6 +147,48 @@
         Err(SUSPECT)
     }
 
+    /// `share_retries` sets the part in the retries of the service, or lifts the bound.
+    pub(crate) fn share_retries(&self, options: Option<AllowanceOptions>) {
+        let now = self.now();
+        let mut inner = self.lock();
+        match (options, &mut inner.allowance) {
+            (None, allowance) => *allowance = None,
+            (Some(options), Some(allowance)) => allowance.set_options(options),
+            (Some(options), allowance) => *allowance = Some(Allowance::new(options, now)),
+        }
+    }
+
+    /// `may_retry` tells whether a repeated request would be passed on now.
+    ///
+    /// Fails with a refusal as not run.
+    pub(crate) fn may_retry(&self) -> Result<(), Refusal> {
+        let now = self.now();
+        match &self.lock().allowance {
+            Some(allowance) if !allowance.allows(now) => Err(RETRIES_USED),
+            _ => Ok(()),
+        }
+    }
+
+    /// `take_retry` counts a repeated request that is passed on.
+    ///
+    /// Fails with a refusal as not run when the part in the retries is used up.
+    pub(crate) fn take_retry(&self) -> Result<(), Refusal> {
+        self.may_retry()?;
+        let now = self.now();
+        if let Some(allowance) = &mut self.lock().allowance {
+            allowance.repeated(now);
+        }
+        Ok(())
+    }
+
+    /// `count_first` counts a request that is passed on for the first time.
+    pub(crate) fn count_first(&self) {
+        let now = self.now();
+        if let Some(allowance) = &mut self.lock().allowance {
+            allowance.first(now);
+        }
+    }
+
     /// `suspicion` returns the state to tell others while a spell of gray failure is likely:
     /// `Ejected` when a trial is due, else `Demoted`.
     pub(crate) fn suspicion(&self) -> Option<ServingState> {
@@ -188,20 +234,19 @@
         self.lock().up
     }
 
-    /// `admit` waits for a slot until `deadline`.
+    /// `admit` waits for a slot until the deadline of the request.
     ///
     /// Fails with a refusal as not run.
-    pub(crate) async fn admit(
-        self: &Arc<Self>,
-        class: Class,
-        trial: bool,
-        deadline: Instant,
-    ) -> Result<Slot, Refusal> {
+    pub(crate) async fn admit(self: &Arc<Self>, head: &Head, trial: bool) -> Result<Slot, Refusal> {
         let now = self.now();
-        let left = deadline.saturating_duration_since(Instant::now());
+        let clock = Instant::now();
+        let deadline = head.deadline;
+        let at = |instant: Instant| now + instant.saturating_duration_since(clock);
         let req = GateRequest {
-            class,
-            deadline: now + left,
+            class: head.class,
+            deadline: at(deadline),
+            objective: head.objective.map(at),
+            rank: head.rank,
             trial,
         };
         let (ticket, rx) = {
@@ -359,6 +404,14 @@
     "the backend server does not listen; send the request again",
 );
 
+/// `RETRY_BUDGET` is the reason of refusals of repeated requests, of which a service has enough.
+pub(crate) const RETRY_BUDGET: &str = "retry-budget";
+
+const RETRIES_USED: Refusal = Refusal::not_run(
+    RETRY_BUDGET,
+    "the service has no retries left at this backend server; send the request again",
+);
+
 const SUSPECT: Refusal = Refusal::not_run(
     "suspect",
     "the backend server fails most requests now; send the request again",
@@ -370,7 +423,7 @@
         admit::Refusal::Ejected => "the backend server is ejected; send the request again",
         admit::Refusal::QueueFull => "all slots and the queue are full; send the request later",
         admit::Refusal::Deadline => "the deadline cannot be met; allow more time or send it later",
-        admit::Refusal::Shed => "a request of a higher class took the place; send it later",
+        admit::Refusal::Shed => "a more urgent request took the place; send it later",
     };
     Refusal {
         retry_after: Some(retry_after),
--- a/crates/shallothill-node/src/gate/lifecycle.rs
+++ b/crates/shallothill-node/src/gate/lifecycle.rs
@@ -16,6 +16,8 @@
 use shallothill_policy::detect::{DetectOptions, Detector};
 use shallothill_policy::eject::{EjectOptions, Ejector, EndpointHealth};
 use shallothill_policy::gray::GrayOptions;
+use shallothill_policy::pick::Tables;
+use shallothill_policy::retry::AllowanceOptions;
 use shallothill_wire::crash::CrashNotice;
 use tokio::time;
 
@@ -157,6 +159,18 @@
         }
     }
 
+    /// `divide_retries` gives each backend server its part in the retries of its service, by the number
+    /// of gates that the directory knows; call it about every 250 ms.
+    pub fn divide_retries(&self, tables: &Tables) {
+        let snapshot = self.parts.store.load();
+        for ((service, _), endpoint) in self.endpoints.load().iter() {
+            let gates = tables.service(service).map_or(1, |t| t.endpoints().len());
+            let options = snapshot.service(service);
+            let options = options.and_then(|s| AllowanceOptions::from_service(s, gates));
+            endpoint.share_retries(options);
+        }
+    }
+
     /// `statuses` returns what other nodes need to know; crashed backend servers are left out.
     pub fn statuses(&self) -> Vec<EndpointStatus> {
         let endpoints = self.endpoints.load();
--- a/crates/shallothill-node/src/gate/mod.rs
+++ b/crates/shallothill-node/src/gate/mod.rs
@@ -39,6 +39,7 @@
 pub use announcement::{Announced, Announcement};
 pub(crate) use backend::{Connection, Pool, SendError};
 pub use endpoint::Endpoint;
+pub(crate) use endpoint::RETRY_BUDGET;
 pub(crate) use exchange::{BODY_INCOMPLETE, BODY_TOO_LARGE, BODY_TOO_SLOW};
 pub use ledger::Ledger;
 pub use slot::Running;
@@ -162,9 +163,13 @@
             }
         };
         endpoint.spare(attempt.caution)?;
+        if attempt.repeated {
+            endpoint.may_retry()?;
+        }
         if head.idempotent {
             let trial = attempt.trial;
-            let slot = endpoint.admit(head.class, trial, head.deadline).await?;
+            let slot = endpoint.admit(&head, trial).await?;
+            let slot = slot.for_repeated(attempt.repeated)?;
             return self.forward(slot, head, attempt.body, place).await;
         }
         let key = match head.once_per {
@@ -175,7 +180,8 @@
         // Held until the request has been written.
         let reserved = self.parts.buffers.reserve(expected).ok_or(NO_MEMORY)?;
         let body = exchange::read_whole(&mut attempt.body, head.deadline).await?;
-        let slot = endpoint.admit(head.class, false, head.deadline).await?;
+        let slot = endpoint.admit(&head, false).await?;
+        let slot = slot.for_repeated(attempt.repeated)?;
         let reply = match key {
             Some(key) => self.run_claimed(slot, head, key, body, place).await,
             None => self.forward(slot, head, Body::full(body), place).await,
--- a/crates/shallothill-node/src/gate/slot.rs
+++ b/crates/shallothill-node/src/gate/slot.rs
@@ -10,12 +10,14 @@
 
 use crate::crashes::Place;
 use crate::gate::{Connection, Endpoint};
+use crate::refusal::Refusal;
 
 /// `Slot` holds a slot; dropping it frees the slot.
 #[derive(Debug)]
 pub(crate) struct Slot {
     endpoint: Arc<Endpoint>,
     ticket: Ticket,
+    repeated: bool,
     started: Option<Instant>,
     observed: bool,
     served: Option<Duration>,
@@ -26,12 +28,24 @@
         Self {
             endpoint,
             ticket,
+            repeated: false,
             started: None,
             observed: false,
             served: None,
         }
     }
 
+    /// `for_repeated` marks the slot of a request that may have reached a backend server before.
+    ///
+    /// Fails with a refusal as not run when the retries of the service are used up.
+    pub(crate) fn for_repeated(mut self, repeated: bool) -> Result<Self, Refusal> {
+        self.repeated = repeated;
+        if repeated {
+            self.endpoint.take_retry()?;
+        }
+        Ok(self)
+    }
+
     /// `endpoint` returns the backend server.
     pub(crate) fn endpoint(&self) -> &Arc<Endpoint> {
         &self.endpoint
@@ -42,6 +56,9 @@
         if self.started.is_none() {
             self.started = Some(Instant::now());
             self.endpoint.start(self.ticket, fingerprint);
+            if !self.repeated {
+                self.endpoint.count_first();
+            }
         }
     }
 
--- a/crates/shallothill-node/src/node/mod.rs
+++ b/crates/shallothill-node/src/node/mod.rs
@@ -254,7 +254,7 @@
                 _ = refresh.recv() => {
                     self.view.refresh(self.timer.now());
                     self.gate.expire();
-                    self.entry.refresh_budgets(self.view.size());
+                    self.gate.divide_retries(&self.view.tables());
                 }
                 _ = tidy.recv() => self.links.drop_idle(),
                 _ = send.recv() => self.counters.send(&self.metrics, &mut sent, self.gauges()),
--- a/crates/shallothill-node/src/peer/codec.rs
+++ b/crates/shallothill-node/src/peer/codec.rs
@@ -62,6 +62,9 @@
     if attempt.trial {
         put(map, headers::TRIAL, "true");
     }
+    if attempt.repeated {
+        put(map, headers::REPEATED, "true");
+    }
     if attempt.caution != Caution::Trust {
         put(map, headers::CAUTION, attempt.caution.as_str());
     }
@@ -74,6 +77,10 @@
     if head.rank > 0 {
         put(map, headers::RANK, &head.rank.to_string());
     }
+    if let Some(objective) = head.objective {
+        let left = objective.saturating_duration_since(Instant::now());
+        put(map, headers::OBJECTIVE_MS, &left.as_millis().to_string());
+    }
     if let Some(key) = &head.key {
         put(map, headers::IDEMPOTENCY_KEY, &key.to_string());
     }
@@ -99,6 +106,7 @@
     let version = ConfigVersion(number(headers::CONFIG_VERSION)?);
     let fingerprint = Fingerprint(number(headers::FINGERPRINT)?);
     let trial = text(headers::TRIAL).is_some();
+    let repeated = text(headers::REPEATED).is_some();
     let caution = Caution::from_name(text(headers::CAUTION).unwrap_or_default());
     let (max_body, idempotent_here) = max_body(&route);
     let idempotent = idempotent_here && text(headers::IDEMPOTENT) != Some("false");
@@ -115,7 +123,9 @@
     header_filter::strip_own(&mut kept);
     kept.remove(header::HOST);
     let root = || PathAndQuery::from_static("/");
-    let deadline = Instant::now() + left;
+    let arrived = Instant::now();
+    let deadline = arrived + left;
+    let objective = number(headers::OBJECTIVE_MS).map(|ms| arrived + Duration::from_millis(ms));
     let head = Head {
         method: parts.method,
         path: parts.uri.path_and_query().cloned().unwrap_or_else(root),
@@ -130,6 +140,7 @@
         attempts: None,
         key,
         deadline,
+        objective,
         fingerprint,
         max_body,
     };
@@ -143,6 +154,7 @@
         endpoint,
         number: attempt_number,
         trial,
+        repeated,
         caution,
         body: Body::stream(Bytes::new(), incoming, max_body).until(deadline),
     };
--- a/crates/shallothill-policy/src/admit/gate.rs
+++ b/crates/shallothill-policy/src/admit/gate.rs
@@ -66,7 +66,7 @@
         if self.has_room() && self.queue.len() == 0 {
             return self.run();
         }
-        self.enqueue(req)
+        self.enqueue(now, req)
     }
 
     // Requests that were running when the endpoint was ejected take no place of a trial.
@@ -125,7 +125,11 @@
         if !self.has_room() {
             return None;
         }
-        let next = self.queue.next(self.options.internal_every)?;
+        let usual = self.usual_latency();
+        let options = &self.options;
+        let next = self
+            .queue
+            .next(now, usual, options.internal_every, options.fair_every)?;
         if !self.can_finish(now, next.deadline, 0.0) {
             return Some(Start::Refused(next.ticket, Refusal::Deadline));
         }
@@ -219,28 +223,36 @@
         Ticket(self.tickets)
     }
 
-    fn enqueue(&mut self, req: GateRequest) -> Admission {
+    fn enqueue(&mut self, now: Millis, req: GateRequest) -> Admission {
         let internal = req.class.is_internal();
         let places = usize::from(self.options.queue);
         let for_callers = places - usize::from(self.options.internal_queue());
-        if !internal && self.queue.callers_len() >= for_callers {
-            return self.refuse(Refusal::QueueFull);
-        }
-        if self.queue.len() >= places {
-            // Internal work that waits beyond its own places makes room for callers.
-            let shed = if internal {
-                None
-            } else {
-                self.queue.shed_internal()
+        let waiting = Waiting {
+            ticket: self.ticket(),
+            deadline: req.deadline,
+            objective: req.objective.unwrap_or(req.deadline),
+            rank: req.rank,
+        };
+        let callers_full = !internal && self.queue.callers_len() >= for_callers;
+        if callers_full || self.queue.len() >= places {
+            // A more urgent caller takes the place of the least urgent one; internal work that
+            // waits beyond its own places makes room for callers.
+            let usual = self.usual_latency();
+            let shed = match (internal, callers_full) {
+                (true, _) => None,
+                (false, true) => {
+                    let urgency = waiting.urgency(now, usual);
+                    self.queue.shed_caller(now, usual, urgency)
+                }
+                (false, false) => self.queue.shed_internal(),
             };
             let Some(shed) = shed else {
                 return self.refuse(Refusal::QueueFull);
             };
             self.settled.push_back(Start::Refused(shed, Refusal::Shed));
         }
-        let ticket = self.ticket();
-        let deadline = req.deadline;
-        self.queue.push(internal, Waiting { ticket, deadline });
+        let ticket = waiting.ticket;
+        self.queue.push(internal, waiting);
         Admission::Queued(ticket)
     }
 
--- a/crates/shallothill-policy/src/admit/options.rs
+++ b/crates/shallothill-policy/src/admit/options.rs
@@ -20,6 +20,8 @@
     pub cold_start_requests: u32,
     /// Of this many starts, one goes to internal work while both kinds wait.
     pub internal_every: u32,
+    /// Of this many starts of callers' requests, one goes to the request that has waited longest.
+    pub fair_every: u32,
     /// Part of the queue (one in this many places, at least one) that internal work keeps.
     pub internal_queue_part: u16,
 }
@@ -34,6 +36,7 @@
             cold_start_requests: 50,
             // A twentieth keeps invoices moving and costs callers little of the capacity.
             internal_every: 20,
+            fair_every: 8,
             internal_queue_part: 8,
         }
     }
--- a/crates/shallothill-policy/src/admit/queue.rs
+++ b/crates/shallothill-policy/src/admit/queue.rs
@@ -1,6 +1,6 @@
 //! The requests that wait at a gate.
 
-use std::collections::VecDeque;
+use std::time::Duration;
 
 use shallothill_core::time::Millis;
 
@@ -10,14 +10,45 @@
 pub(crate) struct Waiting {
     pub(crate) ticket: Ticket,
     pub(crate) deadline: Millis,
+    /// Until when an answer is of full use.
+    pub(crate) objective: Millis,
+    pub(crate) rank: u8,
 }
 
-/// `Queue` holds waiting requests, those of callers and internal ones apart.
+/// `Urgency` orders waiting requests; the least one starts first, the greatest one is shed first.
+///
+/// A request that can still be answered within its objective goes before one that will be late
+/// anyway, since running the late one first makes both late. Among them the rank decides, then the
+/// time that is left.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub(crate) struct Urgency {
+    late: bool,
+    rank: u8,
+    until: Millis,
+    ticket: Ticket,
+}
+
+impl Waiting {
+    /// Judges the request when an answer takes `usual`.
+    pub(crate) fn urgency(&self, now: Millis, usual: Duration) -> Urgency {
+        let late = now + usual > self.objective;
+        Urgency {
+            late,
+            rank: self.rank,
+            until: if late { self.deadline } else { self.objective },
+            ticket: self.ticket,
+        }
+    }
+}
+
+/// `Queue` holds waiting requests, those of callers and internal ones apart, each in the order of
+/// their arrival.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Queue {
-    callers: VecDeque<Waiting>,
-    internal: VecDeque<Waiting>,
+    callers: Vec<Waiting>,
+    internal: Vec<Waiting>,
     starts: u32,
+    fair_starts: u32,
 }
 
 impl Queue {
@@ -29,11 +60,12 @@
         self.callers.len()
     }
 
-    /// Takes out a request whose deadline has passed, if one stands at a front.
+    /// Takes out a request whose deadline has passed.
     pub(crate) fn pop_expired(&mut self, now: Millis) -> Option<Waiting> {
+        let expired = |w: &Waiting| w.deadline <= now;
         for queue in [&mut self.callers, &mut self.internal] {
-            if queue.front().is_some_and(|w| w.deadline <= now) {
-                return queue.pop_front();
+            if let Some(i) = queue.iter().position(expired) {
+                return Some(queue.remove(i));
             }
         }
         None
@@ -41,32 +73,56 @@
 
     pub(crate) fn push(&mut self, internal: bool, waiting: Waiting) {
         if internal {
-            self.internal.push_back(waiting);
+            self.internal.push(waiting);
         } else {
-            self.callers.push_back(waiting);
+            self.callers.push(waiting);
         }
     }
 
     /// Takes the youngest internal request out, which has waited least.
     pub(crate) fn shed_internal(&mut self) -> Option<Ticket> {
-        self.internal.pop_back().map(|w| w.ticket)
+        self.internal.pop().map(|w| w.ticket)
+    }
+
+    /// Takes the least urgent caller's request out, if it is less urgent than `than`.
+    pub(crate) fn shed_caller(
+        &mut self,
+        now: Millis,
+        usual: Duration,
+        than: Urgency,
+    ) -> Option<Ticket> {
+        let urgency = |w: &Waiting| w.urgency(now, usual);
+        let all = self.callers.iter().enumerate();
+        let (i, last) = all.max_by_key(|(_, w)| urgency(w))?;
+        (urgency(last) > than).then(|| self.callers.remove(i).ticket)
     }
 
     /// Takes the next request to start: callers first, but an internal one every
-    /// `internal_every` starts at which both wait.
-    pub(crate) fn next(&mut self, internal_every: u32) -> Option<Waiting> {
-        if self.callers.is_empty() || self.internal.is_empty() {
-            return self
-                .callers
-                .pop_front()
-                .or_else(|| self.internal.pop_front());
+    /// `internal_every` starts at which both wait. One in `fair_every` callers is the one that has
+    /// waited longest, whatever its urgency, so that no kind of request is starved.
+    pub(crate) fn next(
+        &mut self,
+        now: Millis,
+        usual: Duration,
+        internal_every: u32,
+        fair_every: u32,
+    ) -> Option<Waiting> {
+        if self.callers.is_empty() {
+            return take_first(&mut self.internal, now, usual);
+        }
+        if !self.internal.is_empty() {
+            self.starts += 1;
+            if self.starts >= internal_every {
+                self.starts = 0;
+                return take_first(&mut self.internal, now, usual);
+            }
         }
-        self.starts += 1;
-        if self.starts >= internal_every {
-            self.starts = 0;
-            return self.internal.pop_front();
+        self.fair_starts += 1;
+        if self.fair_starts >= fair_every {
+            self.fair_starts = 0;
+            return Some(self.callers.remove(0));
         }
-        self.callers.pop_front()
+        take_first(&mut self.callers, now, usual)
     }
 
     pub(crate) fn remove(&mut self, ticket: Ticket) -> bool {
@@ -80,8 +136,12 @@
     }
 
     pub(crate) fn pop_any(&mut self) -> Option<Waiting> {
-        self.callers
-            .pop_front()
-            .or_else(|| self.internal.pop_front())
+        self.callers.pop().or_else(|| self.internal.pop())
     }
 }
+
+fn take_first(queue: &mut Vec<Waiting>, now: Millis, usual: Duration) -> Option<Waiting> {
+    let all = queue.iter().enumerate();
+    let (i, _) = all.min_by_key(|(_, w)| w.urgency(now, usual))?;
+    Some(queue.remove(i))
+}
--- a/crates/shallothill-policy/src/admit/request.rs
+++ b/crates/shallothill-policy/src/admit/request.rs
@@ -16,6 +16,10 @@
     pub class: Class,
     /// When the caller stops waiting.
     pub deadline: Millis,
+    /// Until when an answer is of full use to the caller, if that is before the deadline.
+    pub objective: Option<Millis>,
+    /// The rank within the class; 0 goes first.
+    pub rank: u8,
     /// Whether the request may serve as a trial: marked as one and idempotent.
     pub trial: bool,
 }
@@ -31,7 +35,7 @@
     QueueFull,
     /// The deadline cannot be met.
     Deadline,
-    /// A request of a higher class took the place in the queue.
+    /// A request of a higher class, or a more urgent one, took the place in the queue.
     Shed,
 }
 
--- a/crates/shallothill-policy/src/retry/attempts.rs
+++ b/crates/shallothill-policy/src/retry/attempts.rs
@@ -14,6 +14,24 @@
 // row mean that the service is full.
 const MOST_REFUSALS: u8 = 6;
 
+// A refusal from another region costs a tenth of what an answer is worth, and says that the service
+// has little room anywhere.
+const MOST_FAR_REFUSALS: u8 = 4;
+
+// The gates of a service have equal parts in its retries, so that three without any left say enough.
+const MOST_BUDGET_REFUSALS: u8 = 3;
+
+/// `RefusedBy` tells what kind of gate refused an attempt, and why.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum RefusedBy {
+    /// A gate of the own region.
+    Near,
+    /// A gate of another region.
+    Far,
+    /// A gate whose part in the retries of the service is used up.
+    Budget,
+}
+
 /// `Next` tells what follows an ended attempt.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Next {
@@ -32,6 +50,8 @@
     deadline: Millis,
     made: u8,
     refused: u8,
+    refused_far: u8,
+    refused_for_budget: u8,
     running: u8,
     used: [EndpointKey; MOST_ATTEMPTS],
     worst: Outcome,
@@ -46,6 +66,8 @@
             deadline,
             made: 0,
             refused: 0,
+            refused_far: 0,
+            refused_for_budget: 0,
             running: 0,
             used: [EndpointKey::default(); MOST_ATTEMPTS],
             worst: Outcome::RefusedNotRun,
@@ -88,7 +110,7 @@
             return Next::Wait;
         }
         let allowed = outcome.allows_retry(self.idempotent) && self.may_add(now, options);
-        if allowed && budget.withdraw() {
+        if allowed && withdraw(options, budget) {
             return Next::Retry;
         }
         Next::Return(self.worst)
@@ -96,9 +118,11 @@
 
     /// `refused` decides what follows an attempt that reached no backend server. Another one costs
     /// nothing of the budget, which bounds the load on backend servers.
-    pub fn refused(&mut self, now: Millis, options: &RetryOptions) -> Next {
+    pub fn refused(&mut self, now: Millis, by: RefusedBy, options: &RetryOptions) -> Next {
         self.running = self.running.saturating_sub(1);
         self.refused = self.refused.saturating_add(1);
+        self.refused_far += u8::from(by == RefusedBy::Far);
+        self.refused_for_budget += u8::from(by == RefusedBy::Budget);
         if self.responding {
             return Next::Return(Outcome::RefusedNotRun);
         }
@@ -107,7 +131,10 @@
         }
         // An attempt that may have run is repeated only where that does no harm.
         let allowed = self.worst.allows_retry(self.idempotent);
-        if allowed && self.refused <= MOST_REFUSALS && self.may_add(now, options) {
+        let few = self.refused <= MOST_REFUSALS
+            && self.refused_far < MOST_FAR_REFUSALS
+            && self.refused_for_budget < MOST_BUDGET_REFUSALS;
+        if allowed && few && self.may_add(now, options) {
             return Next::Retry;
         }
         Next::Return(self.worst)
@@ -126,7 +153,7 @@
             .hedge_after
             .is_some_and(|after| now.saturating_since(sent) >= after);
         let allowed = due && self.idempotent && !self.responding && self.running == 1;
-        allowed && self.may_add(now, options) && budget.withdraw()
+        allowed && self.may_add(now, options) && withdraw(options, budget)
     }
 
     /// `used` returns the endpoints of earlier attempts, for `pick::PickRequest::avoid`.
@@ -138,7 +165,7 @@
     /// suspected, where the service has `choices` of them. After many refusals a repeatable request
     /// is to be run anyway.
     pub fn caution(&self, choices: usize) -> Caution {
-        let failed = self.made > self.refused;
+        let failed = self.reached() > 0;
         Caution::of(self.idempotent, failed, self.refused, choices)
     }
 
@@ -147,13 +174,21 @@
         self.made
     }
 
+    /// `reached` returns the number of attempts that reached a backend server, or still may.
+    pub fn reached(&self) -> u8 {
+        self.made.saturating_sub(self.refused)
+    }
+
     fn may_add(&self, now: Millis, options: &RetryOptions) -> bool {
-        let reached = self.made.saturating_sub(self.refused);
         let room = usize::from(self.made) < MOST_ATTEMPTS;
-        room && reached < options.max_attempts && now < self.deadline
+        room && self.reached() < options.max_attempts && now < self.deadline
     }
 }
 
+fn withdraw(options: &RetryOptions, budget: &Budget) -> bool {
+    options.bounded_by_gates || budget.withdraw()
+}
+
 // The caller learns the outcome that says most about whether its request ran.
 fn worse(a: Outcome, b: Outcome) -> Outcome {
     let rank = |o: Outcome| match o {
--- a/crates/shallothill-policy/src/retry/budget.rs
+++ b/crates/shallothill-policy/src/retry/budget.rs
@@ -12,34 +12,20 @@
 #[derive(Debug)]
 pub struct Budget {
     hundredths: AtomicU64,
-    most: AtomicU64,
 }
 
 impl Default for Budget {
     fn default() -> Self {
         Self {
             hundredths: AtomicU64::new(MOST),
-            most: AtomicU64::new(MOST),
         }
     }
 }
 
 impl Budget {
-    /// `share` limits the saved retries to this node's part of the `saved` ones that all `nodes`
-    /// together may have; `None` leaves them at ten.
-    pub fn share(&self, saved: Option<u32>, nodes: usize) {
-        let part = |saved| u64::from(saved) * RETRY / (nodes.max(1) as u64);
-        let most = saved.map_or(MOST, part).min(MOST);
-        if self.most.swap(most, Ordering::Relaxed) != most {
-            self.hundredths.fetch_min(most, Ordering::Relaxed);
-        }
-    }
-
     /// `deposit` counts a first attempt.
     pub fn deposit(&self, percent: u8) {
-        // A part below one retry would never add up to one.
-        let most = self.most.load(Ordering::Relaxed).max(RETRY);
-        let add = |n: u64| (n < most).then(|| most.min(n + u64::from(percent)));
+        let add = |n: u64| (n < MOST).then(|| MOST.min(n + u64::from(percent)));
         let _ = self
             .hundredths
             .fetch_update(Ordering::Relaxed, Ordering::Relaxed, add);
--- a/crates/shallothill-policy/src/retry/options.rs
+++ b/crates/shallothill-policy/src/retry/options.rs
@@ -11,6 +11,9 @@
     pub max_attempts: u8,
     /// Retries and hedges allowed per 100 first attempts.
     pub budget_percent: u8,
+    /// Whether the gates of the service bound its retries, each by its [`crate::retry::Allowance`], in
+    /// place of the budget of each entry node.
+    pub bounded_by_gates: bool,
     /// Time after which an idempotent request gets a second attempt beside the first, if any.
     pub hedge_after: Option<Duration>,
 }
@@ -20,6 +23,7 @@
         Self {
             max_attempts: 3,
             budget_percent: 10,
+            bounded_by_gates: false,
             hedge_after: None,
         }
     }
@@ -31,6 +35,7 @@
         Self {
             max_attempts: service.max_attempts,
             budget_percent: service.retry_budget_percent,
+            bounded_by_gates: service.retry_budget_saved.is_some(),
             hedge_after: service.hedge_after,
         }
     }
--- a/crates/shallothill-policy/tests/admit.rs
+++ b/crates/shallothill-policy/tests/admit.rs
@@ -37,6 +37,8 @@
     GateRequest {
         class,
         deadline: Millis(deadline),
+        objective: None,
+        rank: 0,
         trial: false,
     }
 }
--- /dev/null
+++ b/crates/shallothill-policy/tests/allowance.rs
@@ -0,0 +1,145 @@
+//! Plays failures in bursts against the retries that a service may have.
+
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use shallothill_core::time::Millis;
+use shallothill_policy::retry::{Allowance, AllowanceOptions};
+
+const NODES: usize = 36;
+const GATES: usize = 12;
+const PERCENT: u8 = 14;
+const SAVED: f64 = 42.0;
+const WINDOW_MS: u64 = 10_000;
+const SEEDS: [u64; 4] = [1, 2, 3, 4];
+
+/// One request that a backend server received.
+#[derive(Clone, Copy, Debug)]
+struct Arrival {
+    at: u64,
+    repeated: bool,
+}
+
+fn part() -> AllowanceOptions {
+    AllowanceOptions {
+        percent: PERCENT,
+        saved: SAVED / GATES as f64,
+        ..AllowanceOptions::default()
+    }
+}
+
+/// Returns the largest excess of retries over the bound of any window, at most 0 if it is kept.
+fn excess(arrivals: &[Arrival]) -> f64 {
+    let of = |from: u64, repeated: bool| {
+        let within = arrivals
+            .iter()
+            .filter(|a| a.at >= from && a.at < from + WINDOW_MS);
+        within.filter(|a| a.repeated == repeated).count() as f64
+    };
+    let last = arrivals.last().map_or(0, |a| a.at);
+    let excess = (0..last)
+        .step_by(100)
+        .map(|from| of(from, true) - (of(from, false) * f64::from(PERCENT) / 100.0 + SAVED));
+    excess.fold(f64::MIN, f64::max)
+}
+
+/// Guards against gates that together pass on more retries in a window than the service may have,
+/// also while all requests fail, traffic ends, or gates start again.
+#[test]
+fn holds_all_gates_together_stay_within_the_budget() {
+    for seed in SEEDS {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let mut gates: Vec<Allowance> = (0..GATES)
+            .map(|_| Allowance::new(part(), Millis(0)))
+            .collect();
+        let mut arrivals = Vec::new();
+        for at in (0..90_000).step_by(5) {
+            // Thirty seconds of traffic, ten of retries alone, then traffic in which gates restart.
+            let quiet = (30_000..40_000).contains(&at);
+            let gate = rng.random_range(0..GATES);
+            if at > 50_000 && rng.random_bool(0.0005) {
+                gates[gate] = Allowance::new(part(), Millis(at));
+            }
+            if !quiet && rng.random_bool(0.2) {
+                gates[gate].first(Millis(at));
+                arrivals.push(Arrival {
+                    at,
+                    repeated: false,
+                });
+            }
+            if gates[gate].allows(Millis(at)) {
+                gates[gate].repeated(Millis(at));
+                arrivals.push(Arrival { at, repeated: true });
+            }
+        }
+
+        let excess = excess(&arrivals);
+
+        assert!(excess <= 0.0, "seed {seed}: {excess}");
+        let repeated = arrivals.iter().filter(|a| a.repeated).count();
+        assert!(repeated > 300, "seed {seed}: {repeated}");
+    }
+}
+
+/// A budget that each entry node keeps for its own requests.
+#[derive(Clone, Copy, Debug)]
+struct NodeBudget(f64);
+
+impl NodeBudget {
+    const MOST: f64 = SAVED / NODES as f64;
+
+    fn first(&mut self) {
+        self.0 = (self.0 + f64::from(PERCENT) / 100.0).min(Self::MOST);
+    }
+
+    fn take(&mut self) -> bool {
+        let takes = self.0 >= 1.0;
+        self.0 -= f64::from(u8::from(takes));
+        takes
+    }
+}
+
+/// The share of failed requests that are sent again when 25 requests/s come and 12% of them fail.
+fn share_repeated(seed: u64, at_gates: bool) -> f64 {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let mut nodes = [NodeBudget(NodeBudget::MOST); NODES];
+    let mut gates: Vec<Allowance> = (0..GATES)
+        .map(|_| Allowance::new(part(), Millis(0)))
+        .collect();
+    let (mut failed, mut repeated) = (0, 0);
+    for at in (0..60_000).step_by(40) {
+        let (node, gate) = (rng.random_range(0..NODES), rng.random_range(0..GATES));
+        nodes[node].first();
+        gates[gate].first(Millis(at));
+        if !rng.random_bool(0.12) {
+            continue;
+        }
+        failed += 1;
+        let other = (gate + rng.random_range(1..GATES)) % GATES;
+        let again = if at_gates {
+            let allowed = gates[other].allows(Millis(at));
+            if allowed {
+                gates[other].repeated(Millis(at));
+            }
+            allowed
+        } else {
+            nodes[node].take()
+        };
+        repeated += usize::from(again);
+    }
+    repeated as f64 / failed as f64
+}
+
+/// Guards against failed requests that are given up although the service has retries left, which
+/// other nodes hold.
+#[test]
+fn failed_requests_are_repeated_while_the_service_has_retries() {
+    for seed in SEEDS {
+        let (at_nodes, at_gates) = (share_repeated(seed, false), share_repeated(seed, true));
+
+        assert!(at_gates > 0.9, "seed {seed}: {at_gates}");
+        assert!(
+            at_gates > at_nodes + 0.1,
+            "seed {seed}: {at_nodes}, {at_gates}"
+        );
+    }
+}
--- a/crates/shallothill-policy/tests/retry.rs
+++ b/crates/shallothill-policy/tests/retry.rs
@@ -8,7 +8,7 @@
 use shallothill_core::time::Millis;
 use shallothill_policy::gray::Caution;
 use shallothill_policy::pick::EndpointKey;
-use shallothill_policy::retry::{Attempts, Budget, Next, RetryOptions};
+use shallothill_policy::retry::{Attempts, Budget, Next, RefusedBy, RetryOptions};
 
 const SEEDS: [u64; 4] = [
     0x51ed_270b_0001_0000,
@@ -183,7 +183,7 @@
     let first = repeatable.caution(12);
 
     repeatable.started(EndpointKey(1), &options(), &budget);
-    repeatable.refused(Millis(1), &options());
+    repeatable.refused(Millis(1), RefusedBy::Near, &options());
     let after_refusal = repeatable.caution(12);
     repeatable.started(EndpointKey(2), &options(), &budget);
     repeatable.ended(Millis(2), Outcome::RanAndFailed, &options(), &budget);
@@ -204,9 +204,33 @@
     let budget = Budget::default();
 
     two.started(EndpointKey(1), &options(), &budget);
-    two.refused(Millis(1), &options());
+    two.refused(Millis(1), RefusedBy::Near, &options());
 
     assert_eq!(one.caution(1), Caution::Settle);
     assert_eq!(two.caution(2), Caution::Settle);
     assert_eq!(two.caution(12), Caution::Trust);
 }
+
+/// Returns after how many refusals of this kind a request is given up.
+fn refusals_until_given_up(by: RefusedBy) -> u32 {
+    let (options, budget) = (options(), Budget::default());
+    let mut attempts = Attempts::new(true, Millis(1000));
+    for n in 1.. {
+        attempts.started(EndpointKey(u64::from(n)), &options, &budget);
+        if attempts.refused(Millis(1), by, &options) != Next::Retry {
+            return n;
+        }
+    }
+    unreachable!()
+}
+
+/// Guards against overloads in which each request visits gates of other regions, over links that are
+/// billed by volume, or asks for retries that the service does not have.
+#[test]
+fn few_gates_far_away_or_without_retries_are_asked() {
+    let near = refusals_until_given_up(RefusedBy::Near);
+    let far = refusals_until_given_up(RefusedBy::Far);
+    let budget = refusals_until_given_up(RefusedBy::Budget);
+
+    assert_eq!((near, far, budget), (7, 4, 3));
+}
--- /dev/null
+++ b/crates/shallothill-policy/tests/urgency.rs
@@ -0,0 +1,162 @@
+//! Plays load at one gate and checks what callers get.
+
+use std::time::Duration;
+
+use shallothill_core::class::Class;
+use shallothill_core::time::Millis;
+use shallothill_policy::admit::{Admission, Gate, GateOptions, GateRequest, Start, Ticket};
+
+const SLOTS: u16 = 7;
+const WORK_MS: u64 = 600;
+const OBJECTIVE_MS: u64 = 2000;
+const DEADLINE_MS: u64 = 6000;
+const STEP_MS: u64 = 10;
+
+/// Requests of one rank.
+#[derive(Clone, Copy, Debug, Default)]
+struct Tally {
+    asked: usize,
+    in_time: usize,
+    late: usize,
+}
+
+impl Tally {
+    fn share_in_time(&self) -> f64 {
+        self.in_time as f64 / self.asked as f64
+    }
+
+    fn share_served(&self) -> f64 {
+        (self.in_time + self.late) as f64 / self.asked as f64
+    }
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Arrival {
+    at: u64,
+    rank: u8,
+}
+
+/// Two of three requests have rank 1, the third has rank 2; `load` is the part of the capacity.
+fn arrivals(load: f64, for_ms: u64) -> Vec<Arrival> {
+    let per_ms = load * f64::from(SLOTS) / WORK_MS as f64;
+    let number = (per_ms * for_ms as f64) as u64;
+    let of = |i: u64| Arrival {
+        at: (i as f64 / per_ms) as u64,
+        rank: if i % 3 == 0 { 2 } else { 1 },
+    };
+    (0..number).map(of).collect()
+}
+
+struct Play {
+    gate: Gate,
+    waiting: Vec<(Ticket, Arrival)>,
+    running: Vec<(Ticket, Arrival, u64)>,
+    tallies: [Tally; 2],
+}
+
+impl Play {
+    fn new(fair_every: u32) -> Self {
+        let options = GateOptions {
+            slots: SLOTS,
+            queue: 30,
+            expected_latency: Duration::from_millis(WORK_MS),
+            fair_every,
+            ..GateOptions::default()
+        };
+        Self {
+            gate: Gate::new(options, false),
+            waiting: Vec::new(),
+            running: Vec::new(),
+            tallies: Default::default(),
+        }
+    }
+
+    fn tally(&mut self, rank: u8) -> &mut Tally {
+        &mut self.tallies[usize::from(rank) - 1]
+    }
+
+    fn arrive(&mut self, now: u64, arrival: Arrival) {
+        self.tally(arrival.rank).asked += 1;
+        let req = GateRequest {
+            class: Class::Shop,
+            deadline: Millis(now + DEADLINE_MS),
+            objective: Some(Millis(now + OBJECTIVE_MS)),
+            rank: arrival.rank,
+            trial: false,
+        };
+        match self.gate.offer(Millis(now), req) {
+            Admission::Run(t) => self.running.push((t, arrival, now + WORK_MS)),
+            Admission::Queued(t) => self.waiting.push((t, arrival)),
+            Admission::Refused { .. } => {}
+        }
+    }
+
+    fn step(&mut self, now: u64) {
+        let ended: Vec<_> = self.running.extract_if(.., |r| r.2 <= now).collect();
+        for (ticket, arrival, _) in ended {
+            let work = Duration::from_millis(WORK_MS);
+            self.gate.finish(ticket, Some(work));
+            let in_time = now - arrival.at <= OBJECTIVE_MS + STEP_MS;
+            let tally = self.tally(arrival.rank);
+            tally.in_time += usize::from(in_time);
+            tally.late += usize::from(!in_time);
+        }
+        while let Some(start) = self.gate.poll(Millis(now)) {
+            let (Start::Run(ticket) | Start::Refused(ticket, _)) = start;
+            let at = self.waiting.iter().position(|w| w.0 == ticket).unwrap();
+            let (ticket, arrival) = self.waiting.swap_remove(at);
+            if matches!(start, Start::Run(_)) {
+                self.running.push((ticket, arrival, now + WORK_MS));
+            }
+        }
+    }
+}
+
+fn play(load: f64, fair_every: u32) -> [Tally; 2] {
+    let mut play = Play::new(fair_every);
+    let mut arrivals = arrivals(load, 20_000).into_iter().peekable();
+    for now in (0..40_000).step_by(STEP_MS as usize) {
+        play.step(now);
+        while let Some(arrival) = arrivals.next_if(|a| a.at <= now) {
+            play.arrive(now, arrival);
+        }
+        play.step(now);
+    }
+    play.tallies
+}
+
+fn in_time(tallies: &[Tally; 2]) -> usize {
+    tallies.iter().map(|t| t.in_time).sum()
+}
+
+/// Guards against an overload in which every request waits until it is late, where most could be
+/// answered in time.
+#[test]
+fn most_requests_are_answered_in_time_in_an_overload() {
+    let arrival_order = play(1.4, 1);
+    let urgency = play(1.4, GateOptions::default().fair_every);
+
+    assert!(
+        in_time(&urgency) >= 2 * in_time(&arrival_order),
+        "{urgency:?}, in the order of arrival {arrival_order:?}"
+    );
+}
+
+/// Guards against requests that are served less often than less urgent ones of the same server, and
+/// against starving the less urgent ones.
+#[test]
+fn the_rank_decides_in_an_overload_and_starves_nobody() {
+    let [first, second] = play(1.4, GateOptions::default().fair_every);
+
+    assert!(first.share_in_time() > second.share_in_time() + 0.1);
+    let all = (first.share_served() + second.share_served()) / 2.0;
+    assert!(second.share_served() > all / 4.0, "{first:?} {second:?}");
+}
+
+/// Guards against an order that costs callers something while there is room for all.
+#[test]
+fn nobody_is_late_below_the_capacity() {
+    for tally in play(0.9, GateOptions::default().fair_every) {
+        assert_eq!(tally.in_time, tally.asked, "{tally:?}");
+    }
+}
