runtime, node, keeper: one JSON line a decision on standard output, bounded and never blocking

Cause: logs were sentences on standard error, written while a request waited, without a bound. On-call engineers need the request's id, what decided, how old it was and the outcome.

Change: tracing with its JSON layer and tracing-appender's lossy writer (4,096 lines) take the place of simplelog; each place in the source has a budget of 100 lines a second, and drops are counted and logged. The lines `entry: answered`, `entry: attempt ended` and `gate: attempt ended` name the request, the server, the caution, the load that was known, the probability of a spell, the configuration, outcome, status, reason and times. Test processes keep what they print in their log files.

--- a/crates/shallothill-keeper/src/fatal.rs
+++ b/crates/shallothill-keeper/src/fatal.rs
@@ -1,7 +1,7 @@
 //! Ends the process when it cannot go on safely.
 
-use log::error;
 use tokio::sync::mpsc;
+use tracing::error;
 
 /// `Fatal` reports a fault after which the process must end; clones report to the same place.
 #[derive(Clone, Debug)]
--- a/crates/shallothill-keeper/src/fetch.rs
+++ b/crates/shallothill-keeper/src/fetch.rs
@@ -11,13 +11,13 @@
 use hyper_util::client::legacy;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
-use log::{info, warn};
 use serde::de::DeserializeOwned;
 use shallothill_core::sections::{Manifest, Section, SectionId};
 use shallothill_core::version::ConfigVersion;
 use shallothill_wire::transport;
 use shallothill_wire::watch::{ConfigUpdate, SectionsReply, SectionsRequest};
 use tokio::time;
+use tracing::{info, warn};
 
 use crate::keeper::Keeper;
 use crate::peers::Peer;
--- a/crates/shallothill-keeper/src/group.rs
+++ b/crates/shallothill-keeper/src/group.rs
@@ -4,12 +4,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use log::{info, warn};
 use shallothill_core::ids::KeeperId;
 use shallothill_core::time::Millis;
 use shallothill_replica::Standing;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
+use tracing::{info, warn};
 
 use crate::keeper::{Keeper, lock};
 use crate::peer::MeetRequest;
--- a/crates/shallothill-keeper/src/ledger/journal.rs
+++ b/crates/shallothill-keeper/src/ledger/journal.rs
@@ -34,7 +34,7 @@
         });
         let (log, restored) = match opened {
             Err(e @ shallothill_storage::Error::Damaged { .. }) => {
-                log::error!("ledger: {e}; the keeper recovers from the others of its region");
+                tracing::error!("ledger: {e}; the keeper recovers from the others of its region");
                 (Log::try_reset(folder, LOG_NAME)?, Restored::default())
             }
             opened => opened?,
--- a/crates/shallothill-keeper/src/ledger/recover.rs
+++ b/crates/shallothill-keeper/src/ledger/recover.rs
@@ -4,10 +4,10 @@
 use std::time::Duration;
 
 use futures::future;
-use log::{info, warn};
 use shallothill_core::ids::KeeperId;
 use shallothill_core::incarnation::Incarnation;
 use shallothill_ledger::{MemberStatus, Recovery, RecoveryReply};
+use tracing::{info, warn};
 
 use crate::keeper::Keeper;
 
--- a/crates/shallothill-keeper/src/log/disk.rs
+++ b/crates/shallothill-keeper/src/log/disk.rs
@@ -54,14 +54,14 @@
     pub fn try_open(folder: DataFolder) -> errors::Result<(Self, Durable)> {
         let hard = match folder.read_cell::<HardState>(STATE_CELL) {
             Err(e @ shallothill_storage::Error::Damaged { .. }) => {
-                log::error!("config: {e}; the keeper recovers from the others");
+                tracing::error!("config: {e}; the keeper recovers from the others");
                 None
             }
             hard => hard?,
         };
         let (log, restored) = match Log::try_open(&folder, LOG_NAME) {
             Err(e @ shallothill_storage::Error::Damaged { .. }) => {
-                log::error!("config: {e}; the keeper recovers from the others");
+                tracing::error!("config: {e}; the keeper recovers from the others");
                 (Log::try_reset(&folder, LOG_NAME)?, Restored::default())
             }
             opened => opened?,
--- a/crates/shallothill-keeper/src/log/driver.rs
+++ b/crates/shallothill-keeper/src/log/driver.rs
@@ -4,7 +4,6 @@
 use std::sync::{Arc, Mutex, mpsc};
 use std::time::Duration;
 
-use log::{error, info};
 use shallothill_core::ids::KeeperId;
 use shallothill_core::incarnation::Incarnation;
 use shallothill_replica::{
@@ -14,6 +13,7 @@
 use shallothill_runtime::timer::Timer;
 use tokio::sync::{mpsc as async_mpsc, oneshot, watch};
 use tokio_util::sync::CancellationToken;
+use tracing::{error, info};
 
 use super::disk::{Disk, Done, Work, snapshot};
 use super::handle::{Command, LogStatus, Refusal};
--- a/crates/shallothill-keeper/src/log/links.rs
+++ b/crates/shallothill-keeper/src/log/links.rs
@@ -5,13 +5,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use log::debug;
 use shallothill_core::ids::KeeperId;
 use shallothill_replica::Message;
 use shallothill_wire::channel::RpcChannel;
 use tokio::sync::{Semaphore, mpsc};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
+use tracing::debug;
 
 use crate::peer::KeeperPeerClient;
 use crate::peers::Peers;
--- a/crates/shallothill-keeper/src/main.rs
+++ b/crates/shallothill-keeper/src/main.rs
@@ -64,7 +64,7 @@
         print!("{}", data::inspect(&settings)?);
         return Ok(());
     }
-    logs::init(settings.process.log_level)?;
+    let _logs = logs::init(settings.process.log_level)?;
     let stop = shutdown::on_signal()?;
     let options = StartOptions {
         new_group: args.get_flag("new-group"),
--- a/crates/shallothill-keeper/src/metrics.rs
+++ b/crates/shallothill-keeper/src/metrics.rs
@@ -4,6 +4,7 @@
 
 use cadence::{Gauged, StatsdClient};
 use shallothill_ledger::MemberStatus;
+use shallothill_runtime::logs;
 
 use crate::keeper::{Keeper, lock};
 
@@ -15,6 +16,7 @@
             // A metric that cannot be sent is of no harm; the next one follows.
             let _ = client.gauge(name, value);
         }
+        logs::report_drops();
     }
 }
 
--- a/crates/shallothill-keeper/src/process.rs
+++ b/crates/shallothill-keeper/src/process.rs
@@ -6,7 +6,6 @@
 use std::time::Duration;
 
 use cadence::StatsdClient;
-use log::info;
 use shallothill_core::ids::KeeperId;
 use shallothill_core::incarnation::Incarnation;
 use shallothill_replica::Message;
@@ -20,6 +19,7 @@
 use tokio::sync::{mpsc, watch};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
+use tracing::info;
 
 use crate::config_state::{ConfigState, SectionHistory};
 use crate::control::ControlServer;
--- a/crates/shallothill-keeper/src/publisher.rs
+++ b/crates/shallothill-keeper/src/publisher.rs
@@ -3,11 +3,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use log::{error, info};
 use shallothill_core::hash::ContentHash;
 use tokio::sync::watch;
 use tokio::task;
 use tokio_util::sync::CancellationToken;
+use tracing::{error, info};
 
 use crate::fetch::Fetch;
 use crate::keeper::{Keeper, lock};
--- a/crates/shallothill-keeper/src/sync.rs
+++ b/crates/shallothill-keeper/src/sync.rs
@@ -3,11 +3,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use log::debug;
 use shallothill_core::ids::KeeperId;
 use shallothill_core::time::Millis;
 use shallothill_directory::Cursor;
 use tokio_util::sync::CancellationToken;
+use tracing::debug;
 
 use crate::keeper::Keeper;
 use crate::peer::{SyncReply, SyncRequest};
--- a/crates/shallothill-node/src/control/config_fetch.rs
+++ b/crates/shallothill-node/src/control/config_fetch.rs
@@ -7,7 +7,6 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
 use hyper::{Request, StatusCode, Uri};
-use log::{info, warn};
 use serde::de::DeserializeOwned;
 use shallothill_core::ids::NodeName;
 use shallothill_core::sections::{Manifest, Section};
@@ -17,6 +16,7 @@
 use shallothill_wire::watch::{ConfigUpdate, SectionsReply, SectionsRequest, WatchRequest};
 use tokio::time;
 use tokio_util::sync::CancellationToken;
+use tracing::{info, warn};
 
 use crate::body::Body;
 use crate::config::{Applied, Store};
--- a/crates/shallothill-node/src/control/discovery.rs
+++ b/crates/shallothill-node/src/control/discovery.rs
@@ -4,13 +4,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use log::{info, warn};
 use rand::seq::IndexedRandom;
 use shallothill_runtime::timer::Timer;
 use shallothill_wire::channel::RpcChannel;
 use shallothill_wire::control::KeeperControlClient;
 use shallothill_wire::keeper_info::KeeperInfo;
 use tokio_util::sync::CancellationToken;
+use tracing::{info, warn};
 
 use crate::control::{Keeper, Keepers};
 
--- a/crates/shallothill-node/src/control/report.rs
+++ b/crates/shallothill-node/src/control/report.rs
@@ -3,7 +3,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use log::{debug, warn};
 use shallothill_core::ids::{NodeName, Zone};
 use shallothill_core::incarnation::Incarnation;
 use shallothill_directory::{EndpointStatus, NodeReport};
@@ -11,6 +10,7 @@
 use shallothill_wire::report::{ReportReply, ReportRequest};
 use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
+use tracing::{debug, warn};
 
 use crate::config::Store;
 use crate::control::Keepers;
--- a/crates/shallothill-node/src/control/watch.rs
+++ b/crates/shallothill-node/src/control/watch.rs
@@ -3,13 +3,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use log::{info, warn};
 use shallothill_core::ids::{KeeperId, NodeName};
 use shallothill_core::time::Millis;
 use shallothill_directory::Cursor;
 use shallothill_runtime::timer::Timer;
 use shallothill_wire::watch::{WatchReply, WatchRequest};
 use tokio_util::sync::CancellationToken;
+use tracing::{info, warn};
 
 use crate::config::{Applied, Store};
 use crate::control::{ConfigFetch, Keeper, Keepers, Move};
--- a/crates/shallothill-node/src/entry/attempts.rs
+++ b/crates/shallothill-node/src/entry/attempts.rs
@@ -5,30 +5,36 @@
 use std::time::Duration;
 
 use futures::stream::{FuturesUnordered, StreamExt};
-use hyper::header::HeaderName;
-use log::info;
 use shallothill_core::config::Service;
 use shallothill_core::hash::Fingerprint;
 use shallothill_core::headers;
 use shallothill_core::ids::EndpointId;
 use shallothill_core::outcome::Outcome;
 use shallothill_core::time::Millis;
+use shallothill_policy::gray::Caution;
 use shallothill_policy::limits::Permit;
 use shallothill_policy::pick;
-use shallothill_policy::pick::{PickRequest, Tier};
+use shallothill_policy::pick::{PickRequest, ReportedLoad, Tier};
 use shallothill_policy::retry;
 use shallothill_policy::retry::{Budget, Next, RefusedBy, RetryOptions};
 use shallothill_wire::crash::CrashNotice;
 use tokio::time;
 
+use crate::attempt;
 use crate::attempt::{Attempt, Head, Reply};
 use crate::body::Body;
 use crate::crashes::Place;
 use crate::entry::prepare::{Payload, Prepared};
 use crate::entry::{Entry, InFlight};
 use crate::gate;
+use crate::header_filter;
+use crate::interface::Interface;
 use crate::refusal::Refusal;
 
+/// `LOAD_SHOWN_FOR` is the age up to which logs show what the entry was told of a backend server's load;
+/// the pick acts on a younger one only.
+const LOAD_SHOWN_FOR: Duration = Duration::from_secs(10);
+
 /// `Ended` is an attempt that has ended.
 struct Ended {
     reply: Reply,
@@ -46,8 +52,16 @@
     budget: Arc<Budget>,
     attempts: retry::Attempts,
     sent: Millis,
-    // The backend server of the last attempt.
-    last: Option<(EndpointId, Tier)>,
+    last: Option<Sent>,
+}
+
+/// `Sent` is what decided about the last attempt.
+struct Sent {
+    endpoint: EndpointId,
+    tier: Tier,
+    caution: Caution,
+    /// What the entry had been told of the backend server's load lately.
+    load: Option<ReportedLoad>,
 }
 
 impl Entry {
@@ -110,8 +124,7 @@
             let Some(ended) = ended else { break };
             let now = self.parts.timer.now();
             let outcome = ended.reply.outcome;
-            let id = self.parts.interface.request_id.as_ref();
-            p.log_attempt(now, id, &ended.reply);
+            p.log_attempt(now, &self.parts.interface, &ended.reply);
             if outcome == Outcome::Answered || !ended.reply.allows_retry(p.head.idempotent) {
                 worst = Some(ended);
                 break;
@@ -196,7 +209,12 @@
         let repeated = p.attempts.reached() > 0;
         p.attempts.started(endpoint.key, &p.options, &p.budget);
         p.sent = now;
-        p.last = Some((endpoint.info.id.clone(), picked.tier));
+        p.last = Some(Sent {
+            endpoint: endpoint.info.id.clone(),
+            tier: picked.tier,
+            caution,
+            load: endpoint.stats.reported(now, LOAD_SHOWN_FOR),
+        });
         let attempt = Attempt {
             head: Arc::clone(&p.head),
             endpoint: endpoint.info.id.clone(),
@@ -243,25 +261,25 @@
         self.head.idempotent.then_some(after)
     }
 
-    fn log_attempt(&self, now: Millis, id: Option<&HeaderName>, reply: &Reply) {
-        let id = id.and_then(|name| self.head.headers.get(name));
-        let id = id.and_then(|v| v.to_str().ok()).unwrap_or("-");
-        let (to, tier) = match &self.last {
-            Some((to, tier)) => (to.to_string(), format!("{tier:?}")),
-            None => Default::default(),
-        };
-        let reason = reply.response.headers().get(headers::REASON);
-        info!(
-            "entry: request {id} attempt {} at {to} ({tier}) took {} ms: {} {} {}, {} ms left",
-            self.attempts.made(),
-            now.saturating_since(self.sent).as_millis(),
-            reply.outcome,
-            reply.response.status().as_u16(),
-            reason.and_then(|r| r.to_str().ok()).unwrap_or("-"),
-            self.head
-                .deadline
-                .saturating_duration_since(time::Instant::now())
-                .as_millis(),
+    fn log_attempt(&self, now: Millis, interface: &Interface, reply: &Reply) {
+        let left = self
+            .head
+            .deadline
+            .saturating_duration_since(time::Instant::now());
+        let sent = self.last.as_ref();
+        tracing::info!(
+            request = interface.request_id_of(&self.head.headers),
+            attempt = self.attempts.made(),
+            server = sent.map(|s| s.endpoint.to_string()),
+            tier = sent.map(|s| s.tier.as_str()),
+            caution = sent.map(|s| s.caution.as_str()),
+            load = sent.and_then(|s| s.load.map(attempt::load_to_header)),
+            outcome = reply.outcome.as_str(),
+            status = reply.response.status().as_u16(),
+            reason = header_filter::text(reply.response.headers(), headers::REASON),
+            took_ms = now.saturating_since(self.sent).as_millis() as u64,
+            left_ms = left.as_millis() as u64,
+            "entry: attempt ended"
         );
     }
 
@@ -271,7 +289,9 @@
             return RefusedBy::Budget;
         }
         match self.last {
-            Some((_, Tier::Other)) => RefusedBy::Far,
+            Some(Sent {
+                tier: Tier::Other, ..
+            }) => RefusedBy::Far,
             _ => RefusedBy::Near,
         }
     }
--- a/crates/shallothill-node/src/entry/handler.rs
+++ b/crates/shallothill-node/src/entry/handler.rs
@@ -4,6 +4,7 @@
 use hyper::header::{self, HeaderName, HeaderValue};
 use hyper::{Request, Response};
 use shallothill_core::headers;
+use tokio::time::Instant;
 
 use crate::attempt::Reply;
 use crate::body::Body;
@@ -11,24 +12,58 @@
 use crate::header_filter;
 use crate::listener::Answer;
 
+/// `Decision` is what the logs say of an answer to a caller.
+#[derive(Clone, Debug, Eq, PartialEq)]
+struct Decision {
+    outcome: &'static str,
+    reason: Option<String>,
+    retry_after_ms: Option<u64>,
+}
+
+impl Decision {
+    fn of(outcome: &'static str, response: &Response<Body>) -> Self {
+        let text = |name| header_filter::text(response.headers(), name);
+        Self {
+            outcome,
+            reason: text(headers::REASON).map(str::to_owned),
+            retry_after_ms: text(headers::RETRY_AFTER_MS).and_then(|v| v.parse().ok()),
+        }
+    }
+}
+
 impl Answer for Entry {
     async fn answer(&self, req: Request<Incoming>) -> Response<Body> {
-        let response = match self.prepare(req).await {
+        let arrived = Instant::now();
+        let id = self.parts.interface.request_id_of(req.headers());
+        let id = id.map(str::to_owned);
+        let (response, decision) = match self.prepare(req).await {
             Ok(prepared) => {
                 let (reply, in_flight) = self.run(prepared).await;
-                self.finish(reply, in_flight)
+                let decision = Decision::of(reply.outcome.as_str(), &reply.response);
+                (self.finish(reply, in_flight), decision)
             }
             Err(denied) => {
                 let mut response = denied.refusal.response();
+                let decision = Decision::of(denied.refusal.outcome.as_str(), &response);
                 if let Some(allow) = denied.allow
                     && let Ok(allow) = HeaderValue::from_str(&allow)
                 {
                     response.headers_mut().insert(header::ALLOW, allow);
                 }
                 self.translate(&mut response);
-                response
+                (response, decision)
             }
         };
+        tracing::info!(
+            request = id,
+            outcome = decision.outcome,
+            status = response.status().as_u16(),
+            reason = decision.reason,
+            retry_after_ms = decision.retry_after_ms,
+            config = self.parts.store.version().0,
+            took_ms = arrived.elapsed().as_millis() as u64,
+            "entry: answered"
+        );
         self.parts.counters.answered(response.status().as_u16());
         response
     }
--- a/crates/shallothill-node/src/entry/send.rs
+++ b/crates/shallothill-node/src/entry/send.rs
@@ -52,11 +52,11 @@
                 None => BAD_REPLY,
             },
             Ok(Err(LinkError::NotSent(e))) => {
-                log::debug!("entry: peer {address} is out of reach: {e}");
+                tracing::debug!("entry: peer {address} is out of reach: {e}");
                 OUT_OF_REACH
             }
             Ok(Err(LinkError::Failed(e))) => {
-                log::debug!("entry: the link to peer {address} failed: {e}");
+                tracing::debug!("entry: the link to peer {address} failed: {e}");
                 LOST
             }
             Err(_) => SILENT,
@@ -84,7 +84,7 @@
         let now = self.parts.timer.now();
         // One sign counts once, however many requests wait; the backend server may just be slow.
         if link.responses() == before && !path.penalised(now) {
-            log::debug!("entry: peer {} is silent", link.address());
+            tracing::debug!("entry: peer {} is silent", link.address());
             path.failed(now);
         }
         send.await
--- /dev/null
+++ b/crates/shallothill-node/src/gate/arrival.rs
@@ -0,0 +1,62 @@
+//! What a gate logs of an attempt.
+
+use shallothill_core::headers;
+use shallothill_core::version::ConfigVersion;
+use shallothill_policy::gray::Caution;
+use shallothill_policy::pick::ReportedLoad;
+use tokio::time::Instant;
+
+use crate::attempt;
+use crate::attempt::{Attempt, Reply};
+use crate::gate::Endpoint;
+use crate::header_filter;
+use crate::interface::Interface;
+
+/// `Arrival` keeps the state in which an attempt found its backend server, which decides whether it
+/// is run, until the line about it is written.
+#[derive(Clone, Debug)]
+pub(crate) struct Arrival {
+    request: Option<String>,
+    number: u8,
+    repeated: bool,
+    caution: Caution,
+    load: ReportedLoad,
+    /// The probability of a spell of gray failure, in percent.
+    spell_percent: u8,
+    at: Instant,
+}
+
+impl Arrival {
+    /// `new` takes down the state before the attempt is decided on.
+    pub(crate) fn new(interface: &Interface, endpoint: &Endpoint, attempt: &Attempt) -> Self {
+        let request = interface.request_id_of(&attempt.head.headers);
+        Self {
+            request: request.map(str::to_owned),
+            number: attempt.number,
+            repeated: attempt.repeated,
+            caution: attempt.caution,
+            load: endpoint.load(),
+            spell_percent: endpoint.spell_percent(),
+            at: Instant::now(),
+        }
+    }
+
+    /// `log` writes the line once the outcome is known; `version` is the configuration in force.
+    pub(crate) fn log(&self, endpoint: &Endpoint, reply: &Reply, version: ConfigVersion) {
+        tracing::info!(
+            request = self.request,
+            attempt = self.number,
+            repeated = self.repeated,
+            server = %endpoint.id,
+            caution = self.caution.as_str(),
+            load = attempt::load_to_header(self.load),
+            spell_percent = self.spell_percent,
+            outcome = reply.outcome.as_str(),
+            status = reply.response.status().as_u16(),
+            reason = header_filter::text(reply.response.headers(), headers::REASON),
+            config = version.0,
+            took_ms = self.at.elapsed().as_millis() as u64,
+            "gate: attempt ended"
+        );
+    }
+}
--- a/crates/shallothill-node/src/gate/endpoint.rs
+++ b/crates/shallothill-node/src/gate/endpoint.rs
@@ -189,6 +189,12 @@
         }
     }
 
+    /// `spell_percent` returns the probability of a spell of gray failure, in percent.
+    pub(crate) fn spell_percent(&self) -> u8 {
+        let now = self.now();
+        (self.lock().gray.probability(now) * 100.0) as u8
+    }
+
     /// `suspicion` returns the state to tell others while a spell of gray failure is likely:
     /// `Ejected` when a trial is due, else `Demoted`.
     pub(crate) fn suspicion(&self) -> Option<ServingState> {
--- a/crates/shallothill-node/src/gate/lifecycle.rs
+++ b/crates/shallothill-node/src/gate/lifecycle.rs
@@ -5,7 +5,6 @@
 use std::sync::{Arc, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use log::{info, warn};
 use shallothill_core::config::Disposition;
 use shallothill_core::health::ServingState;
 use shallothill_core::ids::{EndpointId, EndpointName, KeeperId, ServiceName};
@@ -20,6 +19,7 @@
 use shallothill_policy::retry::AllowanceOptions;
 use shallothill_wire::crash::CrashNotice;
 use tokio::time;
+use tracing::{info, warn};
 
 use crate::gate::departed::Departed;
 use crate::gate::endpoint::Life;
--- a/crates/shallothill-node/src/gate/mod.rs
+++ b/crates/shallothill-node/src/gate/mod.rs
@@ -2,6 +2,7 @@
 
 mod announcement;
 mod answer;
+mod arrival;
 mod backend;
 mod claimed;
 mod departed;
@@ -31,6 +32,7 @@
 use crate::config::Store;
 use crate::control::Keepers;
 use crate::crashes::Crashes;
+use crate::gate::arrival::Arrival;
 use crate::gate::departed::Departed;
 use crate::interface::Interface;
 use crate::refusal::Refusal;
@@ -130,10 +132,12 @@
         let Some(endpoint) = self.endpoints.load().get(&key).cloned() else {
             return UNKNOWN_ENDPOINT.reply();
         };
+        let arrival = Arrival::new(&self.parts.interface, &endpoint, &attempt);
         let mut reply = match self.admitted(&endpoint, attempt, local).await {
             Ok(reply) => reply,
             Err(refusal) => refusal.reply(),
         };
+        arrival.log(&endpoint, &reply, self.parts.store.version());
         reply.load = Some(load(&endpoint));
         if !endpoint.is_up() && reply.outcome != shallothill_core::outcome::Outcome::RefusedNotRun {
             reply.crash = Some(endpoint.crash);
--- a/crates/shallothill-node/src/gate/watchdog.rs
+++ b/crates/shallothill-node/src/gate/watchdog.rs
@@ -3,9 +3,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use log::warn;
 use shallothill_directory::{LeaseRequest, ReleaseRequest, ServiceSummary};
 use tokio::time;
+use tracing::warn;
 
 use crate::gate::{Endpoint, Gate};
 
--- a/crates/shallothill-node/src/interface.rs
+++ b/crates/shallothill-node/src/interface.rs
@@ -1,6 +1,6 @@
 //! The names and rules by which callers and backend servers speak to a node.
 
-use hyper::header::HeaderName;
+use hyper::header::{HeaderMap, HeaderName};
 use shallothill_core::headers;
 
 /// `Interface` holds the headers that callers and backend servers use, and what a node may conclude
@@ -33,6 +33,14 @@
     pub retry_errors: bool,
 }
 
+impl Interface {
+    /// `request_id_of` returns what identifies a request in logs; nothing where callers send no id.
+    pub fn request_id_of<'a>(&self, map: &'a HeaderMap) -> Option<&'a str> {
+        let name = self.request_id.as_ref()?;
+        map.get(name)?.to_str().ok()
+    }
+}
+
 impl Default for Interface {
     fn default() -> Self {
         Self {
--- a/crates/shallothill-node/src/listener.rs
+++ b/crates/shallothill-node/src/listener.rs
@@ -16,7 +16,6 @@
 use hyper::{Request, Response};
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use hyper_util::server::conn::auto;
-use log::debug;
 use shallothill_runtime::timer::Timer;
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
@@ -24,6 +23,7 @@
 use tokio::time;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
+use tracing::debug;
 
 use crate::body::Body;
 use crate::counters::Counters;
--- a/crates/shallothill-node/src/main.rs
+++ b/crates/shallothill-node/src/main.rs
@@ -5,11 +5,11 @@
 use std::process::ExitCode;
 
 use clap::{Arg, ArgAction, Command, value_parser};
-use log::error;
 use shallothill_node::Result;
 use shallothill_node::node::Node;
 use shallothill_node::settings::Settings;
 use shallothill_runtime::{logs, shutdown};
+use tracing::error;
 
 fn command() -> Command {
     Command::new("shallothill-node")
@@ -32,7 +32,7 @@
 }
 
 async fn run(settings: Settings) -> Result<()> {
-    logs::init(settings.process.log_level)?;
+    let _logs = logs::init(settings.process.log_level)?;
     let stop = shutdown::on_signal()?;
     let node = Node::start(settings, stop).await?;
     let a = node.addresses();
--- a/crates/shallothill-node/src/neighbours.rs
+++ b/crates/shallothill-node/src/neighbours.rs
@@ -10,7 +10,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use log::{debug, info};
 use serde::{Deserialize, Serialize};
 use shallothill_core::health::ServingState;
 use shallothill_core::ids::{EndpointId, ServiceName};
@@ -19,6 +18,7 @@
 use shallothill_runtime::timer::Timer;
 use tokio::net::UdpSocket;
 use tokio_util::sync::CancellationToken;
+use tracing::{debug, info};
 
 use crate::gate::Gate;
 use crate::view::View;
--- a/crates/shallothill-node/src/node/mod.rs
+++ b/crates/shallothill-node/src/node/mod.rs
@@ -9,15 +9,15 @@
 use std::time::Duration;
 
 use cadence::StatsdClient;
-use log::{info, warn};
 use shallothill_core::incarnation::Incarnation;
 use shallothill_runtime::timer::Timer;
-use shallothill_runtime::{admin, metrics};
+use shallothill_runtime::{admin, logs, metrics};
 use tokio::net::TcpListener;
 use tokio::sync::Notify;
 use tokio::time;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
+use tracing::{info, warn};
 
 use crate::announce::AnnounceServer;
 use crate::config::Store;
@@ -257,7 +257,10 @@
                     self.gate.divide_retries(&self.view.tables());
                 }
                 _ = tidy.recv() => self.links.drop_idle(),
-                _ = send.recv() => self.counters.send(&self.metrics, &mut sent, self.gauges()),
+                _ = send.recv() => {
+                    self.counters.send(&self.metrics, &mut sent, self.gauges());
+                    logs::report_drops();
+                }
             }
         }
     }
--- /dev/null
+++ b/crates/shallothill-node/tests/logs.rs
@@ -0,0 +1,120 @@
+//! Logs of a node process on standard output.
+
+mod support;
+
+use std::io::{BufRead, BufReader, PipeReader, Write};
+use std::net::SocketAddr;
+use std::process::{Child, Command, Stdio};
+use std::{io, thread};
+
+use hyper::Method;
+use serde_json::Value;
+use shallothill_testing::http::Client;
+use shallothill_testing::process;
+use support::keepers::Keepers;
+use support::{LONG, cluster};
+use tempfile::TempDir;
+
+/// A node whose standard output is a pipe of the test; it is killed when it is dropped.
+struct Piped {
+    child: Child,
+    out: BufReader<PipeReader>,
+    caller: SocketAddr,
+    _dir: TempDir,
+}
+
+impl Piped {
+    /// Starts the node and reads up to its `ready` line; returns also another end to write to.
+    async fn start() -> (Self, io::PipeWriter) {
+        let dir = TempDir::new().unwrap();
+        let keepers = Keepers::start(cluster::REGION, cluster::config()).await;
+        let settings = cluster::settings_file("n1", &keepers, dir.path());
+        let (reader, writer) = io::pipe().unwrap();
+        let mut command = Command::new(env!("CARGO_BIN_EXE_shallothill-node"));
+        command.arg("--settings").arg(settings);
+        let child = command
+            .stdin(Stdio::null())
+            .stdout(writer.try_clone().unwrap())
+            .stderr(Stdio::null())
+            .spawn()
+            .unwrap();
+        drop(command);
+        let mut out = BufReader::new(reader);
+        let mut line = String::new();
+        while !line.starts_with("ready") {
+            line.clear();
+            assert!(out.read_line(&mut line).unwrap() > 0, "the node has ended");
+        }
+        let caller = line
+            .split_whitespace()
+            .find_map(|p| p.strip_prefix("caller="));
+        let caller = caller.unwrap().parse().unwrap();
+        let piped = Self {
+            child,
+            out,
+            caller,
+            _dir: dir,
+        };
+        (piped, writer)
+    }
+}
+
+impl Drop for Piped {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+async fn ask(client: &Client, at: SocketAddr) -> u16 {
+    let sent = client.send(Method::GET, at, "/nowhere", &[], Default::default(), LONG);
+    sent.await.unwrap().status.as_u16()
+}
+
+/// Guards against lines that programs cannot read, and against answers that leave none.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn each_answer_leaves_a_json_line() {
+    let (mut node, writer) = Piped::start().await;
+    drop(writer);
+
+    let status = ask(&Client::default(), node.caller).await;
+
+    let mut line = String::new();
+    let answered = loop {
+        line.clear();
+        assert!(node.out.read_line(&mut line).unwrap() > 0, "no such line");
+        let value: Value = serde_json::from_str(&line).unwrap();
+        if value["message"] == "entry: answered" {
+            break value;
+        }
+    };
+    assert_eq!(answered["status"], status);
+    assert_eq!(answered["outcome"], "refused-not-run");
+    assert!(answered["timestamp"].is_string());
+}
+
+/// Guards against requests that wait for a standard output that nobody reads.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_full_standard_output_delays_no_request() {
+    let (node, mut writer) = Piped::start().await;
+    // The pipe is full once this thread blocks; it ends with the pipe.
+    thread::spawn(move || while writer.write_all(&[b'\n'; 4096]).is_ok() {});
+    let client = Client::default();
+
+    for _ in 0..300 {
+        let answered = tokio::time::timeout(LONG, ask(&client, node.caller)).await;
+        assert!(answered.is_ok());
+    }
+    let id = node.child.id().to_string();
+    let signalled = Command::new("kill").args(["-TERM", &id]).status().unwrap();
+
+    assert!(signalled.success());
+    let mut node = node;
+    let ended = || {
+        let ended = matches!(node.child.try_wait(), Ok(Some(_)));
+        async move { ended }
+    };
+    process::wait_until("the node ends", LONG, ended)
+        .await
+        .unwrap();
+}
--- a/crates/shallothill-node/tests/support/cluster.rs
+++ b/crates/shallothill-node/tests/support/cluster.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::fs;
 use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
 use std::process::Command;
 use std::sync::Arc;
 use std::time::Duration;
@@ -209,7 +210,8 @@
     }
 }
 
-pub fn node_process(name: &str, keepers: &Keepers, dir: &std::path::Path) -> Process {
+/// Writes a settings file for a node process on any free ports.
+pub fn settings_file(name: &str, keepers: &Keepers, dir: &Path) -> PathBuf {
     let addresses: Vec<_> = keepers
         .addresses
         .iter()
@@ -228,6 +230,11 @@
     });
     let file = dir.join(format!("{name}.yaml"));
     fs::write(&file, settings.to_string()).unwrap();
+    file
+}
+
+pub fn node_process(name: &str, keepers: &Keepers, dir: &Path) -> Process {
+    let file = settings_file(name, keepers, dir);
     let mut command = Command::new(env!("CARGO_BIN_EXE_shallothill-node"));
     command.arg("--settings").arg(&file);
     Process::start(command, &dir.join(format!("{name}.log")), LONG).unwrap()
--- a/crates/shallothill-policy/src/pick/request.rs
+++ b/crates/shallothill-policy/src/pick/request.rs
@@ -16,6 +16,15 @@
 impl Tier {
     /// `ALL` lists the tiers from near to far.
     pub const ALL: [Self; 3] = [Self::DataCentre, Self::Region, Self::Other];
+
+    /// `as_str` returns the name used in logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::DataCentre => "data-centre",
+            Self::Region => "region",
+            Self::Other => "other-region",
+        }
+    }
 }
 
 /// `PickRequest` describes the attempt that needs an endpoint.
--- a/crates/shallothill-replica/src/backup.rs
+++ b/crates/shallothill-replica/src/backup.rs
@@ -103,7 +103,7 @@
             return;
         }
         if op < self.commit {
-            log::error!("replica: refused entries that contradict committed ones after {op}");
+            tracing::error!("replica: refused entries that contradict committed ones after {op}");
             return;
         }
         if op < self.log.last().op {
--- a/crates/shallothill-replica/src/election.rs
+++ b/crates/shallothill-replica/src/election.rs
@@ -254,7 +254,7 @@
 
     fn become_primary(&mut self) {
         let view = self.hard.view;
-        log::info!("replica: {} is the primary of {view}", self.options.me);
+        tracing::info!("replica: {} is the primary of {view}", self.options.me);
         self.ballot = None;
         self.fetching = None;
         self.primary = Some(self.options.me);
@@ -295,7 +295,7 @@
         let Some(leading) = self.leading.take() else {
             return;
         };
-        log::info!(
+        tracing::info!(
             "replica: {} is no longer the primary of {}",
             self.options.me,
             self.hard.view
--- a/crates/shallothill-replica/src/recovery.rs
+++ b/crates/shallothill-replica/src/recovery.rs
@@ -216,7 +216,7 @@
         let (source, last) = (*source, summary.last);
         self.hard.first_members = summary.first_members.clone();
         self.log.set_first_members(self.hard.first_members.clone());
-        log::info!("replica: {me} recovers from {source}");
+        tracing::info!("replica: {me} recovers from {source}");
         self.fetching = Some(Fetching::new(source, Some(last), self.now));
         self.ask_fetch();
     }
@@ -247,7 +247,7 @@
     }
 
     pub(crate) fn begin_to_count(&mut self) {
-        log::info!("replica: {} is whole", self.options.me);
+        tracing::info!("replica: {} is whole", self.options.me);
         self.counts = true;
         self.heard = self.now;
         self.reset_deadline();
--- a/crates/shallothill-runtime/src/admin.rs
+++ b/crates/shallothill-runtime/src/admin.rs
@@ -12,10 +12,10 @@
 use hyper::service;
 use hyper::{Method, Request, Response, StatusCode, header};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use log::debug;
 use tokio::net::TcpListener;
 use tokio::sync::Semaphore;
 use tokio_util::sync::CancellationToken;
+use tracing::debug;
 
 /// `BODY_MAX_BYTES` bounds the body of an admin request, which may hold a configuration text.
 pub const BODY_MAX_BYTES: usize = 32 * 1024 * 1024;
--- a/crates/shallothill-runtime/src/shutdown.rs
+++ b/crates/shallothill-runtime/src/shutdown.rs
@@ -1,10 +1,10 @@
 //! Stops a process gracefully at SIGTERM or SIGINT.
 
-use log::info;
 use snafu::ResultExt;
 use tokio::signal::unix;
 use tokio::signal::unix::SignalKind;
 use tokio_util::sync::CancellationToken;
+use tracing::info;
 
 use crate::errors;
 
--- a/crates/shallothill-storage/src/record_log.rs
+++ b/crates/shallothill-storage/src/record_log.rs
@@ -75,7 +75,7 @@
         if restored.torn_bytes > 0 {
             f.truncate(&mut file, newest.size())
                 .map_err(|e| Error::file("truncate", &path, e))?;
-            log::warn!(
+            tracing::warn!(
                 "storage: cut {} bytes of a torn record off {}",
                 restored.torn_bytes,
                 path.display()
--- a/crates/shallothill-testing/src/main.rs
+++ b/crates/shallothill-testing/src/main.rs
@@ -30,7 +30,7 @@
 }
 
 async fn run(options: StandinOptions) -> Result<ExitCode, Box<dyn std::error::Error>> {
-    logs::init(LevelFilter::Info)?;
+    let _logs = logs::init(LevelFilter::Info)?;
     let stop = shutdown::on_signal()?;
     let standin = Standin::start(options).await?;
     println!("ready http={}", standin.address());
--- a/crates/shallothill-testing/src/process.rs
+++ b/crates/shallothill-testing/src/process.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::fs::File;
 use std::future::Future;
-use std::io::{BufRead, BufReader};
+use std::io::{BufRead, BufReader, Write};
 use std::net::SocketAddr;
 use std::path::Path;
 use std::process::{Child, Command, ExitStatus, Stdio};
@@ -28,14 +28,17 @@
 }
 
 impl Process {
-    /// `spawn` starts `command` and appends its standard error to the file `log`.
+    /// `spawn` starts `command` and appends what it prints to the file `log`.
     ///
     /// Fails with `Spawn` or `File`.
     pub fn spawn(mut command: Command, log: &Path) -> errors::Result<Self> {
         let program = command.get_program().to_string_lossy().into_owned();
         let path = log.to_string_lossy();
         let log = File::options().create(true).append(true).open(log);
-        let log = log.context(errors::FileSnafu { path })?;
+        let log = log.context(errors::FileSnafu { path: &*path })?;
+        let mut lines = log
+            .try_clone()
+            .context(errors::FileSnafu { path: &*path })?;
         command
             .stdin(Stdio::null())
             .stdout(Stdio::piped())
@@ -47,6 +50,8 @@
             // The thread reads to the end, so that the child never blocks on a full pipe.
             thread::spawn(move || {
                 for line in BufReader::new(stdout).lines().map_while(Result::ok) {
+                    // The log only helps to understand a failure.
+                    let _ = writeln!(lines, "{line}");
                     if line.starts_with("ready") {
                         let _ = tx.send(line);
                     }
