node: requests that wait for one connection share its failure

Ruled out: the penalty of the path (it holds, but these requests were picked before).

Change: a request whose turn comes after an attempt failed that began while it waited gets that failure.

Test: requests_share_a_failure_to_connect took 8.0 s for eight requests before and less than 4 s now.

--- a/crates/shallothill-node/src/peer/link.rs
+++ b/crates/shallothill-node/src/peer/link.rs
@@ -4,7 +4,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Mutex, PoisonError};
+use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use hyper::body::Incoming;
@@ -39,6 +39,8 @@
 struct State {
     sender: Option<http2::SendRequest<Body>>,
     used: Instant,
+    /// When a connection could not be opened last.
+    failed: Option<Instant>,
 }
 
 /// `Link` is the shared connection to one peer, made again when it breaks.
@@ -60,6 +62,7 @@
             state: Mutex::new(State {
                 sender: None,
                 used: Instant::now(),
+                failed: None,
             }),
             connecting: Semaphore::new(1),
             responses: AtomicU64::new(0),
@@ -73,7 +76,7 @@
 
     /// `idle_since` returns when the link was last used.
     pub fn idle_since(&self) -> Instant {
-        let state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        let state = self.lock();
         state.used
     }
 
@@ -111,18 +114,19 @@
     }
 
     fn current(&self) -> Option<http2::SendRequest<Body>> {
-        let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut state = self.lock();
         state.used = Instant::now();
         state.sender.clone().filter(|s| !s.is_closed())
     }
 
     fn forget(&self) {
-        let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut state = self.lock();
         state.sender = None;
     }
 
     async fn connect(&self) -> io::Result<http2::SendRequest<Body>> {
-        // Requests that wait for the same connection share it.
+        let asked = Instant::now();
+        // Requests that wait for the same connection share it, and share its failure.
         let _permit = self
             .connecting
             .acquire()
@@ -131,6 +135,19 @@
         if let Some(sender) = self.current() {
             return Ok(sender);
         }
+        if self.lock().failed.is_some_and(|at| at >= asked) {
+            return Err(io::Error::from(io::ErrorKind::NotConnected));
+        }
+        let opened = self.open().await;
+        let mut state = self.lock();
+        match &opened {
+            Ok(sender) => state.sender = Some(sender.clone()),
+            Err(_) => state.failed = Some(Instant::now()),
+        }
+        opened
+    }
+
+    async fn open(&self) -> io::Result<http2::SendRequest<Body>> {
         let connecting = TcpStream::connect(self.address);
         let stream = time::timeout(self.connect_timeout, connecting)
             .await
@@ -150,10 +167,12 @@
         tokio::spawn(async move {
             let _ = connection.await;
         });
-        let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
-        state.sender = Some(sender.clone());
         Ok(sender)
     }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
 }
 
 fn not_sent(e: impl fmt::Display) -> LinkError {
--- a/crates/shallothill-node/tests/links.rs
+++ b/crates/shallothill-node/tests/links.rs
@@ -2,16 +2,24 @@
 
 mod support;
 
+use std::time::Duration;
+
 use bytes::Bytes;
+use futures::future;
 use hyper::Method;
 use serde_json::Value;
 use shallothill_core::ids::ServiceName;
 use shallothill_core::time::Millis;
+use shallothill_node::body::Body;
+use shallothill_node::peer::{Link, LinkError};
 use shallothill_policy::pick;
 use shallothill_testing::behaviour::Behaviour;
 use shallothill_testing::http::Client;
 use shallothill_testing::process;
 use shallothill_testing::relay::{Direction, Relay};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::time;
+
 use support::{LONG, book, cluster, get, key, outcome};
 
 async fn relayed() -> (cluster::Pair, Relay) {
@@ -86,6 +94,42 @@
     assert_eq!(booked.count(), 1);
 }
 
+/// A listener that takes no more connections, so that opening one hangs.
+async fn deaf_listener() -> (TcpListener, Vec<TcpStream>) {
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.bind(cluster::local()).unwrap();
+    let listener = socket.listen(1).unwrap();
+    let address = listener.local_addr().unwrap();
+    let mut held = Vec::new();
+    let soon = Duration::from_millis(300);
+    while let Ok(connected) = time::timeout(soon, TcpStream::connect(address)).await {
+        held.push(connected.unwrap());
+    }
+    (listener, held)
+}
+
+/// Guards against requests to a host that cannot be reached which wait for each other's attempts to
+/// connect, one timeout after the other.
+#[tokio::test]
+async fn requests_share_a_failure_to_connect() {
+    const TIMEOUT: Duration = Duration::from_secs(1);
+    let (listener, _held) = deaf_listener().await;
+    let link = Link::new(listener.local_addr().unwrap(), TIMEOUT);
+    let request = || {
+        let mut req = hyper::Request::new(Body::full(Bytes::new()));
+        *req.uri_mut() = "http://peer/stock".parse().unwrap();
+        req
+    };
+    let started = time::Instant::now();
+
+    let sent = future::join_all((0..8).map(|_| link.send(request()))).await;
+
+    let not_sent = |r: &Result<_, LinkError>| matches!(r, Err(LinkError::NotSent(_)));
+    assert!(sent.iter().all(not_sent));
+    // One after the other they take 8 s.
+    assert!(started.elapsed() < 4 * TIMEOUT, "{:?}", started.elapsed());
+}
+
 /// Guards against an idempotent request that spends its whole deadline on a silent peer while
 /// another backend server could answer it, and against a silent path that counts as sound.
 #[tokio::test]
