--- a/crates/shallothill-node/src/gate/endpoint.rs
+++ b/crates/shallothill-node/src/gate/endpoint.rs
@@ -20,12 +20,13 @@
 use shallothill_policy::retry::{Allowance, AllowanceOptions};
 use shallothill_runtime::timer::Timer;
 use tokio::sync::oneshot;
-use tokio::time;
 use tokio::time::Instant;
 
 use crate::attempt::Head;
 use crate::gate::Pool;
 use crate::gate::slot::Slot;
+use crate::gate::waiting;
+use crate::gate::waiting::Waiting;
 use crate::refusal::Refusal;
 
 /// `Inner` is the state of an endpoint; its lock is never held across an await.
@@ -45,7 +46,7 @@
     pub(crate) announced_slots: u16,
     /// The order of the last announcement.
     pub(crate) announced: (u64, u64),
-    waiting: HashMap<Ticket, oneshot::Sender<Result<(), admit::Refusal>>>,
+    pub(crate) waiting: HashMap<Ticket, oneshot::Sender<Result<(), admit::Refusal>>>,
     running: HashMap<Ticket, Fingerprint>,
 }
 
@@ -266,7 +267,7 @@
                 Admission::Refused {
                     reason,
                     retry_after,
-                } => return Err(refusal(reason, retry_after)),
+                } => return Err(waiting::refusal(reason, retry_after)),
                 Admission::Queued(ticket) => {
                     let (tx, rx) = oneshot::channel();
                     inner.waiting.insert(ticket, tx);
@@ -276,12 +277,9 @@
                 }
             }
         };
-        let waiting = Waiting {
-            endpoint: Arc::clone(self),
-            ticket,
-            settled: false,
-        };
-        waiting.wait(rx, deadline).await
+        Waiting::new(Arc::clone(self), ticket)
+            .wait(rx, deadline)
+            .await
     }
 
     /// `start` notes that the request of `ticket` is about to be written.
@@ -361,49 +359,6 @@
     }
 }
 
-struct Waiting {
-    endpoint: Arc<Endpoint>,
-    ticket: Ticket,
-    settled: bool,
-}
-
-impl Waiting {
-    async fn wait(
-        mut self,
-        rx: oneshot::Receiver<Result<(), admit::Refusal>>,
-        deadline: Instant,
-    ) -> Result<Slot, Refusal> {
-        let told = time::timeout_at(deadline, rx).await;
-        match told {
-            Ok(Ok(Ok(()))) => {
-                self.settled = true;
-                Ok(Slot::new(Arc::clone(&self.endpoint), self.ticket))
-            }
-            Ok(Ok(Err(reason))) => {
-                self.settled = true;
-                Err(refusal(reason, Duration::from_millis(100)))
-            }
-            Ok(Err(_)) | Err(_) => Err(refusal(admit::Refusal::Deadline, Duration::ZERO)),
-        }
-    }
-}
-
-impl Drop for Waiting {
-    fn drop(&mut self) {
-        if self.settled {
-            return;
-        }
-        let now = self.endpoint.now();
-        let mut inner = self.endpoint.lock();
-        inner.waiting.remove(&self.ticket);
-        // The slot may have been given while the caller left.
-        if !inner.gate.cancel(self.ticket) {
-            inner.gate.finish(self.ticket, None);
-        }
-        inner.pump(now);
-    }
-}
-
 /// `CRASHED` refuses requests for a backend server that has not announced itself since it crashed.
 pub(crate) const CRASHED: Refusal = Refusal::not_run(
     "backend-down",
@@ -422,17 +377,3 @@
     "suspect",
     "the backend server fails most requests now; send the request again",
 );
-
-fn refusal(reason: admit::Refusal, retry_after: Duration) -> Refusal {
-    let message = match reason {
-        admit::Refusal::Draining => "the backend server is leaving; send the request again",
-        admit::Refusal::Ejected => "the backend server is ejected; send the request again",
-        admit::Refusal::QueueFull => "all slots and the queue are full; send the request later",
-        admit::Refusal::Deadline => "the deadline cannot be met; allow more time or send it later",
-        admit::Refusal::Shed => "a more urgent request took the place; send it later",
-    };
-    Refusal {
-        retry_after: Some(retry_after),
-        ..Refusal::not_run(reason.as_str(), message)
-    }
-}
--- a/crates/shallothill-node/src/gate/mod.rs
+++ b/crates/shallothill-node/src/gate/mod.rs
@@ -11,6 +11,7 @@
 mod ledger;
 mod lifecycle;
 mod slot;
+mod waiting;
 mod watchdog;
 
 use std::collections::BTreeMap;
--- a/crates/shallothill-policy/tests/urgency.rs
+++ b/crates/shallothill-policy/tests/urgency.rs
@@ -42,7 +42,7 @@
     let number = (per_ms * for_ms as f64) as u64;
     let of = |i: u64| Arrival {
         at: (i as f64 / per_ms) as u64,
-        rank: if i % 3 == 0 { 2 } else { 1 },
+        rank: if i.is_multiple_of(3) { 2 } else { 1 },
     };
     (0..number).map(of).collect()
 }
