testing, docs: ports stay free while children start; the operations page

Between its start and the program that it runs, a child holds copies of all open sockets. A test reserves ports by listening and closing; a child that another test starts at that moment keeps them taken for as long as the machine lets it wait.

Ruled out: another process at that address (it is derived from the process id and the call) and outgoing connections (they come from 127.0.0.1).

Change: ports are reserved, and children started, under one lock.

--- a/crates/shallothill-runtime/src/admin.rs
+++ b/crates/shallothill-runtime/src/admin.rs
@@ -130,7 +130,7 @@
             let unknown = || {
                 text(
                     StatusCode::NOT_FOUND,
-                    "no such admin path; see operators.md\n",
+                    "no such admin path; see docs/OPERATIONS.md\n",
                 )
             };
             handler.handle(req).await.unwrap_or_else(unknown)
--- a/crates/shallothill-testing/src/process.rs
+++ b/crates/shallothill-testing/src/process.rs
@@ -3,11 +3,12 @@
 use std::collections::BTreeMap;
 use std::fs::File;
 use std::future::Future;
+use std::io;
 use std::io::{BufRead, BufReader, Write};
 use std::net::SocketAddr;
 use std::path::Path;
 use std::process::{Child, Command, ExitStatus, Stdio};
-use std::sync::mpsc;
+use std::sync::{Mutex, PoisonError, mpsc};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -18,6 +19,25 @@
 /// `POLL` is the time between two looks at a condition.
 const POLL: Duration = Duration::from_millis(20);
 
+/// `SPAWN` is held while a child is started and while a test holds a listener that no child may keep.
+static SPAWN: Mutex<()> = Mutex::new(());
+
+/// `without_spawns` runs `f` while no child is started by [`spawn`].
+///
+/// Between its start and the program that it runs, a child holds copies of all open sockets, so that
+/// a port which the test has closed is still taken for a moment.
+pub fn without_spawns<T>(f: impl FnOnce() -> T) -> T {
+    let _held = SPAWN.lock().unwrap_or_else(PoisonError::into_inner);
+    f()
+}
+
+/// `spawn` starts a child; see [`without_spawns`].
+///
+/// Fails when the program cannot be run.
+pub fn spawn(command: &mut Command) -> io::Result<Child> {
+    without_spawns(|| command.spawn())
+}
+
 /// `Process` is a child process; dropping it kills it and waits for its end.
 #[derive(Debug)]
 pub struct Process {
@@ -43,7 +63,7 @@
             .stdin(Stdio::null())
             .stdout(Stdio::piped())
             .stderr(log);
-        let spawned = command.spawn();
+        let spawned = spawn(&mut command);
         let mut child = spawned.context(errors::SpawnSnafu { program: &program })?;
         let (tx, ready) = mpsc::channel();
         if let Some(stdout) = child.stdout.take() {
@@ -119,7 +139,7 @@
     pub fn signal(&self, name: &str) -> errors::Result<()> {
         let mut kill = Command::new("kill");
         kill.arg(format!("-{name}")).arg(self.id().to_string());
-        let status = kill.stderr(Stdio::null()).status();
+        let status = spawn(kill.stderr(Stdio::null())).and_then(|mut child| child.wait());
         status.context(errors::SpawnSnafu { program: "kill" })?;
         Ok(())
     }
--- a/crates/shallothill-testing/tests/faults/operator.rs
+++ b/crates/shallothill-testing/tests/faults/operator.rs
@@ -3,9 +3,11 @@
 use std::fs;
 use std::net::SocketAddr;
 use std::path::Path;
+use std::process::Stdio;
 use std::time::Duration;
 
 use serde_json::Value;
+use shallothill_testing::process;
 use tokio::process::Command;
 
 use crate::binaries;
@@ -50,7 +52,9 @@
             command.arg("--json");
         }
         let limit = Duration::from_secs(90);
-        let output = tokio::time::timeout(limit, command.output()).await;
+        command.stdout(Stdio::piped()).stderr(Stdio::piped());
+        let child = process::without_spawns(|| command.spawn()).unwrap();
+        let output = tokio::time::timeout(limit, child.wait_with_output()).await;
         let output = output.expect("the command did not end").unwrap();
         let stdout = String::from_utf8_lossy(&output.stdout).into_owned();
         let value: Option<Value> = serde_json::from_str(&stdout).ok();
