policy: arrivals decide among equally urgent requests; hopeless ones are refused while they wait

Since the queue orders by urgency, requests without an objective were ordered by their deadlines, and one that could not make its deadline any more was put last and kept its place until the deadline had passed; before, it was refused when its turn came.

Change: among requests of one rank the arrival decides, an objective is missed only where there is one, and a waiting request that cannot be answered before its deadline is refused at once.

--- a/crates/shallothill-policy/src/admit/gate.rs
+++ b/crates/shallothill-policy/src/admit/gate.rs
@@ -119,20 +119,17 @@
                 .pop_any()
                 .map(|w| Start::Refused(w.ticket, reason));
         }
-        if let Some(expired) = self.queue.pop_expired(now) {
-            return Some(Start::Refused(expired.ticket, Refusal::Deadline));
+        let usual = self.usual_latency();
+        if let Some(hopeless) = self.queue.pop_hopeless(now, usual) {
+            return Some(Start::Refused(hopeless.ticket, Refusal::Deadline));
         }
         if !self.has_room() {
             return None;
         }
-        let usual = self.usual_latency();
         let options = &self.options;
         let next = self
             .queue
             .next(now, usual, options.internal_every, options.fair_every)?;
-        if !self.can_finish(now, next.deadline, 0.0) {
-            return Some(Start::Refused(next.ticket, Refusal::Deadline));
-        }
         self.running.push(next.ticket);
         Some(Start::Run(next.ticket))
     }
@@ -230,7 +227,7 @@
         let waiting = Waiting {
             ticket: self.ticket(),
             deadline: req.deadline,
-            objective: req.objective.unwrap_or(req.deadline),
+            objective: req.objective,
             rank: req.rank,
         };
         let callers_full = !internal && self.queue.callers_len() >= for_callers;
--- a/crates/shallothill-policy/src/admit/queue.rs
+++ b/crates/shallothill-policy/src/admit/queue.rs
@@ -10,8 +10,8 @@
 pub(crate) struct Waiting {
     pub(crate) ticket: Ticket,
     pub(crate) deadline: Millis,
-    /// Until when an answer is of full use.
-    pub(crate) objective: Millis,
+    /// Until when an answer is of full use, if that is before the deadline.
+    pub(crate) objective: Option<Millis>,
     pub(crate) rank: u8,
 }
 
@@ -19,23 +19,20 @@
 ///
 /// A request that can still be answered within its objective goes before one that will be late
 /// anyway, since running the late one first makes both late. Among them the rank decides, then the
-/// time that is left.
+/// arrival.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub(crate) struct Urgency {
     late: bool,
     rank: u8,
-    until: Millis,
     ticket: Ticket,
 }
 
 impl Waiting {
     /// Judges the request when an answer takes `usual`.
     pub(crate) fn urgency(&self, now: Millis, usual: Duration) -> Urgency {
-        let late = now + usual > self.objective;
         Urgency {
-            late,
+            late: self.objective.is_some_and(|at| now + usual > at),
             rank: self.rank,
-            until: if late { self.deadline } else { self.objective },
             ticket: self.ticket,
         }
     }
@@ -60,9 +57,9 @@
         self.callers.len()
     }
 
-    /// Takes out a request whose deadline has passed.
-    pub(crate) fn pop_expired(&mut self, now: Millis) -> Option<Waiting> {
-        let expired = |w: &Waiting| w.deadline <= now;
+    /// Takes out a request that cannot be answered before its deadline when an answer takes `usual`.
+    pub(crate) fn pop_hopeless(&mut self, now: Millis, usual: Duration) -> Option<Waiting> {
+        let expired = |w: &Waiting| w.deadline <= now + usual;
         for queue in [&mut self.callers, &mut self.internal] {
             if let Some(i) = queue.iter().position(expired) {
                 return Some(queue.remove(i));
--- a/crates/shallothill-policy/tests/urgency.rs
+++ b/crates/shallothill-policy/tests/urgency.rs
@@ -4,7 +4,9 @@
 
 use shallothill_core::class::Class;
 use shallothill_core::time::Millis;
-use shallothill_policy::admit::{Admission, Gate, GateOptions, GateRequest, Start, Ticket};
+use shallothill_policy::admit::{
+    Admission, Gate, GateOptions, GateRequest, Refusal, Start, Ticket,
+};
 
 const SLOTS: u16 = 7;
 const WORK_MS: u64 = 600;
@@ -160,3 +162,33 @@
         assert_eq!(tally.in_time, tally.asked, "{tally:?}");
     }
 }
+
+/// Guards against requests that keep a place in the queue, and their callers, although no answer can
+/// come before their deadline any more.
+#[test]
+fn a_hopeless_request_is_refused_while_it_waits() {
+    let options = GateOptions {
+        slots: 1,
+        queue: 10,
+        expected_latency: Duration::from_millis(WORK_MS),
+        ..GateOptions::default()
+    };
+    let mut gate = Gate::new(options, false);
+    let request = |deadline| GateRequest {
+        class: Class::Shop,
+        deadline: Millis(deadline),
+        objective: None,
+        rank: 0,
+        trial: false,
+    };
+    gate.offer(Millis(0), request(DEADLINE_MS));
+    let Admission::Queued(waiting) = gate.offer(Millis(0), request(3 * WORK_MS)) else {
+        panic!("the request does not wait");
+    };
+
+    let before = gate.poll(Millis(WORK_MS));
+    let after = gate.poll(Millis(2 * WORK_MS + 1));
+
+    assert_eq!(before, None);
+    assert_eq!(after, Some(Start::Refused(waiting, Refusal::Deadline)));
+}
