node, keeper: lines name route, service, rank and time left; a version tells what it changes

An answer named neither route nor service, a gate neither rank nor the time that was left, and a keeper did not say what a version changes.

The test a_refusal_names_route_service_and_rank could not pass before: no field had the names.

--- a/crates/shallothill-keeper/src/fetch.rs
+++ b/crates/shallothill-keeper/src/fetch.rs
@@ -99,7 +99,7 @@
             return false;
         };
         info!(
-            "config: version {} is served, fetched from {address}",
+            "config: version {} was fetched from {address}",
             next.version()
         );
         keeper.publish(next);
--- a/crates/shallothill-keeper/src/keeper.rs
+++ b/crates/shallothill-keeper/src/keeper.rs
@@ -17,6 +17,7 @@
 use shallothill_wire::watch::{SectionsReply, SectionsRequest};
 use tokio::sync::watch;
 
+use crate::change_log;
 use crate::config_state::{ConfigState, SectionHistory};
 use crate::isolation::Isolation;
 use crate::ledger::LedgerHandle;
@@ -178,6 +179,13 @@
     /// `publish` serves `next` from now on, if it is newer than what is served.
     pub fn publish(&self, next: Published) {
         let next = Arc::new(next);
+        let current = self.published.load_full();
+        if next.version() > current.version() {
+            change_log::log_changes(
+                (current.version(), current.config()),
+                (next.version(), next.config()),
+            );
+        }
         self.published.rcu(|current| {
             let newer = next.version() > current.version();
             Arc::clone(if newer { &next } else { current })
--- a/crates/shallothill-keeper/src/publisher.rs
+++ b/crates/shallothill-keeper/src/publisher.rs
@@ -7,7 +7,7 @@
 use tokio::sync::watch;
 use tokio::task;
 use tokio_util::sync::CancellationToken;
-use tracing::{error, info};
+use tracing::error;
 
 use crate::fetch::Fetch;
 use crate::keeper::{Keeper, lock};
@@ -107,10 +107,7 @@
         Some(current.next(version, config))
     });
     match next.await {
-        Ok(Some(next)) => {
-            info!("config: version {version} is served");
-            keeper.publish(next);
-        }
+        Ok(Some(next)) => keeper.publish(next),
         _ => error!(
             "config: the accepted version {version} cannot be read by this release; run the same \
              release on all keepers"
--- a/crates/shallothill-node/src/entry/handler.rs
+++ b/crates/shallothill-node/src/entry/handler.rs
@@ -1,5 +1,7 @@
 //! Answers callers.
 
+use std::sync::Arc;
+
 use hyper::body::Incoming;
 use hyper::header::{self, HeaderName, HeaderValue};
 use hyper::{Request, Response};
@@ -36,8 +38,10 @@
         let arrived = Instant::now();
         let id = self.parts.interface.request_id_of(req.headers());
         let id = id.map(str::to_owned);
+        let mut head = None;
         let (response, decision) = match self.prepare(req).await {
             Ok(prepared) => {
+                head = Some(Arc::clone(&prepared.head));
                 let (reply, in_flight) = self.run(prepared).await;
                 let decision = Decision::of(reply.outcome.as_str(), &reply.response);
                 (self.finish(reply, in_flight), decision)
@@ -56,6 +60,9 @@
         };
         tracing::info!(
             request = id,
+            route = head.as_ref().map(|h| h.route.as_str()),
+            service = head.as_ref().map(|h| h.service.as_str()),
+            rank = head.as_ref().map(|h| h.rank),
             outcome = decision.outcome,
             status = response.status().as_u16(),
             reason = decision.reason,
--- a/crates/shallothill-node/src/gate/arrival.rs
+++ b/crates/shallothill-node/src/gate/arrival.rs
@@ -1,5 +1,8 @@
 //! What a gate logs of an attempt.
 
+use std::sync::Arc;
+use std::time::Duration;
+
 use shallothill_core::headers;
 use shallothill_core::version::ConfigVersion;
 use shallothill_policy::gray::Caution;
@@ -7,7 +10,7 @@
 use tokio::time::Instant;
 
 use crate::attempt;
-use crate::attempt::{Attempt, Reply};
+use crate::attempt::{Attempt, Head, Reply};
 use crate::gate::Endpoint;
 use crate::header_filter;
 use crate::interface::Interface;
@@ -17,6 +20,9 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Arrival {
     request: Option<String>,
+    head: Arc<Head>,
+    /// The time until the deadline.
+    left: Duration,
     number: u8,
     repeated: bool,
     caution: Caution,
@@ -32,6 +38,11 @@
         let request = interface.request_id_of(&attempt.head.headers);
         Self {
             request: request.map(str::to_owned),
+            head: Arc::clone(&attempt.head),
+            left: attempt
+                .head
+                .deadline
+                .saturating_duration_since(Instant::now()),
             number: attempt.number,
             repeated: attempt.repeated,
             caution: attempt.caution,
@@ -47,6 +58,9 @@
             request = self.request,
             attempt = self.number,
             repeated = self.repeated,
+            route = self.head.route.as_str(),
+            rank = self.head.rank,
+            left_ms = self.left.as_millis() as u64,
             server = %endpoint.id,
             caution = self.caution.as_str(),
             load = attempt::load_to_header(self.load),
--- a/crates/shallothill-node/tests/logs.rs
+++ b/crates/shallothill-node/tests/logs.rs
@@ -20,6 +20,7 @@
     child: Child,
     out: BufReader<PipeReader>,
     caller: SocketAddr,
+    _keepers: Keepers,
     _dir: TempDir,
 }
 
@@ -53,10 +54,24 @@
             child,
             out,
             caller,
+            _keepers: keepers,
             _dir: dir,
         };
         (piped, writer)
     }
+
+    /// Reads up to the first line that fits.
+    fn line(&mut self, fits: impl Fn(&Value) -> bool) -> Value {
+        let mut line = String::new();
+        loop {
+            line.clear();
+            assert!(self.out.read_line(&mut line).unwrap() > 0, "no such line");
+            let value: Value = serde_json::from_str(&line).unwrap();
+            if fits(&value) {
+                return value;
+            }
+        }
+    }
 }
 
 impl Drop for Piped {
@@ -79,20 +94,35 @@
 
     let status = ask(&Client::default(), node.caller).await;
 
-    let mut line = String::new();
-    let answered = loop {
-        line.clear();
-        assert!(node.out.read_line(&mut line).unwrap() > 0, "no such line");
-        let value: Value = serde_json::from_str(&line).unwrap();
-        if value["message"] == "entry: answered" {
-            break value;
-        }
-    };
+    let answered = node.line(|line| line["message"] == "entry: answered");
     assert_eq!(answered["status"], status);
     assert_eq!(answered["outcome"], "refused-not-run");
     assert!(answered["timestamp"].is_string());
 }
 
+/// Guards against refusals whose lines do not tell which route and service refused.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_refusal_names_route_service_and_rank() {
+    let (mut node, writer) = Piped::start().await;
+    drop(writer);
+    let client = Client::default();
+    let caller = node.caller;
+    let reads = || async {
+        let sent = client.send(Method::GET, caller, "/stock", &[], Default::default(), LONG);
+        support::reason(&sent.await.unwrap()) == "no-endpoint"
+    };
+
+    process::wait_until("the route is in force", LONG, reads)
+        .await
+        .unwrap();
+
+    let refused = node.line(|line| line["reason"] == "no-endpoint");
+    assert_eq!(refused["message"], "entry: answered");
+    assert_eq!(refused["route"], "stock");
+    assert_eq!(refused["service"], "courier");
+    assert_eq!(refused["rank"], 0);
+}
+
 /// Guards against requests that wait for a standard output that nobody reads.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_full_standard_output_delays_no_request() {
