--- a/crates/shallothill-testing/src/behaviour.rs
+++ b/crates/shallothill-testing/src/behaviour.rs
@@ -1,5 +1,7 @@
 //! What a stand-in backend server does to its requests; set at run time as JSON.
 
+use std::collections::BTreeMap;
+
 use serde::{Deserialize, Serialize};
 
 /// `Flap` alternates between good times and times in which work stalls, from the moment it is set.
@@ -28,6 +30,8 @@
 pub struct Behaviour {
     /// Time that the work of a request takes, in milliseconds.
     pub latency_ms: u64,
+    /// The latency of paths that start so, in milliseconds, in place of `latency_ms`.
+    pub latency_by_path: BTreeMap<String, u64>,
     /// Multiplies the latency, if set.
     pub slow_factor: Option<u32>,
     /// Answers probes, but never finishes real work.
@@ -63,13 +67,16 @@
         self.stall || self.flap.is_some_and(bad_time)
     }
 
-    /// `work_ms` returns the time that request number `n`, from 0, takes.
-    pub fn work_ms(&self, n: u64) -> u64 {
+    /// `work_ms` returns the time that request number `n`, from 0, with this path takes.
+    pub fn work_ms(&self, n: u64, path: &str) -> u64 {
         let extra = match self.cold_start {
             Some(cold) if n < cold.requests => cold.extra_ms,
             _ => 0,
         };
-        self.latency_ms * u64::from(self.slow_factor.unwrap_or(1)) + extra
+        let of_path = |(prefix, ms): (&String, &u64)| path.starts_with(prefix).then_some(*ms);
+        let latency_ms = self.latency_by_path.iter().find_map(of_path);
+        let latency_ms = latency_ms.unwrap_or(self.latency_ms);
+        latency_ms * u64::from(self.slow_factor.unwrap_or(1)) + extra
     }
 
     /// `state` returns the state to announce after `served` requests.
--- a/crates/shallothill-testing/src/server.rs
+++ b/crates/shallothill-testing/src/server.rs
@@ -136,7 +136,7 @@
             return future::pending().await;
         }
         let n = self.served.fetch_add(1, Ordering::Relaxed);
-        time::sleep(Duration::from_millis(behaviour.work_ms(n))).await;
+        time::sleep(Duration::from_millis(behaviour.work_ms(n, &req.path))).await;
         if behaviour.cold_start.is_some_and(|c| n + 1 == c.requests) {
             self.changed.notify_one();
         }
--- a/crates/shallothill-testing/tests/standin.rs
+++ b/crates/shallothill-testing/tests/standin.rs
@@ -96,7 +96,7 @@
         [0, 9, 10, 14, 15].map(|ms| b.stalls(ms)),
         [false, false, true, true, false]
     );
-    assert_eq!([0, 1, 2].map(|n| b.work_ms(n)), [10, 10, 3]);
+    assert_eq!([0, 1, 2].map(|n| b.work_ms(n, "/")), [10, 10, 3]);
     assert_eq!([1, 2].map(|n| b.state(n).to_owned()), ["cold", "ready"]);
 }
 
