policy, node: a gate judges a request by what its own route takes and by who starts before it

Cause: a gate refuses a request as `deadline` when its time left is shorter than (rounds of the queue + 1) x usual latency. The latency was one mean over all requests of the server, and the rounds counted the whole queue, also what starts after an urgent request. At stok-servis stock lookups and bookings take 1.4 to 2 s; the added routes have a deadline of 1 s, rank 0, and need 42 to 212 ms. So they were refused wherever the mean was above 1 s, with free slots too, by every gate that was tried. What is refused leaves no sample, so the estimate could not correct itself. It shows most when the change that won the race splits bookings 50:50, as the mix at stok-servis is then longer. Class: a decision on one kind of request from an aggregate over others, without feedback when it refuses.

Ruled out: starvation by rank (added routes have rank 0, the highest; 4,079 of their attempts in seconds 13 to 30 ended as deadline, few as shed or queue-full); a configuration that is not in force (all nodes serve the same version and answer from the right service); which change won: either may.

Change: Latencies follows the answers of each route, at most 256 at a server. A request waits for those that are more urgent, counted by the mean, and then takes what its route takes; operators' expected_latency holds until the first answer. An estimate refuses only if a request of the route was admitted or answered within 2 s; else one is tried. The order of the queue and its hopeless requests go by the same estimate.

--- a/crates/shallothill-bench/src/scenarios/cost.rs
+++ b/crates/shallothill-bench/src/scenarios/cost.rs
@@ -9,7 +9,7 @@
 use shallothill_core::health::ServingState;
 use shallothill_core::ids::{EndpointId, EndpointName, NodeName, ServiceName};
 use shallothill_core::time::Millis;
-use shallothill_policy::admit::{Admission, Gate, GateOptions, GateRequest};
+use shallothill_policy::admit::{Admission, End, Gate, GateOptions, GateRequest, Kind};
 use shallothill_policy::pick::{EndpointInfo, PickOptions, PickRequest, Tables};
 
 use crate::deployment;
@@ -109,6 +109,7 @@
     for n in 0..PICKS {
         let now = Millis(u64::from(n));
         let req = GateRequest {
+            kind: Kind(0),
             class: Class::Shop,
             deadline: now + Duration::from_secs(10),
             objective: None,
@@ -116,7 +117,7 @@
             trial: false,
         };
         if let Admission::Run(ticket) = black_box(gate.offer(now, req)) {
-            gate.finish(ticket, Some(Duration::from_millis(1)));
+            gate.finish(now, ticket, End::Served(Duration::from_millis(1)));
         }
         black_box(gate.poll(now));
     }
--- a/crates/shallothill-bench/src/sim/ours_request.rs
+++ b/crates/shallothill-bench/src/sim/ours_request.rs
@@ -5,7 +5,7 @@
 use rand::Rng;
 use shallothill_core::health::ServingState;
 use shallothill_core::outcome::Outcome;
-use shallothill_policy::admit::{Admission, GateRequest, Start, Ticket};
+use shallothill_policy::admit::{Admission, End, GateRequest, Kind, Start, Ticket};
 use shallothill_policy::detect::Evidence;
 use shallothill_policy::pick::{PickRequest, Tier};
 use shallothill_policy::retry::{Attempts, Next};
@@ -102,6 +102,7 @@
         };
         let trial = self.hosts[server].gate.state() == ServingState::Ejected;
         let offer = GateRequest {
+            kind: Kind(u64::from(request.call.class.is_internal())),
             class: request.call.class,
             deadline: millis(request.deadline),
             objective: None,
@@ -196,9 +197,11 @@
     }
 
     fn free(&mut self, server: usize, ticket: Ticket, served: Option<Duration>) {
+        let now = millis(self.events.now());
         let host = &mut self.hosts[server];
         host.runs.remove(&ticket);
-        host.gate.finish(ticket, served);
+        host.gate
+            .finish(now, ticket, served.map_or(End::Failed, End::Served));
     }
 
     pub(super) fn pump(&mut self, server: usize) {
--- a/crates/shallothill-node/src/gate/endpoint.rs
+++ b/crates/shallothill-node/src/gate/endpoint.rs
@@ -5,13 +5,14 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use shallothill_core::hash;
 use shallothill_core::hash::Fingerprint;
 use shallothill_core::health::ServingState;
 use shallothill_core::ids::EndpointId;
 use shallothill_core::time::Millis;
 use shallothill_directory::ReleaseRequest;
 use shallothill_policy::admit;
-use shallothill_policy::admit::{Admission, GateOptions, GateRequest, Start, Ticket};
+use shallothill_policy::admit::{Admission, End, GateOptions, GateRequest, Kind, Start, Ticket};
 use shallothill_policy::detect::{DetectOptions, Evidence};
 use shallothill_policy::eject::EndpointHealth;
 use shallothill_policy::gray;
@@ -250,6 +251,7 @@
         let deadline = head.deadline;
         let at = |instant: Instant| now + instant.saturating_duration_since(clock);
         let req = GateRequest {
+            kind: Kind(hash::short(head.route.as_str().as_bytes())),
             class: head.class,
             deadline: at(deadline),
             objective: head.objective.map(at),
@@ -320,12 +322,12 @@
         self.observe(ticket, Evidence::Reset, Duration::MAX / 16);
     }
 
-    /// `finish` frees the slot of `ticket`; `served` is the latency of a successful answer.
-    pub(crate) fn finish(&self, ticket: Ticket, served: Option<Duration>) {
+    /// `finish` frees the slot of `ticket`.
+    pub(crate) fn finish(&self, ticket: Ticket, end: End) {
         let now = self.now();
         let mut inner = self.lock();
         inner.running.remove(&ticket);
-        inner.gate.finish(ticket, served);
+        inner.gate.finish(now, ticket, end);
         inner.pump(now);
     }
 }
@@ -346,7 +348,7 @@
                 Start::Run(ticket) => {
                     let waiter = self.waiting.remove(&ticket);
                     if waiter.is_none_or(|tx| tx.send(Ok(())).is_err()) {
-                        self.gate.finish(ticket, None);
+                        self.gate.finish(now, ticket, End::Failed);
                     }
                 }
                 Start::Refused(ticket, reason) => {
--- a/crates/shallothill-node/src/gate/slot.rs
+++ b/crates/shallothill-node/src/gate/slot.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use shallothill_core::hash::Fingerprint;
-use shallothill_policy::admit::Ticket;
+use shallothill_policy::admit::{End, Ticket};
 use shallothill_policy::detect::Evidence;
 use tokio::time::Instant;
 
@@ -92,6 +92,14 @@
         }
     }
 
+    fn end(&self) -> End {
+        match (self.served, self.started) {
+            (Some(latency), _) => End::Served(latency),
+            (None, Some(started)) if !self.observed => End::GivenUp(started.elapsed()),
+            _ => End::Failed,
+        }
+    }
+
     fn observe(&mut self, evidence: Evidence) {
         if self.started.is_some() && !self.observed {
             self.observed = true;
@@ -103,8 +111,9 @@
 
 impl Drop for Slot {
     fn drop(&mut self) {
+        let end = self.end();
         self.observe(Evidence::Abandoned);
-        self.endpoint.finish(self.ticket, self.served);
+        self.endpoint.finish(self.ticket, end);
     }
 }
 
--- a/crates/shallothill-policy/src/admit/gate.rs
+++ b/crates/shallothill-policy/src/admit/gate.rs
@@ -6,9 +6,10 @@
 use shallothill_core::health::ServingState;
 use shallothill_core::time::Millis;
 
+use crate::admit::latency::Latencies;
 use crate::admit::options::GateOptions;
 use crate::admit::queue::{Queue, Waiting};
-use crate::admit::request::{Admission, GateRequest, Refusal, Start, Ticket};
+use crate::admit::request::{Admission, End, GateRequest, Kind, Refusal, Start, Ticket};
 use crate::pick::ReportedLoad;
 
 /// `Gate` bounds what one endpoint runs: slots, a queue bounded by deadlines, class priority,
@@ -22,21 +23,21 @@
     cold: bool,
     draining: bool,
     trial_slots: u16,
-    running: Vec<Ticket>,
+    running: Vec<(Ticket, Kind)>,
     trials: Vec<Ticket>,
     queue: Queue,
     settled: VecDeque<Start>,
     tickets: u64,
     connections: u32,
     served_since_start: u32,
-    latency_us: f64,
+    latencies: Latencies,
 }
 
 impl Gate {
     /// `new` builds the gate of an endpoint that announced itself `cold` or ready.
     pub fn new(options: GateOptions, cold: bool) -> Self {
         Self {
-            latency_us: options.expected_latency.as_micros() as f64,
+            latencies: Latencies::new(options.expected_latency),
             options,
             state: ServingState::Ready,
             cold,
@@ -60,13 +61,23 @@
         if self.state == ServingState::Ejected {
             return self.offer_trial(req);
         }
-        if !self.can_finish(now, req.deadline, self.waves_ahead()) {
+        let waiting = Waiting {
+            ticket: self.ticket(),
+            deadline: req.deadline,
+            objective: req.objective,
+            rank: req.rank,
+            kind: req.kind,
+            takes: self.latencies.of(req.kind),
+        };
+        let Some(takes) = self.time_allowed(now, &req, &waiting) else {
             return self.refuse(Refusal::Deadline);
-        }
+        };
+        self.latencies.admitted(now, req.kind);
         if self.has_room() && self.queue.len() == 0 {
-            return self.run();
+            return self.run(waiting.ticket, req.kind);
         }
-        self.enqueue(now, req)
+        let internal = req.class.is_internal();
+        self.enqueue(now, internal, Waiting { takes, ..waiting })
     }
 
     // Requests that were running when the endpoint was ejected take no place of a trial.
@@ -75,22 +86,23 @@
             return self.refuse(Refusal::Ejected);
         }
         let ticket = self.ticket();
-        self.running.push(ticket);
         self.trials.push(ticket);
-        Admission::Run(ticket)
+        self.run(ticket, req.kind)
     }
 
-    /// `finish` frees the slot of `ticket` after its attempt has ended; `served` is the latency
-    /// of a successful answer. A ticket that holds no slot frees none.
-    pub fn finish(&mut self, ticket: Ticket, served: Option<Duration>) {
-        let Some(i) = self.running.iter().position(|t| *t == ticket) else {
+    /// `finish` frees the slot of `ticket` after its attempt has ended. A ticket that holds no slot
+    /// frees none.
+    pub fn finish(&mut self, now: Millis, ticket: Ticket, end: End) {
+        let Some(i) = self.running.iter().position(|(t, _)| *t == ticket) else {
             return;
         };
-        self.running.swap_remove(i);
+        let (_, kind) = self.running.swap_remove(i);
         self.trials.retain(|t| *t != ticket);
-        if let Some(latency) = served {
-            // A weight of 1/16 follows a change of latency within some twenty answers.
-            self.latency_us += (latency.as_micros() as f64 - self.latency_us) / 16.0;
+        if let End::GivenUp(age) = end {
+            self.latencies.exceeded(now, kind, age);
+        }
+        if let End::Served(latency) = end {
+            self.latencies.served(now, kind, latency);
             self.served_since_start = self.served_since_start.saturating_add(1);
             if self.served_since_start >= self.options.cold_start_requests {
                 self.cold = false;
@@ -119,8 +131,7 @@
                 .pop_any()
                 .map(|w| Start::Refused(w.ticket, reason));
         }
-        let usual = self.usual_latency();
-        if let Some(hopeless) = self.queue.pop_hopeless(now, usual) {
+        if let Some(hopeless) = self.queue.pop_hopeless(now) {
             return Some(Start::Refused(hopeless.ticket, Refusal::Deadline));
         }
         if !self.has_room() {
@@ -129,8 +140,8 @@
         let options = &self.options;
         let next = self
             .queue
-            .next(now, usual, options.internal_every, options.fair_every)?;
-        self.running.push(next.ticket);
+            .next(now, options.internal_every, options.fair_every)?;
+        self.running.push((next.ticket, next.kind));
         Some(Start::Run(next.ticket))
     }
 
@@ -148,6 +159,7 @@
 
     /// `set_options` takes over a changed configuration.
     pub fn set_options(&mut self, options: GateOptions) {
+        self.latencies.set_expected(options.expected_latency);
         self.options = options;
     }
 
@@ -183,9 +195,9 @@
         }
     }
 
-    /// `usual_latency` returns the smoothed time of successful answers.
+    /// `usual_latency` returns the smoothed time of successful answers of all kinds.
     pub fn usual_latency(&self) -> Duration {
-        Duration::from_micros(self.latency_us as u64)
+        self.latencies.mean()
     }
 
     /// `is_idle` tells whether nothing runs or waits.
@@ -209,9 +221,8 @@
         self.running.len() < usize::from(self.slots())
     }
 
-    fn run(&mut self) -> Admission {
-        let ticket = self.ticket();
-        self.running.push(ticket);
+    fn run(&mut self, ticket: Ticket, kind: Kind) -> Admission {
+        self.running.push((ticket, kind));
         Admission::Run(ticket)
     }
 
@@ -220,26 +231,18 @@
         Ticket(self.tickets)
     }
 
-    fn enqueue(&mut self, now: Millis, req: GateRequest) -> Admission {
-        let internal = req.class.is_internal();
+    fn enqueue(&mut self, now: Millis, internal: bool, waiting: Waiting) -> Admission {
         let places = usize::from(self.options.queue);
         let for_callers = places - usize::from(self.options.internal_queue());
-        let waiting = Waiting {
-            ticket: self.ticket(),
-            deadline: req.deadline,
-            objective: req.objective,
-            rank: req.rank,
-        };
         let callers_full = !internal && self.queue.callers_len() >= for_callers;
         if callers_full || self.queue.len() >= places {
             // A more urgent caller takes the place of the least urgent one; internal work that
             // waits beyond its own places makes room for callers.
-            let usual = self.usual_latency();
             let shed = match (internal, callers_full) {
                 (true, _) => None,
                 (false, true) => {
-                    let urgency = waiting.urgency(now, usual);
-                    self.queue.shed_caller(now, usual, urgency)
+                    let urgency = waiting.urgency(now);
+                    self.queue.shed_caller(now, urgency)
                 }
                 (false, false) => self.queue.shed_internal(),
             };
@@ -253,22 +256,38 @@
         Admission::Queued(ticket)
     }
 
-    // Rounds of the slots that pass before a new request starts.
-    fn waves_ahead(&self) -> f64 {
-        if self.has_room() && self.queue.len() == 0 {
-            return 0.0;
+    // Returns the time that the request is taken to need once it starts, or `None` when it cannot be
+    // answered before its deadline.
+    //
+    // The wait depends on what all kinds take, and the answer only on what its own kind takes. A wait
+    // that is too long is certain; an estimate of the kind may be out of date and is tried at times.
+    fn time_allowed(&self, now: Millis, req: &GateRequest, waiting: &Waiting) -> Option<Duration> {
+        let left = req.deadline.saturating_since(now);
+        let after_wait = left.checked_sub(self.wait_ahead(now, req, waiting))?;
+        if after_wait > waiting.takes {
+            return Some(waiting.takes);
         }
-        (self.queue.len() as f64 + 1.0) / f64::from(self.slots())
+        let worth_trying = !after_wait.is_zero() && self.latencies.wants_trial(now, req.kind);
+        worth_trying.then_some(Duration::ZERO)
     }
 
-    fn can_finish(&self, now: Millis, deadline: Millis, waves: f64) -> bool {
-        let left_us = deadline.saturating_since(now).as_micros() as f64;
-        left_us > (waves + 1.0) * self.latency_us
+    // The time until a slot is free for the request: those that start before it come first.
+    fn wait_ahead(&self, now: Millis, req: &GateRequest, waiting: &Waiting) -> Duration {
+        if self.has_room() && self.queue.len() == 0 {
+            return Duration::ZERO;
+        }
+        let before = if req.class.is_internal() {
+            self.queue.len()
+        } else {
+            self.queue.callers_before(now, waiting.urgency(now))
+        };
+        let rounds = (before as f64 + 1.0) / f64::from(self.slots());
+        self.latencies.mean().mul_f64(rounds)
     }
 
     fn refuse(&self, reason: Refusal) -> Admission {
         let waves = (self.queue.len() as f64 + 1.0) / f64::from(self.slots());
-        let wait = Duration::from_micros((waves * self.latency_us) as u64);
+        let wait = self.latencies.mean().mul_f64(waves);
         Admission::Refused {
             reason,
             retry_after: wait.max(Duration::from_millis(1)),
--- a/crates/shallothill-policy/src/admit/mod.rs
+++ b/crates/shallothill-policy/src/admit/mod.rs
@@ -1,10 +1,11 @@
 //! The gate of one endpoint: which requests run, wait or are refused as not run.
 
 mod gate;
+mod latency;
 mod options;
 mod queue;
 mod request;
 
 pub use gate::Gate;
 pub use options::GateOptions;
-pub use request::{Admission, GateRequest, Refusal, Start, Ticket};
+pub use request::{Admission, End, GateRequest, Kind, Refusal, Start, Ticket};
--- a/crates/shallothill-policy/src/admit/queue.rs
+++ b/crates/shallothill-policy/src/admit/queue.rs
@@ -4,7 +4,7 @@
 
 use shallothill_core::time::Millis;
 
-use crate::admit::request::Ticket;
+use crate::admit::request::{Kind, Ticket};
 
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Waiting {
@@ -13,6 +13,9 @@
     /// Until when an answer is of full use, if that is before the deadline.
     pub(crate) objective: Option<Millis>,
     pub(crate) rank: u8,
+    pub(crate) kind: Kind,
+    /// The time that the request is expected to take once it has started.
+    pub(crate) takes: Duration,
 }
 
 /// `Urgency` orders waiting requests; the least one starts first, the greatest one is shed first.
@@ -28,10 +31,9 @@
 }
 
 impl Waiting {
-    /// Judges the request when an answer takes `usual`.
-    pub(crate) fn urgency(&self, now: Millis, usual: Duration) -> Urgency {
+    pub(crate) fn urgency(&self, now: Millis) -> Urgency {
         Urgency {
-            late: self.objective.is_some_and(|at| now + usual > at),
+            late: self.objective.is_some_and(|at| now + self.takes > at),
             rank: self.rank,
             ticket: self.ticket,
         }
@@ -57,9 +59,15 @@
         self.callers.len()
     }
 
-    /// Takes out a request that cannot be answered before its deadline when an answer takes `usual`.
-    pub(crate) fn pop_hopeless(&mut self, now: Millis, usual: Duration) -> Option<Waiting> {
-        let expired = |w: &Waiting| w.deadline <= now + usual;
+    /// Counts the callers' requests that are more urgent than `than`.
+    pub(crate) fn callers_before(&self, now: Millis, than: Urgency) -> usize {
+        let before = self.callers.iter().filter(|w| w.urgency(now) < than);
+        before.count()
+    }
+
+    /// Takes out a request that cannot be answered before its deadline any more.
+    pub(crate) fn pop_hopeless(&mut self, now: Millis) -> Option<Waiting> {
+        let expired = |w: &Waiting| w.deadline <= now + w.takes;
         for queue in [&mut self.callers, &mut self.internal] {
             if let Some(i) = queue.iter().position(expired) {
                 return Some(queue.remove(i));
@@ -82,13 +90,8 @@
     }
 
     /// Takes the least urgent caller's request out, if it is less urgent than `than`.
-    pub(crate) fn shed_caller(
-        &mut self,
-        now: Millis,
-        usual: Duration,
-        than: Urgency,
-    ) -> Option<Ticket> {
-        let urgency = |w: &Waiting| w.urgency(now, usual);
+    pub(crate) fn shed_caller(&mut self, now: Millis, than: Urgency) -> Option<Ticket> {
+        let urgency = |w: &Waiting| w.urgency(now);
         let all = self.callers.iter().enumerate();
         let (i, last) = all.max_by_key(|(_, w)| urgency(w))?;
         (urgency(last) > than).then(|| self.callers.remove(i).ticket)
@@ -100,18 +103,17 @@
     pub(crate) fn next(
         &mut self,
         now: Millis,
-        usual: Duration,
         internal_every: u32,
         fair_every: u32,
     ) -> Option<Waiting> {
         if self.callers.is_empty() {
-            return take_first(&mut self.internal, now, usual);
+            return take_first(&mut self.internal, now);
         }
         if !self.internal.is_empty() {
             self.starts += 1;
             if self.starts >= internal_every {
                 self.starts = 0;
-                return take_first(&mut self.internal, now, usual);
+                return take_first(&mut self.internal, now);
             }
         }
         self.fair_starts += 1;
@@ -119,7 +121,7 @@
             self.fair_starts = 0;
             return Some(self.callers.remove(0));
         }
-        take_first(&mut self.callers, now, usual)
+        take_first(&mut self.callers, now)
     }
 
     pub(crate) fn remove(&mut self, ticket: Ticket) -> bool {
@@ -137,8 +139,8 @@
     }
 }
 
-fn take_first(queue: &mut Vec<Waiting>, now: Millis, usual: Duration) -> Option<Waiting> {
+fn take_first(queue: &mut Vec<Waiting>, now: Millis) -> Option<Waiting> {
     let all = queue.iter().enumerate();
-    let (i, _) = all.min_by_key(|(_, w)| w.urgency(now, usual))?;
+    let (i, _) = all.min_by_key(|(_, w)| w.urgency(now))?;
     Some(queue.remove(i))
 }
--- a/crates/shallothill-policy/src/admit/request.rs
+++ b/crates/shallothill-policy/src/admit/request.rs
@@ -9,9 +9,26 @@
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct Ticket(pub u64);
 
+/// `Kind` identifies the requests that take a similar time, those of one route.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct Kind(pub u64);
+
+/// `End` is how a request that held a slot ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum End {
+    /// It was answered with success after this time.
+    Served(Duration),
+    /// Nobody waited any longer after this time, while the backend server was still at work.
+    GivenUp(Duration),
+    /// It failed, or was not sent.
+    Failed,
+}
+
 /// `GateRequest` describes a request that arrives at the gate.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct GateRequest {
+    /// Which requests take a similar time.
+    pub kind: Kind,
     /// The class, which decides who is shed first.
     pub class: Class,
     /// When the caller stops waiting.
--- a/crates/shallothill-policy/tests/admit.rs
+++ b/crates/shallothill-policy/tests/admit.rs
@@ -9,7 +9,7 @@
 use shallothill_core::health::ServingState;
 use shallothill_core::time::Millis;
 use shallothill_policy::admit::{
-    Admission, Gate, GateOptions, GateRequest, Refusal, Start, Ticket,
+    Admission, End, Gate, GateOptions, GateRequest, Kind, Refusal, Start, Ticket,
 };
 
 // The low half of a seed is the number of random bytes, the high half starts the generator.
@@ -35,6 +35,7 @@
 
 fn request(class: Class, deadline: u64) -> GateRequest {
     GateRequest {
+        kind: Kind(0),
         class,
         deadline: Millis(deadline),
         objective: None,
@@ -72,7 +73,7 @@
                 let ticket = Ticket(u.int_in_range(0..=issued + 3)?);
                 let held = running.remove(&ticket);
                 let before = gate.load().in_flight;
-                gate.finish(ticket, Some(Duration::from_millis(5)));
+                gate.finish(now, ticket, End::Served(Duration::from_millis(5)));
                 assert_eq!(gate.load().in_flight, before - u16::from(held));
             }
             8 => {
@@ -154,7 +155,7 @@
             }
         }
         for (t, class) in running.drain(..) {
-            gate.finish(t, Some(Duration::from_millis(10)));
+            gate.finish(now, t, End::Served(Duration::from_millis(10)));
             match class {
                 Class::Internal => internal += 1,
                 _ => callers += 1,
@@ -237,7 +238,7 @@
     let mut slots = vec![gate.slots()];
     for _ in 0..30 {
         if let Admission::Run(t) = gate.offer(Millis(0), request(Class::Shop, 10_000)) {
-            gate.finish(t, Some(Duration::from_millis(1)));
+            gate.finish(Millis(0), t, End::Served(Duration::from_millis(1)));
         }
         slots.push(gate.slots());
     }
@@ -265,7 +266,11 @@
             .extract_if(.., |r: &mut (_, _, u64)| r.2 <= now)
             .collect();
         for (ticket, arrived, at) in ended {
-            gate.finish(ticket, Some(Duration::from_millis(at - arrived)));
+            gate.finish(
+                Millis(now),
+                ticket,
+                End::Served(Duration::from_millis(at - arrived)),
+            );
             served += usize::from(at - arrived <= 2000);
         }
         let takes = if now < 3000 { 1200 } else { 600 };
--- a/crates/shallothill-policy/tests/urgency.rs
+++ b/crates/shallothill-policy/tests/urgency.rs
@@ -5,7 +5,7 @@
 use shallothill_core::class::Class;
 use shallothill_core::time::Millis;
 use shallothill_policy::admit::{
-    Admission, Gate, GateOptions, GateRequest, Refusal, Start, Ticket,
+    Admission, End, Gate, GateOptions, GateRequest, Kind, Refusal, Start, Ticket,
 };
 
 const SLOTS: u16 = 7;
@@ -80,6 +80,7 @@
     fn arrive(&mut self, now: u64, arrival: Arrival) {
         self.tally(arrival.rank).asked += 1;
         let req = GateRequest {
+            kind: Kind(u64::from(arrival.rank)),
             class: Class::Shop,
             deadline: Millis(now + DEADLINE_MS),
             objective: Some(Millis(now + OBJECTIVE_MS)),
@@ -97,7 +98,7 @@
         let ended: Vec<_> = self.running.extract_if(.., |r| r.2 <= now).collect();
         for (ticket, arrival, _) in ended {
             let work = Duration::from_millis(WORK_MS);
-            self.gate.finish(ticket, Some(work));
+            self.gate.finish(Millis(now), ticket, End::Served(work));
             let in_time = now - arrival.at <= OBJECTIVE_MS + STEP_MS;
             let tally = self.tally(arrival.rank);
             tally.in_time += usize::from(in_time);
@@ -175,6 +176,7 @@
     };
     let mut gate = Gate::new(options, false);
     let request = |deadline| GateRequest {
+        kind: Kind(0),
         class: Class::Shop,
         deadline: Millis(deadline),
         objective: None,
