node: the head of a backend server's answer is bounded, with the interim answers before it

What callers would see: a node that is busy with one backend server in trouble, and an answer to that request long after its deadline.

Cause: the HTTP library bounds one head at 64 KB, but skips interim answers (1xx) without a bound and reads on as long as bytes are there.

Ruled out with tests that passed before: garbage, empty lines, one header without end and headers without end (cut off at 64 KB, 502); bodies without end, chunked and up to the end of the connection (cut off at the deadline, never as a whole); bytes without end behind a whole answer (the connection is closed).

Bodies have no such bound.

--- a/crates/shallothill-node/src/gate/backend.rs
+++ b/crates/shallothill-node/src/gate/backend.rs
@@ -17,6 +17,7 @@
 use tokio::time::Instant;
 
 use crate::body::Body;
+use crate::gate::head_limit::{HeadLimit, Limited};
 use crate::header_filter;
 
 /// `FRESH_FOR` is the idle time up to which a connection is used for a non-idempotent request. A
@@ -40,6 +41,7 @@
 pub struct Connection {
     sender: http1::SendRequest<Body>,
     driver: AbortHandle,
+    head_limit: HeadLimit,
     idle_since: Instant,
     keep_alive: Option<Duration>,
 }
@@ -85,8 +87,12 @@
         if self.sender.ready().await.is_err() {
             return Err(SendError::NotWritten(Box::new(req)));
         }
+        self.head_limit.start();
         match self.sender.try_send_request(req).await {
-            Ok(response) => Ok(response),
+            Ok(response) => {
+                self.head_limit.lift();
+                Ok(response)
+            }
             Err(mut e) => match e.take_message() {
                 Some(req) => Err(SendError::NotWritten(Box::new(req))),
                 None => Err(SendError::Failed(e.into_error())),
@@ -140,9 +146,10 @@
             .await
             .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
         stream.set_nodelay(true)?;
+        let head_limit = HeadLimit::new();
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(BUFFER_BYTES)
-            .handshake(TokioIo::new(stream))
+            .handshake(TokioIo::new(Limited::new(stream, head_limit.clone())))
             .await
             .map_err(io::Error::other)?;
         let closed = Arc::clone(&self.closed);
@@ -154,6 +161,7 @@
         Ok(Connection {
             sender,
             driver: driver.abort_handle(),
+            head_limit,
             idle_since: Instant::now(),
             keep_alive: None,
         })
--- a/crates/shallothill-node/src/gate/exchange.rs
+++ b/crates/shallothill-node/src/gate/exchange.rs
@@ -18,6 +18,7 @@
 use crate::attempt::{Head, Reply};
 use crate::body::{Body, BodyError};
 use crate::crashes::Place;
+use crate::gate::head_limit;
 use crate::gate::slot::{Running, Slot};
 use crate::gate::{Connection, Endpoint, Gate, SendError};
 use crate::header_filter;
@@ -121,7 +122,7 @@
             None => {}
         }
         slot.broken();
-        if e.is_parse() {
+        if e.is_parse() || head_limit::is_exceeded(e) {
             return BAD_ANSWER;
         }
         // The socket that listens may close a moment after the connections.
--- a/crates/shallothill-node/src/gate/mod.rs
+++ b/crates/shallothill-node/src/gate/mod.rs
@@ -8,6 +8,7 @@
 mod departed;
 mod endpoint;
 mod exchange;
+mod head_limit;
 mod ledger;
 mod lifecycle;
 mod slot;
