node, policy: a demoted backend server asks for trials, so that it can return

A sick server without an ejection lease is demoted: entries pick it last, which is never while another one is left. It returns only by trials, and entries send trials only to servers that are told as `ejected`. Where keepers are discovered there are no leases, so each demotion lasts until the process ends.

Ruled out: gray failure (spell_percent 0 at their last requests, and their estimate wants trials by itself); draining or a missing announcement (the nodes put versions in force throughout).

Change: while a demoted server's trial is due and none runs, its gate tells its region the state that asks for a trial, as it does for a spell of gray failure.

Test: a_demoted_backend_server_returns_without_a_lease failed before (not back after 20 s) and passes.

--- a/crates/shallothill-node/src/gate/endpoint.rs
+++ b/crates/shallothill-node/src/gate/endpoint.rs
@@ -131,6 +131,11 @@
         inner.up.then(|| inner.gate.state())
     }
 
+    /// `is_sick` tells whether the backend server is ejected, or would be under a lease.
+    pub fn is_sick(&self) -> bool {
+        self.lock().health.is_sick()
+    }
+
     /// `drain` refuses all new and waiting work.
     pub(crate) fn drain(&self) {
         let mut inner = self.lock();
@@ -197,15 +202,19 @@
         (self.lock().gray.probability(now) * 100.0) as u8
     }
 
-    /// `suspicion` returns the state to tell others while a spell of gray failure is likely:
-    /// `Ejected` when a trial is due, else `Demoted`.
+    /// `suspicion` returns the state to tell others while a spell of gray failure is likely, or while
+    /// the backend server is sick without a lease: `Ejected` when a trial is due, else `Demoted`.
     pub(crate) fn suspicion(&self) -> Option<ServingState> {
         let now = self.now();
         let inner = self.lock();
-        if !inner.gray.is_suspect(now) {
+        let wants_trial = if inner.gray.is_suspect(now) {
+            inner.gray.wants_trial(now)
+        } else if inner.health.is_demoted(now) {
+            inner.health.wants_trial(now)
+        } else {
             return None;
-        }
-        Some(if inner.gray.wants_trial(now) {
+        };
+        Some(if wants_trial {
             ServingState::Ejected
         } else {
             ServingState::Demoted
--- a/crates/shallothill-node/tests/sick.rs
+++ b/crates/shallothill-node/tests/sick.rs
@@ -81,6 +81,38 @@
     reaches(&pair, ServingState::Ready).await;
 }
 
+/// Guards against a demoted backend server that gets no request any more, and so never returns.
+#[tokio::test]
+async fn a_demoted_backend_server_returns_without_a_lease() {
+    let pair = cluster::pair(quick(), Behaviour::default()).await;
+    let _healthy = cluster::standin(&pair.entry, "e2", Behaviour::default()).await;
+    pair.entry.ready(2).await;
+    reaches(&pair, ServingState::Ready).await;
+    pair.standin.set_behaviour(stalling());
+    let sick = || async {
+        send_some(&pair).await;
+        pair.gate
+            .node
+            .gate()
+            .endpoints()
+            .values()
+            .all(|e| e.is_sick())
+    };
+    process::wait_until("the stall is found", LONG, sick)
+        .await
+        .unwrap();
+
+    pair.standin.set_behaviour(Behaviour::default());
+
+    let returned = || async {
+        get(&Client::default(), pair.entry.caller(), "/stock", "one").await;
+        state(&pair) == ServingState::Ready
+    };
+    process::wait_until("the server returns", LONG, returned)
+        .await
+        .unwrap();
+}
+
 /// Guards against a backend server that goes on with a request whose caller has left.
 #[tokio::test]
 async fn cancels_a_request_whose_caller_left() {
--- a/crates/shallothill-policy/src/eject/health.rs
+++ b/crates/shallothill-policy/src/eject/health.rs
@@ -126,6 +126,21 @@
         self.ejector.state(now)
     }
 
+    /// `is_sick` tells whether the endpoint is ejected, or would be if a lease were held.
+    pub fn is_sick(&self) -> bool {
+        self.ejector.is_sick()
+    }
+
+    /// `is_demoted` tells whether the endpoint is sick and no lease allows its ejection.
+    pub fn is_demoted(&self, now: Millis) -> bool {
+        self.is_sick() && self.state(now) == ServingState::Demoted
+    }
+
+    /// `wants_trial` tells whether another request is needed to show whether a sick endpoint is well.
+    pub fn wants_trial(&self, now: Millis) -> bool {
+        self.trials.len() < usize::from(self.trial_slots(now))
+    }
+
     /// `trial_slots` returns how many trials may run at a time at `now`.
     pub fn trial_slots(&self, now: Millis) -> u16 {
         self.ejector.trial_slots(now)
