--- a/crates/shallothill-node/src/gate/exchange.rs
+++ b/crates/shallothill-node/src/gate/exchange.rs
@@ -119,7 +119,7 @@
 
     async fn failed(&self, slot: &mut Slot, e: &hyper::Error) -> Refusal {
         let endpoint = Arc::clone(slot.endpoint());
-        match body_error(e) {
+        match cause::<BodyError>(e) {
             Some(BodyError::TooLarge) => {
                 return Refusal {
                     status: 413,
@@ -130,7 +130,7 @@
             None => {}
         }
         slot.broken();
-        if e.is_parse() || head_limit::is_exceeded(e) {
+        if e.is_parse() || cause(e).is_some_and(head_limit::is_exceeded) {
             return BAD_ANSWER;
         }
         // The socket that listens may close a moment after the connections.
@@ -233,13 +233,14 @@
     req
 }
 
-fn body_error(e: &hyper::Error) -> Option<&BodyError> {
-    let mut cause = e.source();
-    while let Some(e) = cause {
-        if let Some(e) = e.downcast_ref::<BodyError>() {
+// Finds the cause of a kind behind the errors of the HTTP library.
+fn cause<E: Error + 'static>(e: &hyper::Error) -> Option<&E> {
+    let mut source = e.source();
+    while let Some(e) = source {
+        if let Some(e) = e.downcast_ref::<E>() {
             return Some(e);
         }
-        cause = e.source();
+        source = e.source();
     }
     None
 }
--- a/crates/shallothill-node/src/gate/head_limit.rs
+++ b/crates/shallothill-node/src/gate/head_limit.rs
@@ -46,15 +46,8 @@
 }
 
 /// `is_exceeded` tells whether reading failed because the head did not end within the limit.
-pub(crate) fn is_exceeded(e: &(dyn std::error::Error + 'static)) -> bool {
-    let mut cause = Some(e);
-    while let Some(e) = cause {
-        if let Some(e) = e.downcast_ref::<io::Error>() {
-            return e.kind() == io::ErrorKind::InvalidData;
-        }
-        cause = e.source();
-    }
-    false
+pub(crate) fn is_exceeded(e: &io::Error) -> bool {
+    e.kind() == io::ErrorKind::InvalidData
 }
 
 /// `Limited` reads from a stream within a [`HeadLimit`].
