node: split the endpoint of a gate and the start of an attempt

What keeps requests away from a backend server (spells, trials, retries) moves to gate/sparing.rs; `Pursuit` builds its attempts and decides what follows one.

--- a/crates/shallothill-node/src/entry/attempts.rs
+++ b/crates/shallothill-node/src/entry/attempts.rs
@@ -14,7 +14,7 @@
 use shallothill_policy::gray::Caution;
 use shallothill_policy::limits::Permit;
 use shallothill_policy::pick;
-use shallothill_policy::pick::{PickRequest, ReportedLoad, Tier};
+use shallothill_policy::pick::{PickRequest, Picked, ReportedLoad, ServiceTable, Tier};
 use shallothill_policy::retry;
 use shallothill_policy::retry::{Budget, Next, RefusedBy, RetryOptions};
 use shallothill_wire::crash::CrashNotice;
@@ -129,12 +129,7 @@
                 worst = Some(ended);
                 break;
             }
-            let next = if ended.reply.reached {
-                p.attempts.ended(now, outcome, &p.options, &p.budget)
-            } else {
-                p.attempts
-                    .refused(now, p.refused_by(&ended.reply), &p.options)
-            };
+            let next = p.next_after(now, &ended.reply);
             worst = Some(worse(worst, ended));
             match next {
                 Next::Wait => {}
@@ -204,26 +199,7 @@
             let limit = p.service.cross_region_bytes_per_s;
             table.bytes().charge(now, bytes, limit);
         }
-        let body = p.body().ok_or(NO_ENDPOINT)?;
-        let caution = p.attempts.caution(table.endpoints().len());
-        let repeated = p.attempts.reached() > 0;
-        p.attempts.started(endpoint.key, &p.options, &p.budget);
-        p.sent = now;
-        p.last = Some(Sent {
-            endpoint: endpoint.info.id.clone(),
-            tier: picked.tier,
-            caution,
-            load: endpoint.stats.reported(now, LOAD_SHOWN_FOR),
-        });
-        let attempt = Attempt {
-            head: Arc::clone(&p.head),
-            endpoint: endpoint.info.id.clone(),
-            number: p.attempts.made(),
-            trial: picked.trial,
-            repeated,
-            caution,
-            body,
-        };
+        let attempt = p.attempt(now, &picked, table)?;
         let id = endpoint.info.id.clone();
         let stats = Arc::clone(&endpoint.stats);
         let path = Arc::clone(&endpoint.path);
@@ -249,6 +225,48 @@
 }
 
 impl Pursuit {
+    // What follows an attempt that ended without an answer.
+    fn next_after(&mut self, now: Millis, reply: &Reply) -> Next {
+        if reply.reached {
+            return self
+                .attempts
+                .ended(now, reply.outcome, &self.options, &self.budget);
+        }
+        let by = self.refused_by(reply);
+        self.attempts.refused(now, by, &self.options)
+    }
+
+    // Notes that an attempt is sent to `picked` and returns it.
+    fn attempt(
+        &mut self,
+        now: Millis,
+        picked: &Picked<'_>,
+        table: &ServiceTable,
+    ) -> Result<Attempt, Refusal> {
+        let endpoint = picked.endpoint;
+        let body = self.body().ok_or(NO_ENDPOINT)?;
+        let caution = self.attempts.caution(table.endpoints().len());
+        let repeated = self.attempts.reached() > 0;
+        self.attempts
+            .started(endpoint.key, &self.options, &self.budget);
+        self.sent = now;
+        self.last = Some(Sent {
+            endpoint: endpoint.info.id.clone(),
+            tier: picked.tier,
+            caution,
+            load: endpoint.stats.reported(now, LOAD_SHOWN_FOR),
+        });
+        Ok(Attempt {
+            head: Arc::clone(&self.head),
+            endpoint: endpoint.info.id.clone(),
+            number: self.attempts.made(),
+            trial: picked.trial,
+            repeated,
+            caution,
+            body,
+        })
+    }
+
     // An attempt is hedged at half of the time left at the latest, so that a silent peer leaves
     // time for another endpoint.
     fn hedge_after(&mut self) -> Option<Duration> {
--- a/crates/shallothill-node/src/gate/mod.rs
+++ b/crates/shallothill-node/src/gate/mod.rs
@@ -12,6 +12,7 @@
 mod ledger;
 mod lifecycle;
 mod slot;
+mod sparing;
 mod waiting;
 mod watchdog;
 
@@ -43,10 +44,10 @@
 pub use announcement::{Announced, Announcement};
 pub(crate) use backend::{Connection, Pool, SendError};
 pub use endpoint::Endpoint;
-pub(crate) use endpoint::RETRY_BUDGET;
 pub(crate) use exchange::{BODY_INCOMPLETE, BODY_TOO_LARGE, BODY_TOO_SLOW};
 pub use ledger::Ledger;
 pub use slot::Running;
+pub(crate) use sparing::RETRY_BUDGET;
 
 /// `Endpoints` holds the announced backend servers.
 pub type Endpoints = BTreeMap<(ServiceName, EndpointName), Arc<Endpoint>>;
