--- a/crates/shallothill-policy/src/admit/gate.rs
+++ b/crates/shallothill-policy/src/admit/gate.rs
@@ -261,6 +261,7 @@
     //
     // The wait depends on what all kinds take, and the answer only on what its own kind takes. A wait
     // that is too long is certain; an estimate of the kind may be out of date and is tried at times.
+    // A request that is tried counts as taking no time, so that it is not refused while it waits.
     fn time_allowed(&self, now: Millis, req: &GateRequest, waiting: &Waiting) -> Option<Duration> {
         let left = req.deadline.saturating_since(now);
         let after_wait = left.checked_sub(self.wait_ahead(now, req, waiting))?;
