keeper, replica: lines tell why members change, why a primary steps down and what a recovery waits for

Callers of the operators' API saw no answer, and the lines could not tell the hypotheses of the incident of replaced keepers apart: `group: changing the members` named the result only. It now has `joins`, or `leaves`, `silent_ms` and `successor`. A primary that hears no majority names the members that are silent, and a replica that recovers names the answers that it has, once for each number of them. No decision changes; tests of the roster compare the reason as well.

--- a/crates/shallothill-keeper/src/group.rs
+++ b/crates/shallothill-keeper/src/group.rs
@@ -14,7 +14,7 @@
 use crate::keeper::{Keeper, lock};
 use crate::peer::MeetRequest;
 use crate::peers::Peer;
-use crate::roster::Sighting;
+use crate::roster::{Reason, RosterChange, Sighting};
 use crate::sync;
 
 /// `EVERY` is the time between two looks at the group.
@@ -144,17 +144,44 @@
         let now = keeper.timer.now();
         let seen = sightings(keeper, now);
         let next = lock(&keeper.roster).next(now, &replica.members, &seen);
-        let Some(members) = next else {
+        let Some(change) = next else {
             return;
         };
-        let list: Vec<String> = members.iter().map(|k| k.host().to_string()).collect();
-        info!("group: changing the members to {}", list.join(", "));
-        if let Err(e) = keeper.log.change_members(members).await {
+        log_change(&change);
+        if let Err(e) = keeper.log.change_members(change.members).await {
             warn!("group: the members stay as they are: {e:?}");
         }
     }
 }
 
+fn log_change(change: &RosterChange) {
+    let list: Vec<String> = change
+        .members
+        .iter()
+        .map(|k| k.host().to_string())
+        .collect();
+    let members = list.join(", ");
+    match &change.reason {
+        Reason::Asked(id) => {
+            let joins = id.host().to_string();
+            info!(joins, "group: changing the members to {members}");
+        }
+        Reason::Replaced {
+            leaver,
+            silent_for,
+            successor,
+        } => {
+            let leaves = leaver.host().to_string();
+            let silent_ms = silent_for.map(|d| d.as_millis() as u64);
+            let successor = successor.map(|k| k.host().to_string());
+            info!(
+                leaves,
+                silent_ms, successor, "group: changing the members to {members}"
+            );
+        }
+    }
+}
+
 fn sightings(keeper: &Keeper, now: Millis) -> BTreeMap<KeeperId, Sighting> {
     let all = keeper.peers.all();
     let others = all.iter().map(|(id, peer)| {
--- a/crates/shallothill-keeper/src/roster.rs
+++ b/crates/shallothill-keeper/src/roster.rs
@@ -48,6 +48,32 @@
     pub heard: Millis,
 }
 
+/// `Reason` tells why the members change.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Reason {
+    /// The keeper asked to join.
+    Asked(KeeperId),
+    /// The keeper is silent, and another member stands in its place.
+    Replaced {
+        /// The keeper that leaves.
+        leaver: KeeperId,
+        /// The time without an answer; `None` if it was never heard.
+        silent_for: Option<Duration>,
+        /// The member that is heard in the same data centre; `None` if the place of the leaver is
+        /// unknown.
+        successor: Option<KeeperId>,
+    },
+}
+
+/// `RosterChange` is a change of the group by one member.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct RosterChange {
+    /// All members after the change.
+    pub members: Vec<KeeperId>,
+    /// Why they change.
+    pub reason: Reason,
+}
+
 /// `Roster` decides on the next change of the group, one member at a time.
 #[derive(Clone, Debug, Default)]
 pub struct Roster {
@@ -74,7 +100,7 @@
         self.joining.insert(id, now);
     }
 
-    /// `next` returns the members after the next change, or `None` when nothing is to change.
+    /// `next` returns the next change, or `None` when nothing is to change.
     ///
     /// A keeper that asks joins first. A member is removed only when it has been silent for long,
     /// another member that is heard stands in its data centre, and the rest is a large enough
@@ -84,41 +110,54 @@
         now: Millis,
         members: &[KeeperId],
         seen: &BTreeMap<KeeperId, Sighting>,
-    ) -> Option<Vec<KeeperId>> {
+    ) -> Option<RosterChange> {
         let hold = self.options.join_for;
         self.joining
             .retain(|id, at| !members.contains(id) && now.saturating_since(*at) < hold);
         if let Some(id) = self.joining.keys().next()
             && members.len() < MEMBERS_MAX
         {
-            return Some(members.iter().copied().chain([*id]).collect());
+            return Some(RosterChange {
+                members: members.iter().copied().chain([*id]).collect(),
+                reason: Reason::Asked(*id),
+            });
         }
         let silent = |id: &KeeperId| {
             let heard = seen.get(id).map(|s| s.heard);
             heard.is_none_or(|at| now.saturating_since(at) >= self.options.remove_after)
         };
-        let leaver = members
-            .iter()
-            .find(|id| silent(id) && self.is_replaced(**id, members, seen, &silent))?;
-        let rest: Vec<KeeperId> = members.iter().copied().filter(|id| id != leaver).collect();
+        let silent_members = members.iter().copied().filter(|id| silent(id));
+        let (leaver, successor) = silent_members
+            .filter_map(|id| Some((id, self.successor(id, members, seen, &silent)?)))
+            .next()?;
+        let rest: Vec<KeeperId> = members.iter().copied().filter(|id| *id != leaver).collect();
         let enough = rest.len() >= self.options.needed();
-        (enough && !rest.iter().any(silent)).then_some(rest)
+        let heard = seen.get(&leaver).map(|s| s.heard);
+        (enough && !rest.iter().any(silent)).then_some(RosterChange {
+            members: rest,
+            reason: Reason::Replaced {
+                leaver,
+                silent_for: heard.map(|at| now.saturating_since(at)),
+                successor,
+            },
+        })
     }
 
-    fn is_replaced(
+    // `None` if nobody stands in the place of `id`, `Some(None)` if its place is unknown and the
+    // group is large enough without it.
+    fn successor(
         &self,
         id: KeeperId,
         members: &[KeeperId],
         seen: &BTreeMap<KeeperId, Sighting>,
         silent: &impl Fn(&KeeperId) -> bool,
-    ) -> bool {
+    ) -> Option<Option<KeeperId>> {
         let place = |id: &KeeperId| seen.get(id).and_then(|s| s.data_centre.as_ref());
         let Some(own) = place(&id) else {
-            return members.len() > self.options.needed();
+            return (members.len() > self.options.needed()).then_some(None);
         };
-        let others = members.iter().filter(|other| **other != id);
-        others
-            .into_iter()
-            .any(|o| place(o) == Some(own) && !silent(o))
+        let mut others = members.iter().copied().filter(|other| *other != id);
+        let successor = others.find(|o| place(o) == Some(own) && !silent(o));
+        successor.map(Some)
     }
 }
--- a/crates/shallothill-keeper/tests/roster.rs
+++ b/crates/shallothill-keeper/tests/roster.rs
@@ -5,7 +5,7 @@
 
 use shallothill_core::ids::{DataCentre, KeeperId};
 use shallothill_core::time::Millis;
-use shallothill_keeper::roster::{Roster, RosterOptions, Sighting};
+use shallothill_keeper::roster::{Reason, Roster, RosterChange, RosterOptions, Sighting};
 
 fn roster() -> Roster {
     Roster::new(RosterOptions {
@@ -35,6 +35,13 @@
     Millis(0) + Duration::from_secs(s)
 }
 
+fn asked(id: u32, ids: &[u32]) -> RosterChange {
+    RosterChange {
+        members: members(ids),
+        reason: Reason::Asked(KeeperId(id)),
+    }
+}
+
 /// Guards against acknowledged changes being lost with two disks: the founders have to become a
 /// group of five before anything is accepted.
 #[test]
@@ -54,8 +61,8 @@
     let second = roster.next(at(5), &members(&[1, 2, 3, 4]), &seen);
     let none = roster.next(at(5), &members(&[1, 2, 3, 4, 5]), &seen);
 
-    assert_eq!(first, Some(members(&[1, 2, 3, 4])));
-    assert_eq!(second, Some(members(&[1, 2, 3, 4, 5])));
+    assert_eq!(first, Some(asked(4, &[1, 2, 3, 4])));
+    assert_eq!(second, Some(asked(5, &[1, 2, 3, 4, 5])));
     assert_eq!(none, None);
 }
 
@@ -82,7 +89,13 @@
     let next = roster.next(at(100), &group, &late);
 
     assert_eq!(too_soon, None);
-    assert_eq!(next, Some(members(&[1, 2, 3, 4, 15])));
+    let reason = Reason::Replaced {
+        leaver: KeeperId(5),
+        silent_for: Some(Duration::from_secs(20)),
+        successor: Some(KeeperId(15)),
+    };
+    let members = members(&[1, 2, 3, 4, 15]);
+    assert_eq!(next, Some(RosterChange { members, reason }));
 }
 
 /// Guards against a smaller group while others are silent: a removal must leave only members that
--- a/crates/shallothill-replica/src/leading.rs
+++ b/crates/shallothill-replica/src/leading.rs
@@ -77,6 +77,15 @@
         nth_highest(members.iter().map(round).collect(), members.len() / 2)
     }
 
+    /// `behind_round` returns the members that have not answered the last round that a majority
+    /// answered, or any later one.
+    pub(crate) fn behind_round(&self, me: KeeperId, members: &[KeeperId]) -> Vec<KeeperId> {
+        let answered = self.rounds.front().map_or(self.round, |(round, _)| *round);
+        let behind = |k: &KeeperId| self.peers.get(k).is_none_or(|p| p.round < answered);
+        let others = members.iter().copied().filter(|k| *k != me);
+        others.filter(behind).collect()
+    }
+
     /// `majority_match` returns the highest position that a majority of `members` holds durably.
     pub(crate) fn majority_match(&self, me: KeeperId, members: &[KeeperId]) -> Op {
         let matched = |k: &KeeperId| {
--- a/crates/shallothill-replica/src/lib.rs
+++ b/crates/shallothill-replica/src/lib.rs
@@ -39,6 +39,7 @@
 mod event;
 mod fetch;
 mod leading;
+mod logs;
 mod membership;
 mod memory_log;
 mod message;
--- a/crates/shallothill-replica/src/recovery.rs
+++ b/crates/shallothill-replica/src/recovery.rs
@@ -9,6 +9,7 @@
 use crate::durable::Standing;
 use crate::entry::View;
 use crate::fetch::Fetching;
+use crate::logs;
 use crate::message::{Message, RecoverySummary};
 use crate::outbox::Deferred;
 use crate::replica::Replica;
@@ -22,6 +23,8 @@
     /// The highest view of the answers.
     view: View,
     next_send: Millis,
+    /// The answers and the members of the last line on a wait.
+    logged: Option<(usize, usize)>,
     /// Whether the content is complete and waits for its sync.
     done: bool,
 }
@@ -33,6 +36,7 @@
             lives: BTreeMap::new(),
             view: View(0),
             next_send: now,
+            logged: None,
             done: false,
         }
     }
@@ -211,6 +215,11 @@
         let answered = members.iter().filter(|k| **k != me);
         let count = answered.filter(|k| replies.contains_key(k)).count();
         if count <= members.len() / 2 {
+            let wait = (count, members.len());
+            if self.recovery.logged != Some(wait) {
+                self.log_wait(members);
+                self.recovery.logged = Some(wait);
+            }
             return;
         }
         let (source, last) = (*source, summary.last);
@@ -221,6 +230,16 @@
         self.ask_fetch();
     }
 
+    fn log_wait(&self, members: &[KeeperId]) {
+        let answered: Vec<KeeperId> = self.recovery.replies.keys().copied().collect();
+        tracing::info!(
+            answered = logs::ids(&answered),
+            members = logs::ids(members),
+            "replica: {} recovers once more than half of the members answered",
+            self.options.me
+        );
+    }
+
     /// `recovered` ends the transfer; the replica is whole once its content is durable.
     pub(crate) fn recovered(&mut self, view: View) {
         if self.recovery.done {
--- a/crates/shallothill-replica/src/replication.rs
+++ b/crates/shallothill-replica/src/replication.rs
@@ -7,6 +7,7 @@
 
 use crate::action::{Action, ProposeResult};
 use crate::entry::{Content, Entry, Op, Request, RequestId, View};
+use crate::logs;
 use crate::message::{AppendOutcome, Message};
 use crate::replica::Replica;
 
@@ -20,6 +21,12 @@
         let limit = leading.heard + self.options.election_timeout;
         let alone = self.log.members() == [self.options.me];
         if self.now > limit && !alone && !self.options.broken.no_check_quorum {
+            let silent = leading.behind_round(self.options.me, self.log.members());
+            tracing::warn!(
+                silent = logs::ids(&silent),
+                members = logs::ids(self.log.members()),
+                "replica: no majority of the members answers"
+            );
             self.step_down();
             return;
         }
