keeper: a member that is gone leaves once it is silent, and a new one is not taken for it

Cause: the primary judged silence without asking since when an answer could have come. A member that joined 0.4 s ago and had not been heard counted as silent since the start of the primary's process, and the host that it replaces, last heard under 10 s ago, counted as heard: the new member was removed as replaced by the one that is gone, joined again, and so on. And a member that is gone stayed for 10 s, and for as long as any other was silent, while the platform counts a replaced host as lost only until 4 s after its successor started. Either way two further losses, which have to be borne, left no majority that holds the log.

Ruled out: recovery or admission that is too strict. Two of five members held the log, so entries might be missing from both; nothing may recover from fewer than three.

Change: members are judged by answers to heartbeats (1.5 s, from the time since which the primary sends them) and by answers to polls (3.5 s, which a primary that was just elected has sent for longer). A member of which no answer could have come yet is neither silent nor heard. A removal needs a majority of the rest that is heard, in place of all of it.

Two tests asserted the former rule and are replaced by stricter ones. `a_replaced_member_leaves_after_a_long_silence` demanded that a member stays for 5 s, longer than the time that it counts as lost; now it has to leave after 2 s and to stay after 1 s. `nothing_is_removed_while_others_are_silent_or_few_are_left` demanded that a removal waits for other silent members; that is what let a third loss end the group. a_removal_leaves_enough_members_and_a_majority_that_is_heard and a_removal_never_lowers_what_the_group_survives, which tries every set of silent members of a group of seven, take its place.

--- a/crates/shallothill-keeper/src/group.rs
+++ b/crates/shallothill-keeper/src/group.rs
@@ -37,7 +37,8 @@
 impl Group {
     /// `run` looks at the group until it is stopped.
     pub async fn run(self) {
-        let mut followers: BTreeMap<KeeperId, CancellationToken> = BTreeMap::new();
+        let mut followers = BTreeMap::new();
+        let mut term = Term::default();
         let mut ticks = self.keeper.timer.every(EVERY);
         loop {
             tokio::select! {
@@ -45,9 +46,10 @@
                 () = self.stop.cancelled() => return,
             }
             self.follow(&mut followers);
+            term.note(&self.keeper);
             if self.is_settled() {
                 self.meet_unknown().await;
-                self.change_members().await;
+                self.change_members(&followers, &term).await;
             } else {
                 self.meet_all().await;
             }
@@ -55,7 +57,7 @@
     }
 
     // The log decides who the other keepers are; before there is one, the seeds are asked.
-    fn follow(&self, followers: &mut BTreeMap<KeeperId, CancellationToken>) {
+    fn follow(&self, followers: &mut Followers) {
         let keeper = &self.keeper;
         let status = keeper.log.status().replica;
         let whole = status.filter(|r| r.standing == Standing::Whole);
@@ -65,10 +67,10 @@
         }
         keeper.peers.set(&ids);
         let all = keeper.peers.all();
-        followers.retain(|id, stop| {
+        followers.retain(|id, follower| {
             let stays = all.contains_key(id);
             if !stays {
-                stop.cancel();
+                follower.stop.cancel();
             }
             stays
         });
@@ -77,7 +79,8 @@
                 let stop = self.stop.child_token();
                 let follow = sync::follow(Arc::clone(keeper), *id, stop.clone());
                 self.tasks.spawn(follow);
-                stop
+                let since = keeper.timer.now();
+                Follower { stop, since }
             });
         }
     }
@@ -132,7 +135,7 @@
         Some(reply)
     }
 
-    async fn change_members(&self) {
+    async fn change_members(&self, followers: &Followers, term: &Term) {
         let keeper = &self.keeper;
         let status = keeper.log.status();
         if status.primary != Some(keeper.settings.id) {
@@ -142,7 +145,8 @@
             return;
         };
         let now = keeper.timer.now();
-        let seen = sightings(keeper, now);
+        let sighting = |id: &KeeperId| (*id, sighting(keeper, *id, followers, term));
+        let seen = replica.members.iter().map(sighting).collect();
         let next = lock(&keeper.roster).next(now, &replica.members, &seen);
         let Some(change) = next else {
             return;
@@ -182,19 +186,53 @@
     }
 }
 
-fn sightings(keeper: &Keeper, now: Millis) -> BTreeMap<KeeperId, Sighting> {
-    let all = keeper.peers.all();
-    let others = all.iter().map(|(id, peer)| {
-        let sighting = Sighting {
-            data_centre: lock(&peer.zone).as_ref().map(|z| z.data_centre.clone()),
-            // A keeper that was never heard gets the time since the start of this process.
-            heard: lock(&peer.heard).unwrap_or_default(),
+/// `Follower` polls another keeper.
+#[derive(Debug)]
+struct Follower {
+    stop: CancellationToken,
+    since: Millis,
+}
+
+type Followers = BTreeMap<KeeperId, Follower>;
+
+/// `Term` notes since when this keeper sends heartbeats to each member, while it is the primary.
+#[derive(Debug, Default)]
+struct Term {
+    since: BTreeMap<KeeperId, Millis>,
+}
+
+impl Term {
+    fn note(&mut self, keeper: &Keeper) {
+        let status = keeper.log.status();
+        let leads = status.primary == Some(keeper.settings.id);
+        let members = status.replica.filter(|_| leads);
+        let members = members.map_or_else(Vec::new, |r| r.members);
+        self.since.retain(|id, _| members.contains(id));
+        for id in members {
+            self.since.entry(id).or_insert(keeper.timer.now());
+        }
+    }
+}
+
+fn sighting(keeper: &Keeper, id: KeeperId, followers: &Followers, term: &Term) -> Sighting {
+    let now = keeper.timer.now();
+    let beaten = term.since.get(&id).copied().unwrap_or(now);
+    let polled = followers.get(&id).map_or(now, |f| f.since);
+    let Some(peer) = keeper.peers.get(id) else {
+        // This keeper itself, or one that is not polled yet.
+        let me = id == keeper.settings.id;
+        return Sighting {
+            data_centre: me.then(|| keeper.settings.data_centre.clone()),
+            heard: me.then_some(now),
+            polled,
+            beaten,
         };
-        (*id, sighting)
-    });
-    let me = Sighting {
-        data_centre: Some(keeper.settings.data_centre.clone()),
-        heard: now,
     };
-    others.chain([(keeper.settings.id, me)]).collect()
+    let heard = *lock(&peer.heard);
+    Sighting {
+        data_centre: lock(&peer.zone).as_ref().map(|z| z.data_centre.clone()),
+        heard: heard.max(*lock(&peer.answered)),
+        polled,
+        beaten,
+    }
 }
--- a/crates/shallothill-keeper/src/keeper.rs
+++ b/crates/shallothill-keeper/src/keeper.rs
@@ -244,6 +244,13 @@
         }
     }
 
+    /// `answered` notes that a member answered a heartbeat of the config log.
+    pub fn answered(&self, from: KeeperId) {
+        if let Some(peer) = self.peers.get(from) {
+            *lock(&peer.answered) = Some(self.timer.now());
+        }
+    }
+
     /// `is_heard` tells whether a keeper answered lately.
     pub fn is_heard(&self, peer: &Peer) -> bool {
         let now = self.timer.now();
--- a/crates/shallothill-keeper/src/peer_server.rs
+++ b/crates/shallothill-keeper/src/peer_server.rs
@@ -124,6 +124,9 @@
     }
 
     async fn replica(self, _: Context, from: KeeperId, msg: Message) {
+        if matches!(msg, Message::AppendReply { .. }) {
+            self.keeper.answered(from);
+        }
         if self.keeper.peers.accepts(from) {
             // The replica repeats what is dropped while the driver is busy.
             let _ = self.messages.try_send((from, msg));
--- a/crates/shallothill-keeper/src/peers.rs
+++ b/crates/shallothill-keeper/src/peers.rs
@@ -23,8 +23,10 @@
     pub peer: RpcChannel<KeeperPeerClient>,
     /// Its service for nodes, which answers questions on keys.
     pub control: RpcChannel<KeeperControlClient>,
-    /// When it answered last.
+    /// When it answered a poll last.
     pub heard: Mutex<Option<Millis>>,
+    /// When it answered a heartbeat of this keeper last.
+    pub answered: Mutex<Option<Millis>>,
     /// The place that it stands in, once it is known.
     pub zone: Mutex<Option<Zone>>,
 }
@@ -57,6 +59,7 @@
                 peer: RpcChannel::new(k.peer_address),
                 control: RpcChannel::new(k.control_address),
                 heard: Mutex::new(None),
+                answered: Mutex::new(None),
                 zone: Mutex::new(Some(zone)),
             };
             (k.id, Arc::new(peer))
@@ -133,6 +136,7 @@
         peer: RpcChannel::new(SocketAddr::from((id.host(), ports.peer))),
         control: RpcChannel::new(SocketAddr::from((id.host(), ports.control))),
         heard: Mutex::new(None),
+        answered: Mutex::new(None),
         zone: Mutex::new(None),
     }
 }
--- a/crates/shallothill-keeper/src/roster.rs
+++ b/crates/shallothill-keeper/src/roster.rs
@@ -14,9 +14,13 @@
 pub struct RosterOptions {
     /// How many keepers may be lost with their disks at the same time.
     pub tolerated_losses: usize,
-    /// The silence after which a member whose replacement runs is removed. A shorter cut than this
-    /// never removes a member.
-    pub remove_after: Duration,
+    /// How long a member may leave the heartbeats of the primary unanswered. One that is removed
+    /// although it was only cut off joins again; one that is gone lowers what the group survives
+    /// until it is removed.
+    pub heartbeats_for: Duration,
+    /// How long a member may leave polls unanswered; a primary that was just elected has sent them
+    /// for longer than heartbeats.
+    pub polls_for: Duration,
     /// The time for which a request to join holds; keepers repeat it.
     pub join_for: Duration,
 }
@@ -25,7 +29,8 @@
     fn default() -> Self {
         Self {
             tolerated_losses: 0,
-            remove_after: Duration::from_secs(10),
+            heartbeats_for: Duration::from_millis(1500),
+            polls_for: Duration::from_millis(3500),
             join_for: Duration::from_secs(2),
         }
     }
@@ -44,8 +49,12 @@
 pub struct Sighting {
     /// The data centre, if it is known.
     pub data_centre: Option<DataCentre>,
-    /// When it was last heard.
-    pub heard: Millis,
+    /// When it last answered, if it ever did.
+    pub heard: Option<Millis>,
+    /// Since when it is polled.
+    pub polled: Millis,
+    /// Since when it gets heartbeats.
+    pub beaten: Millis,
 }
 
 /// `Reason` tells why the members change.
@@ -102,9 +111,10 @@
 
     /// `next` returns the next change, or `None` when nothing is to change.
     ///
-    /// A keeper that asks joins first. A member is removed only when it has been silent for long,
-    /// another member that is heard stands in its data centre, and the rest is a large enough
-    /// group of keepers that are all heard.
+    /// A keeper that asks joins first. A member is removed only when it is silent, another member
+    /// that is heard stands in its data centre, and the rest is large enough and mostly heard.
+    /// Others may be silent meanwhile: without the member that is gone, the group survives as many
+    /// of their losses as before, or one more.
     pub fn next(
         &mut self,
         now: Millis,
@@ -122,42 +132,68 @@
                 reason: Reason::Asked(*id),
             });
         }
-        let silent = |id: &KeeperId| {
-            let heard = seen.get(id).map(|s| s.heard);
-            heard.is_none_or(|at| now.saturating_since(at) >= self.options.remove_after)
+        let look = Look {
+            now,
+            seen,
+            options: &self.options,
         };
-        let silent_members = members.iter().copied().filter(|id| silent(id));
+        let silent_members = members.iter().copied().filter(|id| look.is_silent(*id));
         let (leaver, successor) = silent_members
-            .filter_map(|id| Some((id, self.successor(id, members, seen, &silent)?)))
+            .filter_map(|id| Some((id, look.successor(id, members)?)))
             .next()?;
         let rest: Vec<KeeperId> = members.iter().copied().filter(|id| *id != leaver).collect();
-        let enough = rest.len() >= self.options.needed();
-        let heard = seen.get(&leaver).map(|s| s.heard);
-        (enough && !rest.iter().any(silent)).then_some(RosterChange {
+        let heard = rest.iter().filter(|id| look.is_heard(**id)).count();
+        let allowed = rest.len() >= self.options.needed() && heard > rest.len() / 2;
+        allowed.then_some(RosterChange {
             members: rest,
             reason: Reason::Replaced {
                 leaver,
-                silent_for: heard.map(|at| now.saturating_since(at)),
+                silent_for: look.silent_for(leaver),
                 successor,
             },
         })
     }
+}
+
+/// `Look` is what the primary knows at a time.
+struct Look<'a> {
+    now: Millis,
+    seen: &'a BTreeMap<KeeperId, Sighting>,
+    options: &'a RosterOptions,
+}
+
+impl Look<'_> {
+    fn is_heard(&self, id: KeeperId) -> bool {
+        let heard = self.seen.get(&id).and_then(|s| s.heard);
+        let recent = |at| self.now.saturating_since(at) < self.options.polls_for;
+        heard.is_some_and(recent) && !self.is_silent(id)
+    }
+
+    // A keeper that had no time to answer yet is neither heard nor silent.
+    fn is_silent(&self, id: KeeperId) -> bool {
+        let Some(sighting) = self.seen.get(&id) else {
+            return false;
+        };
+        let quiet_since = |start: Millis| sighting.heard.map_or(start, |at| at.max(start));
+        let quiet = |start| self.now.saturating_since(quiet_since(start));
+        quiet(sighting.beaten) >= self.options.heartbeats_for
+            || quiet(sighting.polled) >= self.options.polls_for
+    }
+
+    fn silent_for(&self, id: KeeperId) -> Option<Duration> {
+        let heard = self.seen.get(&id).and_then(|s| s.heard);
+        heard.map(|at| self.now.saturating_since(at))
+    }
 
     // `None` if nobody stands in the place of `id`, `Some(None)` if its place is unknown and the
     // group is large enough without it.
-    fn successor(
-        &self,
-        id: KeeperId,
-        members: &[KeeperId],
-        seen: &BTreeMap<KeeperId, Sighting>,
-        silent: &impl Fn(&KeeperId) -> bool,
-    ) -> Option<Option<KeeperId>> {
-        let place = |id: &KeeperId| seen.get(id).and_then(|s| s.data_centre.as_ref());
-        let Some(own) = place(&id) else {
+    fn successor(&self, id: KeeperId, members: &[KeeperId]) -> Option<Option<KeeperId>> {
+        let place = |id: KeeperId| self.seen.get(&id).and_then(|s| s.data_centre.as_ref());
+        let Some(own) = place(id) else {
             return (members.len() > self.options.needed()).then_some(None);
         };
         let mut others = members.iter().copied().filter(|other| *other != id);
-        let successor = others.find(|o| place(o) == Some(own) && !silent(o));
+        let successor = others.find(|o| place(*o) == Some(own) && self.is_heard(*o));
         successor.map(Some)
     }
 }
