node: the list of an isolated keeper adds keepers and replaces none

Cause: a node took over whatever list of keepers the first keeper that answered gave. A keeper that restarted behind a cut knows the place of no other one, so its list has itself only. The node then knew one keeper, isolated and behind, and neither the probe nor the search for another keeper had anybody to ask; seeds were not asked while that keeper answered.

Change: such a list adds keepers; while a keeper is isolated, another known one or a seed is asked as well, twice a second for 10 s, then every 5 s. The bound on looks for near keepers started anew after each pause; it does no more.

Test: an_isolated_keeper_that_knows_no_other_holds_nobody failed before (version 2 not in force after 20 s).

--- a/crates/shallothill-node/src/control/discovery.rs
+++ b/crates/shallothill-node/src/control/discovery.rs
@@ -12,7 +12,7 @@
 use tokio_util::sync::CancellationToken;
 use tracing::{info, warn};
 
-use crate::control::{Keeper, Keepers};
+use crate::control::Keepers;
 
 /// `SEARCH_EVERY` is the pause between two rounds over the seeds while no keeper answers.
 const SEARCH_EVERY: Duration = Duration::from_millis(300);
@@ -20,12 +20,13 @@
 /// `REFRESH_EVERY` is the time between two looks at the group of a keeper that answers.
 const REFRESH_EVERY: Duration = Duration::from_secs(5);
 
-/// `NEARER_EVERY` is the time between two looks while no keeper of the own region is known, which is
-/// usual for a moment after all hosts started: what a keeper of another region sends is billed.
-const NEARER_EVERY: Duration = Duration::from_millis(500);
+/// `EAGER_EVERY` is the time between two looks while the keeper that answers is isolated, or none of the
+/// own region is known, which is usual for a moment after all hosts started: what a keeper of another
+/// region sends is billed.
+const EAGER_EVERY: Duration = Duration::from_millis(500);
 
-/// `NEARER_LOOKS` bounds these looks, for regions without a keeper.
-const NEARER_LOOKS: u32 = 20;
+/// `EAGER_LOOKS` bounds these looks, for regions without a keeper and for sites that are cut off.
+const EAGER_LOOKS: u32 = 20;
 
 /// `LOOK_EVERY` is the time between two looks at whether a keeper still answers.
 const LOOK_EVERY: Duration = Duration::from_millis(500);
@@ -55,38 +56,75 @@
         let mut lost = false;
         let mut looks = 0;
         loop {
-            let all = self.keepers.all();
-            let found = match all.iter().find(|k| k.heard()) {
-                Some(keeper) => ask_keeper(keeper).await,
-                None => self.search().await,
-            };
-            let pause = match found {
-                Some(infos) => {
-                    lost = false;
-                    let number = infos.len();
-                    if self.keepers.learn(infos) {
-                        info!("discovery: {number} keepers are known");
-                    }
-                    if !self.keepers.has_near() && looks < NEARER_LOOKS {
-                        looks += 1;
-                        NEARER_EVERY
-                    } else {
-                        looks = 0;
-                        REFRESH_EVERY
-                    }
-                }
-                None => {
-                    if !lost {
-                        warn!("discovery: no keeper answers at the seeds; searching on");
-                    }
-                    lost = true;
-                    SEARCH_EVERY
+            let Some(list) = self.ask().await else {
+                if !lost {
+                    warn!("discovery: no keeper answers at the seeds; searching on");
                 }
+                lost = true;
+                self.rest(SEARCH_EVERY).await;
+                continue;
+            };
+            lost = false;
+            let isolated = list.isolated;
+            self.take(list);
+            if isolated {
+                self.ask_another().await;
+            }
+            let pause = if !isolated && self.keepers.has_near() {
+                looks = 0;
+                REFRESH_EVERY
+            } else if looks < EAGER_LOOKS {
+                looks += 1;
+                EAGER_EVERY
+            } else {
+                REFRESH_EVERY
             };
             self.rest(pause).await;
         }
     }
 
+    // An isolated keeper that was just started knows no other one, so its list hides nobody.
+    fn take(&self, list: KeeperList) {
+        let changed = if list.isolated {
+            self.keepers.add(list.infos)
+        } else {
+            self.keepers.learn(list.infos)
+        };
+        if changed {
+            let number = self.keepers.all().len();
+            info!(
+                isolated = list.isolated,
+                "discovery: {number} keepers are known"
+            );
+        }
+    }
+
+    async fn ask(&self) -> Option<KeeperList> {
+        let all = self.keepers.all();
+        match all.iter().find(|k| k.heard()) {
+            Some(keeper) => {
+                let list = ask(keeper.channel()).await;
+                keeper.note(list.is_some());
+                list
+            }
+            None => self.search().await,
+        }
+    }
+
+    // The keepers that an isolated one knows may be cut off with it; a seed may not be.
+    async fn ask_another(&self) {
+        let all = self.keepers.all();
+        let known = all.iter().map(|k| k.control_address());
+        let seeds = self.keepers.seeds();
+        let addresses: Vec<SocketAddr> = known.chain(seeds.iter().copied()).collect();
+        let Some(address) = addresses.choose(&mut rand::rng()).copied() else {
+            return;
+        };
+        if let Some(list) = ask(&RpcChannel::new(address)).await {
+            self.take(list);
+        }
+    }
+
     // Ends early when no keeper answers any more.
     async fn rest(&self, pause: Duration) {
         let until = self.timer.now() + pause;
@@ -102,24 +140,24 @@
     }
 
     // One seed a round, since most seeds stand in other regions and usually each of them answers.
-    async fn search(&self) -> Option<Vec<KeeperInfo>> {
+    async fn search(&self) -> Option<KeeperList> {
         let seeds = self.keepers.seeds();
         let seed = seeds.choose(&mut rand::rng()).copied()?;
-        ask_seed(seed).await
+        ask(&RpcChannel::new(seed)).await
     }
 }
 
-async fn ask_keeper(keeper: &Keeper) -> Option<Vec<KeeperInfo>> {
-    let call = keeper
-        .channel()
-        .call(TIMEOUT, |c, cx| async move { c.keepers(cx).await });
-    let infos = call.await.ok();
-    keeper.note(infos.is_some());
-    infos.filter(|i| !i.is_empty())
+/// `KeeperList` is what a keeper says of the others.
+struct KeeperList {
+    infos: Vec<KeeperInfo>,
+    /// Whether the keeper knows no primary.
+    isolated: bool,
 }
 
-async fn ask_seed(address: SocketAddr) -> Option<Vec<KeeperInfo>> {
-    let channel: RpcChannel<KeeperControlClient> = RpcChannel::new(address);
-    let call = channel.call(TIMEOUT, |c, cx| async move { c.keepers(cx).await });
-    call.await.ok().filter(|i| !i.is_empty())
+async fn ask(channel: &RpcChannel<KeeperControlClient>) -> Option<KeeperList> {
+    let infos = channel.call(TIMEOUT, |c, cx| async move { c.keepers(cx).await });
+    let infos = infos.await.ok().filter(|i| !i.is_empty())?;
+    let isolated = channel.call(TIMEOUT, |c, cx| async move { c.isolated(cx).await });
+    let isolated = isolated.await.unwrap_or(true);
+    Some(KeeperList { infos, isolated })
 }
--- a/crates/shallothill-node/src/control/keepers.rs
+++ b/crates/shallothill-node/src/control/keepers.rs
@@ -38,6 +38,11 @@
         self.info.id
     }
 
+    /// `control_address` returns the address for nodes.
+    pub fn control_address(&self) -> SocketAddr {
+        self.info.control_address
+    }
+
     /// `channel` returns the connection.
     pub fn channel(&self) -> &RpcChannel<KeeperControlClient> {
         &self.channel
@@ -130,6 +135,19 @@
         changed
     }
 
+    /// `add` adds the keepers that are not in the list. Returns whether one came.
+    pub fn add(&self, infos: Vec<KeeperInfo>) -> bool {
+        let all = self.all();
+        let known = |info: &KeeperInfo| all.iter().any(|k| k.id() == info.id);
+        let new = infos.into_iter().filter(|info| !known(info));
+        let mut infos: Vec<KeeperInfo> = new.collect();
+        if infos.is_empty() {
+            return false;
+        }
+        infos.extend(all.iter().map(|k| k.info.clone()));
+        self.learn(infos)
+    }
+
     /// `all` returns the keepers, nearest first.
     pub fn all(&self) -> Arc<Vec<Arc<Keeper>>> {
         self.all.load_full()
--- a/crates/shallothill-node/tests/isolation.rs
+++ b/crates/shallothill-node/tests/isolation.rs
@@ -57,3 +57,29 @@
     assert_eq!(after, before);
     assert!(node.node.entry().serving());
 }
+
+/// Guards against a node that is held at an old version by a keeper that restarted behind a cut and
+/// knows no other keeper.
+#[tokio::test]
+async fn an_isolated_keeper_that_knows_no_other_holds_nobody() {
+    let keepers = Keepers::start(cluster::REGION, cluster::config()).await;
+    let behind = (KeeperId(1), ConfigVersion(1), cluster::config());
+    *keepers.shared.behind.lock().unwrap() = Some(behind);
+    keepers.shared.alone.lock().unwrap().insert(KeeperId(1));
+    keepers.shared.isolated.lock().unwrap().insert(KeeperId(1));
+    keepers.shared.set_config(2, cluster::config());
+    let node = RunningNode::start_with_seeds("n1", vec![keepers.address(0)]).await;
+    process::wait_until("the node acts on the old version", LONG, || async {
+        node.node.store().version() == ConfigVersion(1)
+    })
+    .await
+    .unwrap();
+
+    let seeds = (0..3).map(|i| keepers.address(i)).collect();
+    node.node.keepers().set_seeds(seeds);
+
+    let in_force = || async { node.node.store().version() == ConfigVersion(2) };
+    process::wait_until("version 2 is in force", LONG, in_force)
+        .await
+        .unwrap();
+}
--- a/crates/shallothill-node/tests/support/keepers.rs
+++ b/crates/shallothill-node/tests/support/keepers.rs
@@ -43,6 +43,8 @@
     pub grants: AtomicBool,
     /// The keepers that hear no primary.
     pub isolated: Mutex<BTreeSet<KeeperId>>,
+    /// The keepers that know no other one.
+    pub alone: Mutex<BTreeSet<KeeperId>>,
     /// Watches that asked for the whole directory.
     pub first_watches: AtomicUsize,
     infos: Mutex<Vec<KeeperInfo>>,
@@ -90,6 +92,7 @@
             behind: Mutex::default(),
             grants: AtomicBool::new(false),
             isolated: Mutex::default(),
+            alone: Mutex::default(),
             first_watches: AtomicUsize::new(0),
             infos: Mutex::default(),
             directory: Mutex::new(Directory::new(
@@ -244,7 +247,11 @@
     }
 
     async fn keepers(self, _: Context) -> Vec<KeeperInfo> {
-        self.shared.infos.lock().unwrap().clone()
+        let mut infos = self.shared.infos.lock().unwrap().clone();
+        if self.shared.alone.lock().unwrap().contains(&self.id) {
+            infos.retain(|info| info.id == self.id);
+        }
+        infos
     }
 
     async fn claim(self, _: Context, req: ClaimRequest) -> ClaimReply {
