node, platform: announcements with an implausible start, sequence or port are refused

What was seen: no process ended. Nesting, numbers that do not fit and ports above 65535 were refused before. But a start in the year or the largest sequence number are valid numbers and were taken: from then on the true backend server's announcements counted as older, its drain was acknowledged and ignored, and requests went on. Port 0 was taken too.

Change: the gate refuses a start more than 60 s ahead of the clock, a sequence that rises by more than 1,000,000 between two announcements of one life, port 0 and no slots, for every interface; the check of the slots moves there from the adapter and the announce server. The time of day had two implementations; the one in shallothill-runtime stays.

Lists of keepers: reports of nodes are typed MessagePack of our own processes, which carry none of these numbers; not changed.

--- a/crates/shallothill-keeper/src/key_status.rs
+++ b/crates/shallothill-keeper/src/key_status.rs
@@ -6,9 +6,9 @@
 use hyper::StatusCode;
 use shallothill_core::idempotency::IdempotencyKey;
 use shallothill_ledger::{Answer, Claim, ClaimReply, Completion};
+use shallothill_runtime::clock;
 use shallothill_wire::operator::KeyReply;
 
-use crate::clock;
 use crate::keeper::Keeper;
 
 /// `ASK_TIMEOUT` bounds the time that the members of the key's group may take.
--- a/crates/shallothill-keeper/src/ledger/service.rs
+++ b/crates/shallothill-keeper/src/ledger/service.rs
@@ -12,11 +12,11 @@
     ClaimReply, ClaimRequest, CompleteRequest, Member, MemberStatus, Record, RecoveryReply,
     RecoveryRequest, WithdrawRequest,
 };
+use shallothill_runtime::clock;
 use tokio::sync::{mpsc, oneshot};
 
 use super::command::Command;
 use super::journal::Journal;
-use crate::clock;
 use crate::fatal::Fatal;
 
 /// `QUEUE_MAX` bounds the calls that wait for the ledger's thread.
--- a/crates/shallothill-keeper/src/lib.rs
+++ b/crates/shallothill-keeper/src/lib.rs
@@ -1,7 +1,6 @@
 //! The keeper: replicated configuration, the ledger, the directory and ejection leases.
 
 mod change_log;
-pub mod clock;
 pub mod config_state;
 pub mod control;
 pub mod crashes;
--- a/crates/shallothill-keeper/src/submit.rs
+++ b/crates/shallothill-keeper/src/submit.rs
@@ -10,10 +10,10 @@
 use shallothill_core::hash::ContentHash;
 use shallothill_core::ids::KeeperId;
 use shallothill_core::version::ConfigVersion;
+use shallothill_runtime::clock;
 use shallothill_wire::operator::{CurrentText, SubmitReply, SubmitRequest};
 use tokio::{task, time};
 
-use crate::clock;
 use crate::config_state::{Change, Outcome};
 use crate::keeper::{Keeper, lock};
 use crate::log::Refusal;
--- a/crates/shallothill-keeper/tests/restart.rs
+++ b/crates/shallothill-keeper/tests/restart.rs
@@ -10,11 +10,11 @@
 use shallothill_core::idempotency::IdempotencyKey;
 use shallothill_core::ids::NodeName;
 use shallothill_core::version::ConfigVersion;
-use shallothill_keeper::clock;
 use shallothill_ledger::{
     Answer, Claim, ClaimId, ClaimReply, ClaimRequest, CompleteRequest, Completion, MemberStatus,
     Refusal,
 };
+use shallothill_runtime::clock;
 use shallothill_testing::process::Process;
 use shallothill_wire::channel::RpcChannel;
 use shallothill_wire::control::KeeperControlClient;
--- a/crates/shallothill-node/src/announce.rs
+++ b/crates/shallothill-node/src/announce.rs
@@ -40,12 +40,10 @@
         let announcement: Option<Announcement> = body
             .ok()
             .and_then(|b| serde_json::from_slice(&b.to_bytes()).ok());
-        match announcement {
-            Some(a) if a.slots > 0 => {
-                self.gate.announce(&service, &name, a);
-                done()
-            }
-            Some(_) | None => MALFORMED.response(),
+        let taken = announcement.map(|a| self.gate.announce(&service, &name, a));
+        match taken {
+            Some(Ok(())) => done(),
+            Some(Err(_)) | None => MALFORMED.response(),
         }
     }
 }
@@ -78,5 +76,5 @@
     400,
     "malformed",
     "send JSON: {\"address\": \"ip:port\", \"state\": \"ready|cold|draining\", \"slots\": n}, \
-     with n above 0",
+     with a port and n above 0, a start that is not in the future and a sequence that rises by one",
 );
--- a/crates/shallothill-node/src/gate/ledger.rs
+++ b/crates/shallothill-node/src/gate/ledger.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
 use futures::stream::{FuturesUnordered, StreamExt};
 use rand::Rng;
@@ -14,6 +14,7 @@
 use shallothill_ledger::{
     Claim, ClaimId, ClaimReply, Claimant, CompleteRequest, Completion, Verdict, WithdrawRequest,
 };
+use shallothill_runtime::clock;
 use shallothill_runtime::timer::Timer;
 use tokio::sync::mpsc;
 use tokio::time;
@@ -128,11 +129,6 @@
     }
 }
 
-fn unix_now() -> UnixMillis {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH);
-    UnixMillis(since.map_or(0, |d| u64::try_from(d.as_millis()).unwrap_or(u64::MAX)))
-}
-
 impl Ledger {
     /// `new` builds the claimant of `node` over the fixed list `regions`.
     pub fn new(
@@ -188,7 +184,7 @@
             id: ClaimId(high, low),
             body_hash,
             gate: self.node.clone(),
-            expires: UnixMillis(unix_now().0 + u64::try_from(lasting.as_millis()).unwrap_or(0)),
+            expires: UnixMillis(clock::now().0 + u64::try_from(lasting.as_millis()).unwrap_or(0)),
         };
         let mut claimed = Claimed {
             ledger: Arc::clone(self),
@@ -235,11 +231,11 @@
                 .unwrap_or_default();
             match reply {
                 Some(reply) => {
-                    if let Some(verdict) = claimed.claimant.on_reply(unix_now(), reply) {
+                    if let Some(verdict) = claimed.claimant.on_reply(clock::now(), reply) {
                         return verdict.clone();
                     }
                 }
-                None => return claimed.claimant.give_up(unix_now()).clone(),
+                None => return claimed.claimant.give_up(clock::now()).clone(),
             }
         }
     }
--- a/crates/shallothill-node/src/gate/lifecycle.rs
+++ b/crates/shallothill-node/src/gate/lifecycle.rs
@@ -17,13 +17,14 @@
 use shallothill_policy::gray::GrayOptions;
 use shallothill_policy::pick::Tables;
 use shallothill_policy::retry::AllowanceOptions;
+use shallothill_runtime::clock;
 use shallothill_wire::crash::CrashNotice;
 use tokio::time;
 use tracing::{info, warn};
 
 use crate::gate::departed::Departed;
 use crate::gate::endpoint::Life;
-use crate::gate::{Announced, Announcement, Endpoint, Gate, Pool};
+use crate::gate::{Announced, Announcement, Endpoint, Gate, Implausible, Pool};
 
 /// `LIVES_BITS` is the part of a crash number that counts lives within one process.
 const LIVES_BITS: u32 = 20;
@@ -34,17 +35,39 @@
 impl Gate {
     /// `announce` takes an announcement, which holds for the lease. One that is older than what is
     /// known changes nothing.
-    pub fn announce(self: &Arc<Self>, service: &ServiceName, name: &EndpointName, a: Announcement) {
+    ///
+    /// Fails, and changes nothing either, when its values cannot be those of a backend server.
+    pub fn announce(
+        self: &Arc<Self>,
+        service: &ServiceName,
+        name: &EndpointName,
+        a: Announcement,
+    ) -> Result<(), Implausible> {
         let key = (service.clone(), name.clone());
-        if self.is_outdated(&key, &a) {
+        let known = self.endpoints.load().get(&key).cloned();
+        let order = known.as_ref().map(|e| e.lock().announced);
+        a.check(clock::now())
+            .and_then(|()| order.map_or(Ok(()), |order| a.check_after(order)))
+            .inspect_err(|e| warn!("gate: an announcement of {service}/{name} is refused: {e}"))?;
+        self.take_announcement(&key, known, a);
+        Ok(())
+    }
+
+    fn take_announcement(
+        self: &Arc<Self>,
+        key: &(ServiceName, EndpointName),
+        known: Option<Arc<Endpoint>>,
+        a: Announcement,
+    ) {
+        let (service, name) = key;
+        if self.is_outdated(key, &a) {
             info!("gate: an old announcement of {service}/{name} is ignored");
             return;
         }
         if self.stopping.load(Ordering::Relaxed) {
             return;
         }
-        self.drop_predecessors(&key, &a);
-        let known = self.endpoints.load().get(&key).cloned();
+        self.drop_predecessors(key, &a);
         let until = self.parts.timer.now() + self.parts.bounds.announce_lease();
         if let Some(endpoint) = &known
             && endpoint.pool.address() == a.address
@@ -78,7 +101,7 @@
             former.drain();
         }
         self.watch_connections(&endpoint);
-        self.replace(key, Some(endpoint));
+        self.replace(key.clone(), Some(endpoint));
     }
 
     /// `withdraw` takes an announcement back; returns whether there was one.
--- a/crates/shallothill-node/src/gate/mod.rs
+++ b/crates/shallothill-node/src/gate/mod.rs
@@ -41,7 +41,7 @@
 use crate::refusal::Refusal;
 use crate::settings::Bounds;
 
-pub use announcement::{Announced, Announcement};
+pub use announcement::{Announced, Announcement, Implausible};
 pub(crate) use backend::{Connection, Pool, SendError};
 pub use endpoint::Endpoint;
 pub(crate) use exchange::{BODY_INCOMPLETE, BODY_TOO_LARGE, BODY_TOO_SLOW};
--- /dev/null
+++ b/crates/shallothill-node/tests/announcements.rs
@@ -0,0 +1,144 @@
+//! Announcements that are odd, late or missing.
+
+mod support;
+
+use std::net::SocketAddr;
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use bytes::Bytes;
+use hyper::{Method, StatusCode};
+use serde_json::{Value, json};
+use shallothill_core::health::ServingState;
+use shallothill_core::ids::{EndpointName, ServiceName};
+use shallothill_node::gate::{Announced, Announcement};
+use shallothill_node::settings::Bounds;
+use shallothill_testing::http::Client;
+use support::keepers::Keepers;
+use support::{LONG, cluster};
+
+struct Gate {
+    node: cluster::RunningNode,
+    _keepers: Keepers,
+}
+
+impl Gate {
+    async fn start(announce_lease_ms: u64) -> Self {
+        let keepers = Keepers::start(cluster::REGION, cluster::config()).await;
+        let bounds = Bounds {
+            announce_lease_ms,
+            ..Bounds::default()
+        };
+        Self {
+            node: cluster::RunningNode::start("n1", &keepers.addresses, bounds).await,
+            _keepers: keepers,
+        }
+    }
+
+    fn announce(&self, name: &str, a: Announcement) {
+        let service = ServiceName::try_new("courier").unwrap();
+        let name = EndpointName::try_new(name).unwrap();
+        // What is refused changes nothing, as the tests check.
+        let _ = self.node.node.gate().announce(&service, &name, a);
+    }
+
+    fn state(&self, name: &str) -> Option<ServingState> {
+        let statuses = self.node.node.gate().statuses();
+        let found = statuses.into_iter().find(|s| s.name.as_str() == name);
+        found.map(|s| s.state)
+    }
+}
+
+fn now_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap();
+    since.as_millis() as u64
+}
+
+fn ready(started_ms: u64, sequence: u64) -> Announcement {
+    Announcement {
+        address: SocketAddr::from(([127, 0, 0, 1], 9)),
+        state: Announced::Ready,
+        slots: 5,
+        started_ms,
+        sequence,
+    }
+}
+
+fn draining(started_ms: u64, sequence: u64) -> Announcement {
+    Announcement {
+        state: Announced::Draining,
+        ..ready(started_ms, sequence)
+    }
+}
+
+/// Guards against a drain that is ignored after an announcement with the largest sequence number.
+#[tokio::test]
+async fn a_sequence_that_jumps_hides_no_later_announcement() {
+    let gate = Gate::start(120_000).await;
+    let start = now_ms();
+    gate.announce("e1", ready(start, 4));
+
+    gate.announce("e1", ready(start, u64::MAX));
+    gate.announce("e1", draining(start, 5));
+
+    assert_eq!(gate.state("e1"), Some(ServingState::Draining));
+}
+
+/// Guards against a drain that is ignored after an announcement of a start in the future.
+#[tokio::test]
+async fn a_start_in_the_future_hides_no_later_announcement() {
+    let gate = Gate::start(120_000).await;
+    let start = now_ms();
+    gate.announce("e1", ready(start, 4));
+
+    gate.announce("e1", ready(u64::MAX, 1));
+    gate.announce("e2", ready(u64::MAX, 1));
+    gate.announce("e1", draining(start, 5));
+
+    assert_eq!(gate.state("e1"), Some(ServingState::Draining));
+    assert_eq!(gate.state("e2"), None);
+}
+
+fn with(path: &str, value: Value) -> String {
+    let mut body = json!({
+        "address": "127.0.0.1:9000", "state": "ready", "slots": 5, "started_ms": 1, "sequence": 1,
+    });
+    body[path] = value;
+    body.to_string()
+}
+
+/// Guards against a node that ends, or hears no later announcement, after one that is deeply nested
+/// or has numbers out of range.
+#[tokio::test]
+async fn odd_announcements_are_refused_and_harm_nobody() {
+    let gate = Gate::start(120_000).await;
+    let at = gate.node.node.addresses().announce;
+    let client = Client::default();
+    let send = async |body: String| {
+        let path = "/announce/courier/e1";
+        let sent = client.send(Method::PUT, at, path, &[], Bytes::from(body), LONG);
+        sent.await.map(|reply| reply.status)
+    };
+    let odd = [
+        "[".repeat(2000),
+        "{\"a\":".repeat(600),
+        with("address", json!("127.0.0.1:70000")),
+        with("address", json!("127.0.0.1:0")),
+        with("slots", json!(70_000)),
+        with("slots", json!(-1)),
+        with("sequence", json!(-1)),
+        with("started_ms", json!(u64::MAX)),
+        with("sequence", json!(1.5)),
+        with("sequence", json!(0)).replace("e\":0", "e\":1e999"),
+        with("sequence", json!(0)).replace("e\":0", "e\":99999999999999999999999999"),
+    ];
+
+    for body in odd {
+        let short: String = body.chars().take(120).collect();
+        let refused = send(body).await;
+        assert_eq!(refused.unwrap(), StatusCode::BAD_REQUEST, "{short}");
+    }
+    let good = send(with("sequence", json!(2))).await;
+
+    assert_eq!(good.unwrap(), StatusCode::NO_CONTENT);
+    assert!(gate.state("e1").is_some());
+}
--- a/crates/shallothill-keeper/src/clock.rs
+++ b/crates/shallothill-runtime/src/clock.rs
@@ -1,4 +1,4 @@
-//! Wall-clock time, for the age of idempotency keys and for operators' displays only.
+//! Wall-clock time, for ages that several processes compare and for operators' displays; it may jump.
 
 use std::time::{SystemTime, UNIX_EPOCH};
 
