node: a backend server that paused its announcements returns

Found beside the odd announcements: one that is older than the lease ended its sender for good.

What callers would see: a service with fewer backend servers than run, until they restart. Cause: when no announcement came within the lease (10 s), the gate remembered the start of that life as ended, as after a departure, so its later announcements were ignored, for ever. The same happened when another name was announced at its address with a later start, also by a writer that does not know the address.

Change: only a departure, and an expiry while draining, end a life. Without a word for longer than the lease a backend server is dropped until its next announcement. One whose address another, later one announces is dropped too; its announcements count as older while that one is announced, as before.

Tests: a_backend_server_returns_after_a_pause_beyond_the_lease and another_name_at_an_address_ends_nobody_for_good failed before; a_late_announcement_undoes_no_drain_and_no_departure holds before and after.

--- a/crates/shallothill-node/src/gate/lifecycle.rs
+++ b/crates/shallothill-node/src/gate/lifecycle.rs
@@ -111,12 +111,21 @@
             return false;
         };
         info!("gate: {} has left", endpoint.id);
+        self.end_announcement(key, &endpoint);
+        true
+    }
+
+    // Late announcements of the same life change nothing from now on.
+    fn end_announcement(&self, key: (ServiceName, EndpointName), endpoint: &Endpoint) {
         let started_ms = endpoint.lock().announced.0;
         self.departed().insert(key.clone(), started_ms);
+        self.drop_announcement(key, endpoint);
+    }
+
+    fn drop_announcement(&self, key: (ServiceName, EndpointName), endpoint: &Endpoint) {
         endpoint.drain();
         endpoint.pool.clear();
         self.replace(key, None);
-        true
     }
 
     fn departed(&self) -> MutexGuard<'_, Departed> {
@@ -139,27 +148,39 @@
         self.endpoints.load().iter().any(newer)
     }
 
-    // A backend server that starts at an address shows that the one before it there has gone.
+    // A backend server that starts at an address shows that the one before it there has gone. Its
+    // announcements count as older while the later one is announced.
     fn drop_predecessors(&self, key: &(ServiceName, EndpointName), a: &Announcement) {
         let earlier = |(other, e): (&(ServiceName, EndpointName), &Arc<Endpoint>)| {
             let known = e.lock().announced.0;
             let same_place = other != key && e.pool.address() == a.address;
-            (same_place && known > 0 && known < a.started_ms).then(|| other.clone())
+            (same_place && known > 0 && known < a.started_ms)
+                .then(|| (other.clone(), Arc::clone(e)))
         };
         let gone: Vec<_> = self.endpoints.load().iter().filter_map(earlier).collect();
-        for (service, name) in gone {
-            self.withdraw(&service, &name);
+        for (key, endpoint) in gone {
+            info!("gate: {} has a successor at its address", endpoint.id);
+            self.drop_announcement(key, &endpoint);
         }
     }
 
-    /// `expire` withdraws backend servers that no longer announce themselves.
+    /// `expire` drops backend servers that no longer announce themselves. One that was not draining
+    /// may only have paused, so it returns with its next announcement.
     pub fn expire(&self) {
         let now = self.parts.timer.now();
-        for ((service, name), endpoint) in self.endpoints.load().iter() {
-            let until = endpoint.lock().announced_until;
-            if until <= now {
-                warn!("gate: {} stopped announcing itself", endpoint.id);
-                self.withdraw(service, name);
+        for (key, endpoint) in self.endpoints.load().iter() {
+            let inner = endpoint.lock();
+            let expired = inner.announced_until <= now;
+            let drains = inner.gate.state() == ServingState::Draining;
+            drop(inner);
+            if !expired {
+                continue;
+            }
+            warn!("gate: {} stopped announcing itself", endpoint.id);
+            if drains {
+                self.end_announcement(key.clone(), endpoint);
+            } else {
+                self.drop_announcement(key.clone(), endpoint);
             }
         }
     }
--- a/crates/shallothill-node/tests/announcements.rs
+++ b/crates/shallothill-node/tests/announcements.rs
@@ -13,9 +13,13 @@
 use shallothill_node::gate::{Announced, Announcement};
 use shallothill_node::settings::Bounds;
 use shallothill_testing::http::Client;
+use shallothill_testing::process;
 use support::keepers::Keepers;
 use support::{LONG, cluster};
 
+/// A lease that a test can wait for.
+const LEASE_MS: u64 = 300;
+
 struct Gate {
     node: cluster::RunningNode,
     _keepers: Keepers,
@@ -46,6 +50,13 @@
         let found = statuses.into_iter().find(|s| s.name.as_str() == name);
         found.map(|s| s.state)
     }
+
+    async fn gone(&self, name: &str) {
+        let gone = || async { self.state(name).is_none() };
+        process::wait_until("the announcement ends", LONG, gone)
+            .await
+            .unwrap();
+    }
 }
 
 fn now_ms() -> u64 {
@@ -98,6 +109,48 @@
     assert_eq!(gate.state("e2"), None);
 }
 
+/// Guards against a backend server that never returns after a pause of its announcements.
+#[tokio::test]
+async fn a_backend_server_returns_after_a_pause_beyond_the_lease() {
+    let gate = Gate::start(LEASE_MS).await;
+    let start = now_ms();
+    gate.announce("e1", ready(start, 1));
+    gate.gone("e1").await;
+
+    gate.announce("e1", ready(start, 2));
+
+    assert!(gate.state("e1").is_some());
+}
+
+/// Guards against a backend server that returns from a drain that was acknowledged, by an
+/// announcement that was late.
+#[tokio::test]
+async fn a_late_announcement_undoes_no_drain_and_no_departure() {
+    let gate = Gate::start(LEASE_MS).await;
+    let start = now_ms();
+    gate.announce("e1", draining(start, 7));
+    gate.gone("e1").await;
+
+    gate.announce("e1", ready(start, 6));
+
+    assert_eq!(gate.state("e1"), None);
+}
+
+/// Guards against a backend server that is ended for good by an announcement that gives its address
+/// another name.
+#[tokio::test]
+async fn another_name_at_an_address_ends_nobody_for_good() {
+    let gate = Gate::start(LEASE_MS).await;
+    let start = now_ms();
+    gate.announce("e1", ready(start - 1000, 1));
+    gate.announce("e2", ready(start, 1));
+    gate.gone("e2").await;
+
+    gate.announce("e1", ready(start - 1000, 2));
+
+    assert!(gate.state("e1").is_some());
+}
+
 fn with(path: &str, value: Value) -> String {
     let mut body = json!({
         "address": "127.0.0.1:9000", "state": "ready", "slots": 5, "started_ms": 1, "sequence": 1,
