--- a/crates/shallothill-node/src/gate/answer.rs
+++ b/crates/shallothill-node/src/gate/answer.rs
@@ -7,6 +7,7 @@
 use hyper::Response;
 use hyper::body::Incoming;
 use hyper::header;
+use hyper::header::HeaderMap;
 use hyper::http::response::Parts;
 use shallothill_core::outcome::Outcome;
 use tokio::time;
@@ -41,7 +42,7 @@
     ) -> Result<Reply, Refusal> {
         let interface = &self.parts.interface;
         let (parts, incoming) = response.into_parts();
-        if !belongs_to(interface, head, &parts) {
+        if !belongs_to(interface, head, &parts.headers) {
             running.broken();
             return Err(FOREIGN);
         }
@@ -80,15 +81,11 @@
     }
 }
 
-// A backend server may send the answer of an earlier request once more.
-fn belongs_to(interface: &Interface, head: &Head, parts: &Parts) -> bool {
-    let Some(name) = &interface.request_id else {
-        return true;
-    };
-    match head.headers.get(name) {
-        Some(id) => parts.headers.get(name) == Some(id),
-        None => true,
-    }
+// A backend server may send the answer of an earlier request once more. The answer to a request
+// without an id has none either.
+pub(super) fn belongs_to(interface: &Interface, head: &Head, map: &HeaderMap) -> bool {
+    let id = interface.request_id.as_ref();
+    id.is_none_or(|name| map.get(name) == head.headers.get(name))
 }
 
 // Tells whether the answer is one that the backend server itself may have made.
--- a/crates/shallothill-node/src/gate/backend.rs
+++ b/crates/shallothill-node/src/gate/backend.rs
@@ -76,7 +76,7 @@
     // The idle time up to which the backend server does not close the connection by itself.
     fn usable_for(&self, fresh: bool) -> Duration {
         match self.keep_alive {
-            Some(stated) => stated.saturating_sub(KEEP_ALIVE_MARGIN),
+            Some(stated) => stated.saturating_sub(KEEP_ALIVE_MARGIN).min(IDLE_MAX),
             None if fresh => FRESH_FOR,
             None => IDLE_MAX,
         }
--- a/crates/shallothill-node/src/gate/exchange.rs
+++ b/crates/shallothill-node/src/gate/exchange.rs
@@ -18,9 +18,9 @@
 use crate::attempt::{Head, Reply};
 use crate::body::{Body, BodyError};
 use crate::crashes::Place;
-use crate::gate::head_limit;
 use crate::gate::slot::{Running, Slot};
 use crate::gate::{Connection, Endpoint, Gate, SendError};
+use crate::gate::{answer, head_limit};
 use crate::header_filter;
 use crate::interface::Interface;
 use crate::refusal::Refusal;
@@ -78,12 +78,7 @@
             slot.start(head.fingerprint, objective);
             match time::timeout_at(until, connection.send(req)).await {
                 Ok(Ok(response)) => {
-                    let not_run = self.parts.interface.not_run.as_ref();
-                    if not_run.is_some_and(|name| response.headers().contains_key(name)) {
-                        slot.shed();
-                    } else {
-                        slot.answered(response.status().as_u16());
-                    }
+                    self.note_answer(slot, head, &response);
                     connection.note_keep_alive(response.headers());
                     return Ok((response, connection));
                 }
@@ -98,6 +93,21 @@
         }
     }
 
+    // An answer of another request says nothing of this one; it is refused as broken later.
+    fn note_answer(&self, slot: &mut Slot, head: &Head, response: &Response<Incoming>) {
+        let interface = &self.parts.interface;
+        let map = response.headers();
+        if !answer::belongs_to(interface, head, map) {
+            return;
+        }
+        let not_run = interface.not_run.as_ref();
+        if not_run.is_some_and(|name| map.contains_key(name)) {
+            slot.shed();
+        } else {
+            slot.answered(response.status().as_u16());
+        }
+    }
+
     // The whole objective of the route; that of the head is what was left when the request came.
     fn objective_of(&self, head: &Head) -> Duration {
         let cfg = self.parts.store.load();
