keeper: a keeper that stops leaves the group first if another one replaces it

Where the platform replaces a host as planned, the successor starts first and the old host then gets SIGTERM: it counted as a member until its silence was noticed, 1.5 s later, and two disks lost in that time would have left no majority, for ever.

The conditions of a removal stay: a successor that is heard, a group that is large enough. A keeper that nobody replaces stops as before. The dump of a keeper names the places of the others.

--- a/crates/shallothill-keeper/src/lib.rs
+++ b/crates/shallothill-keeper/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod control;
 pub mod crashes;
 pub mod data;
+pub mod departure;
 pub mod errors;
 pub mod fatal;
 pub mod fetch;
--- a/crates/shallothill-keeper/src/operators.rs
+++ b/crates/shallothill-keeper/src/operators.rs
@@ -117,6 +117,7 @@
             "keeper": id,
             "address": peer.peer.address(),
             "region": peer.region,
+            "zone": lock(&peer.zone).as_ref(),
             "heard": keeper.is_heard(peer),
         })
     });
--- a/crates/shallothill-keeper/src/peer.rs
+++ b/crates/shallothill-keeper/src/peer.rs
@@ -114,6 +114,9 @@
     async fn meet(req: MeetRequest) -> MeetReply;
     /// `replica` delivers a message of the config log; it may be dropped.
     async fn replica(from: KeeperId, msg: Message);
+    /// `leave` tells the primary that a member is about to stop; returns whether it is still a member
+    /// that another one replaces, so that the answer is worth waiting for.
+    async fn leave(from: KeeperId) -> bool;
     /// `recover` answers a ledger member that lost its disk; `None` while this one recovers too.
     async fn recover(req: RecoveryRequest) -> Option<RecoveryReply>;
 }
--- a/crates/shallothill-keeper/src/peer_server.rs
+++ b/crates/shallothill-keeper/src/peer_server.rs
@@ -14,7 +14,7 @@
 
 use crate::keeper::{Keeper, lock};
 use crate::peer::{KeeperPeer, MeetReply, MeetRequest, PeerStatus, SyncReply, SyncRequest};
-use crate::{status, submit};
+use crate::{departure, status, submit};
 
 /// `WAIT_MAX` bounds a long poll of another keeper.
 const WAIT_MAX: Duration = Duration::from_secs(10);
@@ -133,6 +133,10 @@
         }
     }
 
+    async fn leave(self, _: Context, from: KeeperId) -> bool {
+        departure::ask(&self.keeper, from)
+    }
+
     async fn recover(self, _: Context, req: RecoveryRequest) -> Option<RecoveryReply> {
         self.keeper.ledger.recover(req).await
     }
--- a/crates/shallothill-keeper/src/process.rs
+++ b/crates/shallothill-keeper/src/process.rs
@@ -36,7 +36,7 @@
 use crate::peer_server::PeerServer;
 use crate::peers::Peers;
 use crate::settings::Settings;
-use crate::{housekeeping, ledger, metrics, publisher, sync};
+use crate::{departure, housekeeping, ledger, metrics, publisher, sync};
 
 /// `MESSAGES_MAX` bounds the messages of other keepers that wait for the config log.
 const MESSAGES_MAX: usize = 1024;
@@ -157,6 +157,9 @@
                 errors::FatalSnafu { message }.fail()
             }
         };
+        if ended.is_ok() && self.keeper.settings.discovers() {
+            departure::leave(&self.keeper).await;
+        }
         self.stop.cancel();
         self.tasks.close();
         if tokio::time::timeout(STOP_WITHIN, self.tasks.wait())
--- a/crates/shallothill-keeper/src/roster.rs
+++ b/crates/shallothill-keeper/src/roster.rs
@@ -21,8 +21,8 @@
     /// How long a member may leave polls unanswered; a primary that was just elected has sent them
     /// for longer than heartbeats.
     pub polls_for: Duration,
-    /// The time for which a request to join holds; keepers repeat it.
-    pub join_for: Duration,
+    /// The time for which a request to join or to leave holds; keepers repeat it.
+    pub asked_for: Duration,
 }
 
 impl Default for RosterOptions {
@@ -31,7 +31,7 @@
             tolerated_losses: 0,
             heartbeats_for: Duration::from_millis(1500),
             polls_for: Duration::from_millis(3500),
-            join_for: Duration::from_secs(2),
+            asked_for: Duration::from_secs(2),
         }
     }
 }
@@ -62,7 +62,7 @@
 pub enum Reason {
     /// The keeper asked to join.
     Asked(KeeperId),
-    /// The keeper is silent, and another member stands in its place.
+    /// The keeper is silent or asked to leave, and another member stands in its place.
     Replaced {
         /// The keeper that leaves.
         leaver: KeeperId,
@@ -88,6 +88,7 @@
 pub struct Roster {
     options: RosterOptions,
     joining: BTreeMap<KeeperId, Millis>,
+    leaving: BTreeMap<KeeperId, Millis>,
 }
 
 impl Roster {
@@ -96,6 +97,7 @@
         Self {
             options,
             joining: BTreeMap::new(),
+            leaving: BTreeMap::new(),
         }
     }
 
@@ -109,10 +111,15 @@
         self.joining.insert(id, now);
     }
 
+    /// `ask_to_leave` notes that a member is about to stop.
+    pub fn ask_to_leave(&mut self, now: Millis, id: KeeperId) {
+        self.leaving.insert(id, now);
+    }
+
     /// `next` returns the next change, or `None` when nothing is to change.
     ///
-    /// A keeper that asks joins first. A member is removed only when it is silent, another member
-    /// that is heard stands in its data centre, and the rest is large enough and mostly heard.
+    /// A keeper that asks joins first. A member is removed only when it is silent or asks to leave,
+    /// another member that is heard stands in its data centre, and the rest is large enough and mostly heard.
     /// Others may be silent meanwhile: without the member that is gone, the group survives as many
     /// of their losses as before, or one more.
     pub fn next(
@@ -121,9 +128,11 @@
         members: &[KeeperId],
         seen: &BTreeMap<KeeperId, Sighting>,
     ) -> Option<RosterChange> {
-        let hold = self.options.join_for;
+        let holds = |at: Millis| now.saturating_since(at) < self.options.asked_for;
         self.joining
-            .retain(|id, at| !members.contains(id) && now.saturating_since(*at) < hold);
+            .retain(|id, at| !members.contains(id) && holds(*at));
+        self.leaving
+            .retain(|id, at| members.contains(id) && holds(*at));
         if let Some(id) = self.joining.keys().next()
             && members.len() < MEMBERS_MAX
         {
@@ -137,8 +146,11 @@
             seen,
             options: &self.options,
         };
-        let silent_members = members.iter().copied().filter(|id| look.is_silent(*id));
-        let (leaver, successor) = silent_members
+        let leaves = |id: &KeeperId| self.leaving.contains_key(id) || look.is_silent(*id);
+        let (leaver, successor) = members
+            .iter()
+            .copied()
+            .filter(leaves)
             .filter_map(|id| Some((id, look.successor(id, members)?)))
             .next()?;
         let rest: Vec<KeeperId> = members.iter().copied().filter(|id| *id != leaver).collect();
--- a/crates/shallothill-keeper/tests/roster.rs
+++ b/crates/shallothill-keeper/tests/roster.rs
@@ -177,6 +177,26 @@
     }
 }
 
+/// Guards against a replaced member that stops and lowers what the group survives until its silence is
+/// noticed, and against a group that gets smaller with each restart.
+#[test]
+fn a_member_that_asks_to_leave_is_removed_if_it_is_replaced() {
+    let mut roster = roster();
+    let seen = seen(&[(1, 100), (2, 100), (3, 100), (4, 100), (5, 100), (15, 100)]);
+    roster.ask_to_leave(at(100), KeeperId(4));
+    let not_replaced = roster.next(at(100), &members(&[1, 2, 3, 4, 5, 15]), &seen);
+    roster.ask_to_leave(at(100), KeeperId(5));
+    let replaced = roster.next(at(100), &members(&[1, 2, 3, 4, 5, 15]), &seen);
+    let few = roster.next(at(100), &members(&[1, 2, 3, 5, 15]), &seen);
+
+    assert_eq!(not_replaced, None);
+    assert_eq!(
+        replaced.map(|c| c.members),
+        Some(members(&[1, 2, 3, 4, 15]))
+    );
+    assert_eq!(few, None);
+}
+
 /// Guards against a group that waits for a whole term of a new primary, although the member that is
 /// gone answered no poll for longer.
 #[test]
