replica: a new member that goes down holds up no other change of members

Change: a change is given up when the added member answered nothing for four election timeouts. One that answers still has 30 s for a long transfer.

Test: a_new_member_that_goes_down_holds_up_no_other_change failed before (the change was unanswered after 4 s).

--- a/crates/shallothill-replica/src/leading.rs
+++ b/crates/shallothill-replica/src/leading.rs
@@ -26,6 +26,8 @@
     pub(crate) target: Op,
     /// The round that a majority of the new members has to answer.
     pub(crate) round: u64,
+    /// When the added member answered last.
+    pub(crate) heard: Millis,
     pub(crate) until: Millis,
 }
 
--- a/crates/shallothill-replica/src/membership.rs
+++ b/crates/shallothill-replica/src/membership.rs
@@ -14,6 +14,9 @@
 /// a link between regions takes a few seconds.
 const CHANGE_LIMIT: Duration = Duration::from_secs(30);
 
+/// `SILENT_ELECTIONS` is how many election timeouts a new member may be silent.
+const SILENT_ELECTIONS: u32 = 4;
+
 impl Replica {
     pub(crate) fn on_change_members(&mut self, id: RequestId, mut members: Vec<KeeperId>) {
         members.sort_unstable();
@@ -62,6 +65,7 @@
                 members,
                 target,
                 round: leading.round + 1,
+                heard: self.now,
                 until,
             });
         }
@@ -91,11 +95,14 @@
         self.propose(id, Content::Members { id, members });
     }
 
-    /// `expire_change` gives up a change that too few of the new members answer.
+    /// `expire_change` gives up a change that too few of the new members answer, and one whose new
+    /// member is silent, so that it holds up no other one.
     pub(crate) fn expire_change(&mut self) {
         let now = self.now;
+        let patience = self.options.election_timeout * SILENT_ELECTIONS;
+        let silent = |c: &Change| c.added.is_some() && now > c.heard + patience;
         let change = self.leading.as_mut().map(|l| &mut l.change);
-        let expired = change.and_then(|c| c.take_if(|c| now > c.until));
+        let expired = change.and_then(|c| c.take_if(|c| now > c.until || silent(c)));
         if let Some(change) = expired {
             self.reply(change.id, ProposeResult::Busy);
             self.update_peers();
--- a/crates/shallothill-replica/src/replication.rs
+++ b/crates/shallothill-replica/src/replication.rs
@@ -186,6 +186,11 @@
         }
         let now = self.now;
         let patience = self.options.heartbeat;
+        if let Some(change) = self.leading.as_mut().and_then(|l| l.change.as_mut())
+            && change.added == Some(from)
+        {
+            change.heard = now;
+        }
         let Some(peer) = self.leading.as_mut().and_then(|l| l.peers.get_mut(&from)) else {
             return;
         };
--- a/crates/shallothill-replica/tests/rules.rs
+++ b/crates/shallothill-replica/tests/rules.rs
@@ -262,6 +262,28 @@
     assert!(bus.broken_rules.is_empty(), "{:?}", bus.broken_rules);
 }
 
+/// Guards against a group that replaces nobody for half a minute, because a new member went down while
+/// it was added.
+#[test]
+fn a_new_member_that_goes_down_holds_up_no_other_change() {
+    let mut bus = group(8);
+    bus.accept_one(1000).expect("accepted");
+    let primary = bus.primary().expect("a primary");
+    let down = bus.change_members(primary, vec![k(1), k(2), k(3), k(4)]);
+    bus.add_host(k(5), vec![k(1), k(2), k(3), k(5)], false);
+    bus.run(4000);
+
+    let next = bus.change_members(primary, vec![k(1), k(2), k(3), k(5)]);
+    bus.run(2000);
+
+    assert_eq!(bus.answers.get(&down), Some(&ProposeResult::Busy));
+    let next = bus.answers.get(&next);
+    assert!(
+        matches!(next, Some(ProposeResult::Committed(_))),
+        "{next:?}"
+    );
+}
+
 /// Guards against messages over 1 MB and a log in memory that grows without bound.
 #[test]
 fn messages_and_memory_are_bounded() {
