node, keeper: announcements have a file of their own; clearer names of what a primary expects

The times of a sighting are named after what they date: polls_since and heartbeats_since. No logic changes.

--- a/crates/shallothill-keeper/src/group.rs
+++ b/crates/shallothill-keeper/src/group.rs
@@ -216,23 +216,23 @@
 
 fn sighting(keeper: &Keeper, id: KeeperId, followers: &Followers, term: &Term) -> Sighting {
     let now = keeper.timer.now();
-    let beaten = term.since.get(&id).copied().unwrap_or(now);
-    let polled = followers.get(&id).map_or(now, |f| f.since);
+    let heartbeats_since = term.since.get(&id).copied().unwrap_or(now);
+    let polls_since = followers.get(&id).map_or(now, |f| f.since);
     let Some(peer) = keeper.peers.get(id) else {
         // This keeper itself, or one that is not polled yet.
         let me = id == keeper.settings.id;
         return Sighting {
             data_centre: me.then(|| keeper.settings.data_centre.clone()),
             heard: me.then_some(now),
-            polled,
-            beaten,
+            polls_since,
+            heartbeats_since,
         };
     };
     let heard = *lock(&peer.heard);
     Sighting {
         data_centre: lock(&peer.zone).as_ref().map(|z| z.data_centre.clone()),
         heard: heard.max(*lock(&peer.answered)),
-        polled,
-        beaten,
+        polls_since,
+        heartbeats_since,
     }
 }
--- a/crates/shallothill-keeper/src/roster.rs
+++ b/crates/shallothill-keeper/src/roster.rs
@@ -52,9 +52,9 @@
     /// When it last answered, if it ever did.
     pub heard: Option<Millis>,
     /// Since when it is polled.
-    pub polled: Millis,
+    pub polls_since: Millis,
     /// Since when it gets heartbeats.
-    pub beaten: Millis,
+    pub heartbeats_since: Millis,
 }
 
 /// `Reason` tells why the members change.
@@ -188,8 +188,8 @@
         };
         let quiet_since = |start: Millis| sighting.heard.map_or(start, |at| at.max(start));
         let quiet = |start| self.now.saturating_since(quiet_since(start));
-        quiet(sighting.beaten) >= self.options.heartbeats_for
-            || quiet(sighting.polled) >= self.options.polls_for
+        quiet(sighting.heartbeats_since) >= self.options.heartbeats_for
+            || quiet(sighting.polls_since) >= self.options.polls_for
     }
 
     fn silent_for(&self, id: KeeperId) -> Option<Duration> {
--- a/crates/shallothill-keeper/tests/replacements.rs
+++ b/crates/shallothill-keeper/tests/replacements.rs
@@ -205,8 +205,8 @@
         let sighting = |id: &KeeperId| Sighting {
             data_centre: DataCentre::try_new(&format!("dc-{}", self.hosts[id].data_centre)).ok(),
             heard: self.heard.get(id).copied(),
-            polled: Millis(self.hosts[id].joined_at),
-            beaten: Millis(since.max(self.hosts[id].joined_at)),
+            polls_since: Millis(self.hosts[id].joined_at),
+            heartbeats_since: Millis(since.max(self.hosts[id].joined_at)),
         };
         let seen = self.members.iter().map(|k| (*k, sighting(k))).collect();
         let Some(change) = self.roster.next(now, &self.members, &seen) else {
--- a/crates/shallothill-keeper/tests/roster.rs
+++ b/crates/shallothill-keeper/tests/roster.rs
@@ -25,8 +25,8 @@
         let sighting = Sighting {
             data_centre: DataCentre::try_new(&name).ok(),
             heard: Some(Millis(s * 1000)),
-            polled: Millis(0),
-            beaten: Millis(0),
+            polls_since: Millis(0),
+            heartbeats_since: Millis(0),
         };
         (KeeperId(*id), sighting)
     };
@@ -87,8 +87,8 @@
     let joined = Sighting {
         data_centre: DataCentre::try_new("dc-5").ok(),
         heard: None,
-        polled: at(100),
-        beaten: at(100),
+        polls_since: at(100),
+        heartbeats_since: at(100),
     };
     seen.insert(KeeperId(15), joined);
 
@@ -204,7 +204,7 @@
     let mut roster = roster();
     let mut seen = seen(&[(1, 100), (2, 100), (3, 100), (4, 100), (5, 96), (15, 100)]);
     for sighting in seen.values_mut() {
-        sighting.beaten = at(100);
+        sighting.heartbeats_since = at(100);
     }
 
     let next = roster.next(at(100), &members(&[1, 2, 3, 4, 5, 15]), &seen);
--- a/crates/shallothill-node/src/gate/mod.rs
+++ b/crates/shallothill-node/src/gate/mod.rs
@@ -1,6 +1,7 @@
 //! The gate role: guards the backend servers on the node's host.
 
 mod announcement;
+mod announcements;
 mod answer;
 mod arrival;
 mod backend;
