keeper: a stopping keeper waits for no removal that would leave too few members

Read again: in a group of just the needed size with several keepers in one data centre, each planned restart would have waited 1.5 s for a removal that the roster refuses. The question is answered at once now.

--- a/crates/shallothill-keeper/src/departure.rs
+++ b/crates/shallothill-keeper/src/departure.rs
@@ -62,8 +62,8 @@
     replaced
 }
 
-// Whether `id` is a member and another one stands in its data centre, or may do so: the place of a member
-// that has just joined is not known yet.
+// Whether `id` is a member of a group that is large enough without it, and another member stands in its
+// data centre, or may do so: the place of one that has just joined is not known yet.
 fn is_replaced(keeper: &Keeper, id: KeeperId) -> bool {
     let replica = keeper.log.status().replica;
     let members = replica.map_or_else(Vec::new, |r| r.members);
@@ -74,6 +74,7 @@
     };
     let own = place(id);
     let replaces = |other: &KeeperId| place(*other).is_none_or(|at| Some(at) == own);
+    let needed = lock(&keeper.roster).options().needed();
     let mut others = members.iter().filter(|other| **other != id);
-    members.contains(&id) && others.any(replaces)
+    members.contains(&id) && members.len() > needed && others.any(replaces)
 }
