--- a/crates/shallothill-replica/src/leading.rs
+++ b/crates/shallothill-replica/src/leading.rs
@@ -79,8 +79,8 @@
         nth_highest(members.iter().map(round).collect(), members.len() / 2)
     }
 
-    /// `behind_round` returns the members that have not answered the last round that a majority
-    /// answered, or any later one.
+    /// `behind_round` returns the members that have answered neither the first round that lacks a
+    /// majority nor any later one.
     pub(crate) fn behind_round(&self, me: KeeperId, members: &[KeeperId]) -> Vec<KeeperId> {
         let answered = self.rounds.front().map_or(self.round, |(round, _)| *round);
         let behind = |k: &KeeperId| self.peers.get(k).is_none_or(|p| p.round < answered);
