config, node: routes with streamed bodies, for uploads

Bodies of requests that run once were read whole at the gate, and one whose length was unknown asked for 64 MB of the buffers.

Change: a route has a body mode. A streamed body that does not fit the buffers goes to one backend server as it arrives; its request cannot be sent again, so only a suspected server may refuse it. A caller that is answered early is read to its end, or it would lose the answer to a reset.

Ruled out: telling uploads apart in the adapter only, as the gate must know that it may pass a body on before it is whole.

--- a/crates/shallothill-bench/src/scenarios/scale.rs
+++ b/crates/shallothill-bench/src/scenarios/scale.rs
@@ -7,7 +7,7 @@
 
 use shallothill_core::class::Class;
 use shallothill_core::config::{
-    Caller, Config, Disposition, Floor, OncePer, Route, Service, Target,
+    BodyMode, Caller, Config, Disposition, Floor, OncePer, Route, Service, Target,
 };
 use shallothill_core::health::ServingState;
 use shallothill_core::ids::{
@@ -186,6 +186,7 @@
         objective: None,
         attempts: None,
         max_body_bytes: 65_536,
+        body: BodyMode::Buffered,
     })
 }
 
--- a/crates/shallothill-config/src/diff.rs
+++ b/crates/shallothill-config/src/diff.rs
@@ -5,7 +5,7 @@
 use std::fmt::Display;
 use std::time::Duration;
 
-use shallothill_core::config::{Caller, Config, Floor, Route, Service, Target};
+use shallothill_core::config::{BodyMode, Caller, Config, Floor, Route, Service, Target};
 
 /// `Change` describes one field or item that differs between two configurations.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -161,6 +161,10 @@
         ("objective", r.objective.map(duration)),
         ("attempts", r.attempts.map(|n| n.to_string())),
         ("max_body_bytes", Some(r.max_body_bytes.to_string())),
+        (
+            "body",
+            (r.body == BodyMode::Streamed).then(|| String::from("streamed")),
+        ),
     ]
 }
 
--- a/crates/shallothill-config/src/route.rs
+++ b/crates/shallothill-config/src/route.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use shallothill_core::config::{Route, Share, Target};
+use shallothill_core::config::{BodyMode, Route, Share, Target};
 use shallothill_core::ids::ServiceName;
 
 use crate::faults::Faults;
@@ -12,7 +12,7 @@
 use crate::node::{Entry, Node, Value};
 use crate::scalars;
 
-const FIELDS: [&str; 14] = [
+const FIELDS: [&str; 15] = [
     "service",
     "split",
     "host",
@@ -27,6 +27,7 @@
     "objective",
     "attempts",
     "max_body_bytes",
+    "body",
 ];
 /// `ANY_METHOD` is written in place of the list of methods to accept every method.
 const ANY_METHOD: &str = "any";
@@ -58,6 +59,8 @@
     let attempts = fields.optional("attempts", faults, attempts);
     let body_limit = scalars::number(0, limits::BODY_MAX_BYTES);
     let max_body_bytes = fields.optional("max_body_bytes", faults, body_limit);
+    let body = fields.optional("body", faults, scalars::body_mode);
+    check_body(&fields, body, idempotent, faults);
     Some(Route {
         target: target?,
         host: host?,
@@ -72,6 +75,7 @@
         objective: objective?,
         attempts: attempts?,
         max_body_bytes: max_body_bytes?.unwrap_or(BODY_DEFAULT_BYTES),
+        body: body?.unwrap_or_default(),
     })
 }
 
@@ -147,6 +151,19 @@
     }
 }
 
+// A streamed body can be sent to one backend server only, which an idempotent route does not expect.
+fn check_body(
+    fields: &Fields<'_>,
+    body: Option<Option<BodyMode>>,
+    idempotent: Option<bool>,
+    faults: &mut Faults,
+) {
+    if body == Some(Some(BodyMode::Streamed)) && idempotent == Some(true) {
+        let message = "a streamed body is sent only once; write `idempotent: false` or remove it";
+        faults.push(fields.position("body"), fields.path_of("body"), message);
+    }
+}
+
 fn methods(fields: &Fields<'_>, faults: &mut Faults) -> Option<Vec<String>> {
     let entry = fields.required_entry("methods", faults)?;
     if matches!(&entry.node.value, Value::Text(text) if text == ANY_METHOD) {
--- a/crates/shallothill-config/src/scalars.rs
+++ b/crates/shallothill-config/src/scalars.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use shallothill_core::class::Class;
-use shallothill_core::config::{Disposition, OncePer};
+use shallothill_core::config::{BodyMode, Disposition, OncePer};
 
 use crate::limits;
 use crate::node::Value;
@@ -106,6 +106,17 @@
     }
 }
 
+/// `body_mode` parses how request bodies are passed on: `buffered` or `streamed`.
+pub(crate) fn body_mode(value: &Value) -> Result<BodyMode, String> {
+    match text(value)? {
+        "buffered" => Ok(BodyMode::Buffered),
+        "streamed" => Ok(BodyMode::Streamed),
+        other => Err(format!(
+            "`{other}` is not known; write `buffered` or `streamed`"
+        )),
+    }
+}
+
 /// `disposition` parses `quick`, `cautious` or a number from 0 to 1.
 pub(crate) fn disposition(value: &Value) -> Result<Disposition, String> {
     const FORM: &str = "write `quick`, `cautious` or a number from 0.0 to 1.0";
--- a/crates/shallothill-config/src/to_text.rs
+++ b/crates/shallothill-config/src/to_text.rs
@@ -3,7 +3,9 @@
 use std::time::Duration;
 
 use serde_json::{Map, Value, json};
-use shallothill_core::config::{Caller, Config, Floor, Limits, OncePer, Route, Service, Target};
+use shallothill_core::config::{
+    BodyMode, Caller, Config, Floor, Limits, OncePer, Route, Service, Target,
+};
 
 use crate::diff;
 use crate::service::ANNOUNCED;
@@ -110,6 +112,7 @@
         "objective": r.objective.map(duration),
         "attempts": r.attempts,
         "max_body_bytes": r.max_body_bytes,
+        "body": (r.body == BodyMode::Streamed).then_some(r.body),
     }))
 }
 
--- a/crates/shallothill-config/tests/write.rs
+++ b/crates/shallothill-config/tests/write.rs
@@ -1,7 +1,7 @@
 //! Serialization of configurations, and the fields for hosts, splits and announced slots.
 
 use shallothill_config::{parse, to_text};
-use shallothill_core::config::{Config, OncePer, Target};
+use shallothill_core::config::{BodyMode, Config, OncePer, Target};
 
 const VALID: &str = "\
 regions: [north, south]
@@ -26,6 +26,7 @@
     deadline: 3s
     objective: 1s
     attempts: 2
+    body: streamed
   look-up: {service: desk, methods: [GET], path: /desk, idempotent: true, class: editor, deadline: 5s}
 callers:
   office: {class: editor, requests_per_s: 50}
@@ -54,7 +55,7 @@
     assert_eq!(to_text(&parse(&text).unwrap()), text);
 }
 
-/// Guards against hosts, splits, `once_per`, `any` and announced slots that are parsed wrongly.
+/// Guards against hosts, splits, `once_per`, `body`, `any` and announced slots that are parsed wrongly.
 #[test]
 fn hosts_splits_and_announced_slots_are_parsed() {
     let cfg = valid();
@@ -63,6 +64,7 @@
     assert_eq!(route.host.as_deref(), Some("desk.example"));
     assert_eq!(route.target.total_weight(), 100);
     assert_eq!(route.once_per, OncePer::Attempt);
+    assert_eq!(route.body, BodyMode::Streamed);
     assert!(route.methods.is_empty() && route.below);
     let slots: Vec<_> = cfg.services.values().map(|s| s.slots).collect();
     assert_eq!(slots, [None, Some(5)]);
@@ -105,6 +107,11 @@
         ),
         ("host: Desk.Example", "host: ''", "`` is no host"),
         ("objective: 1s", "objective: 63s", "above the deadline"),
+        (
+            "idempotent: false\n",
+            "idempotent: true\n",
+            "sent only once",
+        ),
         (
             "    split:",
             "    service: desk\n    split:",
--- a/crates/shallothill-core/src/config/mod.rs
+++ b/crates/shallothill-core/src/config/mod.rs
@@ -1,5 +1,6 @@
 //! The data model of a validated configuration.
 
+mod body_mode;
 mod caller;
 mod disposition;
 mod fault;
@@ -16,6 +17,7 @@
 
 use crate::ids::{CallerName, Region, RouteName, ServiceName};
 
+pub use body_mode::BodyMode;
 pub use caller::Caller;
 pub use disposition::Disposition;
 pub use fault::Fault;
--- a/crates/shallothill-core/src/config/route.rs
+++ b/crates/shallothill-core/src/config/route.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::class::Class;
-use crate::config::{OncePer, Target};
+use crate::config::{BodyMode, OncePer, Target};
 
 /// `Route` maps requests to services by host, method and path prefix.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -38,4 +38,7 @@
     pub attempts: Option<u8>,
     /// The largest accepted request body in bytes.
     pub max_body_bytes: u64,
+    /// Whether request bodies are large and may be passed on as they arrive.
+    #[serde(default)]
+    pub body: BodyMode,
 }
--- a/crates/shallothill-core/tests/values.rs
+++ b/crates/shallothill-core/tests/values.rs
@@ -5,7 +5,7 @@
 
 use shallothill_core::class::Class;
 use shallothill_core::config::{
-    Caller, Config, Disposition, Floor, OncePer, Route, Service, Target,
+    BodyMode, Caller, Config, Disposition, Floor, OncePer, Route, Service, Target,
 };
 use shallothill_core::idempotency::IdempotencyKey;
 use shallothill_core::ids::{CallerName, Region, RouteName, ServiceName};
@@ -60,6 +60,7 @@
         objective: None,
         attempts: None,
         max_body_bytes: 65_536,
+        body: BodyMode::Buffered,
     };
     let caller = Caller {
         class: Class::Shop,
--- a/crates/shallothill-node/src/attempt.rs
+++ b/crates/shallothill-node/src/attempt.rs
@@ -6,7 +6,7 @@
 use hyper::http::uri::PathAndQuery;
 use hyper::{Method, Response};
 use shallothill_core::class::Class;
-use shallothill_core::config::OncePer;
+use shallothill_core::config::{BodyMode, OncePer};
 use shallothill_core::hash::Fingerprint;
 use shallothill_core::health::ServingState;
 use shallothill_core::idempotency::IdempotencyKey;
@@ -54,6 +54,8 @@
     pub fingerprint: Fingerprint,
     /// The limit of the request body, in bytes.
     pub max_body_bytes: u64,
+    /// Whether the request body may be passed on as it arrives.
+    pub body_mode: BodyMode,
 }
 
 /// `Attempt` is one try to run a request at one backend server.
--- a/crates/shallothill-node/src/body.rs
+++ b/crates/shallothill-node/src/body.rs
@@ -14,6 +14,7 @@
 
 use crate::entry;
 use crate::gate;
+use crate::unread_body::UnreadBody;
 
 /// `BodyError` is why a body ended early.
 #[derive(Debug)]
@@ -65,7 +66,7 @@
 #[derive(Debug)]
 pub struct Body {
     buffered: Option<Bytes>,
-    rest: Option<Incoming>,
+    rest: Option<UnreadBody>,
     remaining_bytes: u64,
     deadline: Option<Pin<Box<Sleep>>>,
     guards: CompletionGuards,
@@ -92,7 +93,7 @@
     /// have at most `remaining_bytes` bytes.
     pub fn stream(buffered: Bytes, rest: Incoming, remaining_bytes: u64) -> Self {
         Self {
-            rest: Some(rest),
+            rest: Some(UnreadBody::new(rest)),
             remaining_bytes,
             ..Self::full(buffered)
         }
@@ -106,6 +107,15 @@
         self
     }
 
+    /// `discarding_rest` reads the rest of a streamed body until `deadline` if it is dropped early,
+    /// so that its sender gets the response.
+    pub fn discarding_rest(mut self, deadline: Instant) -> Self {
+        if let Some(rest) = &mut self.rest {
+            rest.discard_rest(self.remaining_bytes, deadline);
+        }
+        self
+    }
+
     /// `with_gate_guard` completes `running` when the body ends, and aborts or drops it when the
     /// body is cut off.
     pub fn with_gate_guard(mut self, running: gate::RunningRequest) -> Self {
@@ -139,7 +149,7 @@
     fn complete_if_ended(&mut self) {
         let ended = match &self.rest {
             None => self.buffered.is_none(),
-            Some(rest) => self.buffered.is_none() && http_body::Body::is_end_stream(rest),
+            Some(rest) => self.buffered.is_none() && rest.is_end_stream(),
         };
         if ended {
             self.guards.complete();
@@ -172,7 +182,7 @@
             self.guards.complete();
             return Poll::Ready(None);
         };
-        match Pin::new(rest).poll_frame(cx) {
+        match rest.poll_frame(cx) {
             Poll::Ready(Some(Ok(frame))) => {
                 let len = frame.data_ref().map_or(0, Bytes::len) as u64;
                 if len > self.remaining_bytes {
@@ -196,11 +206,7 @@
     }
 
     fn is_end_stream(&self) -> bool {
-        self.buffered.is_none()
-            && self
-                .rest
-                .as_ref()
-                .is_none_or(http_body::Body::is_end_stream)
+        self.buffered.is_none() && self.rest.as_ref().is_none_or(UnreadBody::is_end_stream)
     }
 
     fn size_hint(&self) -> SizeHint {
@@ -208,7 +214,7 @@
         let Some(rest) = &self.rest else {
             return SizeHint::with_exact(buffered);
         };
-        let hint = http_body::Body::size_hint(rest);
+        let hint = rest.size_hint();
         let mut sum = SizeHint::new();
         if let Some(upper) = hint.upper() {
             sum.set_upper(upper.saturating_add(buffered));
--- a/crates/shallothill-node/src/entry/attempts.rs
+++ b/crates/shallothill-node/src/entry/attempts.rs
@@ -254,7 +254,12 @@
     ) -> Result<Attempt, Refusal> {
         let endpoint = picked.endpoint;
         let body = self.take_body().ok_or(NO_BACKEND)?;
-        let caution = self.attempts.caution(table.endpoints().len());
+        let caution = if self.can_resend() {
+            self.attempts.caution(table.endpoints().len())
+        } else {
+            // A refusal would be final, so only a suspected backend server may refuse.
+            Caution::Settle
+        };
         let repeated = self.attempts.reached_count() > 0;
         self.attempts
             .record_start(endpoint.key, &self.options, &self.budget);
--- a/crates/shallothill-node/src/entry/prepare.rs
+++ b/crates/shallothill-node/src/entry/prepare.rs
@@ -219,7 +219,8 @@
             Payload::Buffered(buffered, reserved)
         } else {
             let remaining = route.max_body_bytes.saturating_sub(buffered.len() as u64);
-            Payload::Stream(Body::stream(buffered, incoming, remaining).with_deadline(deadline))
+            let body = Body::stream(buffered, incoming, remaining).with_deadline(deadline);
+            Payload::Stream(body.discarding_rest(deadline))
         };
         Ok((payload, fingerprint))
     }
@@ -287,6 +288,7 @@
         objective: fields.objective,
         fingerprint: fields.fingerprint,
         max_body_bytes: named.route.max_body_bytes,
+        body_mode: named.route.body,
     }
 }
 
--- a/crates/shallothill-node/src/gate/mod.rs
+++ b/crates/shallothill-node/src/gate/mod.rs
@@ -22,7 +22,7 @@
 use std::sync::{Arc, Mutex};
 
 use arc_swap::ArcSwap;
-use shallothill_core::config::OncePer;
+use shallothill_core::config::{BodyMode, OncePer};
 use shallothill_core::ids::{EndpointId, EndpointName, NodeName, Region, ServiceName};
 use shallothill_core::incarnation::Incarnation;
 use shallothill_policy::pick::ReportedLoad;
@@ -32,7 +32,7 @@
 
 use crate::attempt::{Attempt, AttemptReply};
 use crate::body::Body;
-use crate::buffers::BufferBudget;
+use crate::buffers::{BufferBudget, BufferReservation};
 use crate::config::ConfigStore;
 use crate::control::Keepers;
 use crate::crashes::CrashTracker;
@@ -187,7 +187,13 @@
         };
         let expected = unbuffered_bytes(&attempt.body, head.max_body_bytes);
         // Kept until the request has been written.
-        let reserved = self.deps.buffers.reserve(expected).ok_or(BUFFERS_FULL)?;
+        let reserved = self.reserve_buffer(expected, head.body_mode);
+        if reserved.is_none() && head.body_mode == BodyMode::Streamed {
+            let slot = endpoint.admit(&head, false).await?;
+            let slot = slot.with_retry_allowance(attempt.repeated)?;
+            return self.forward(slot, head, attempt.body, permit).await;
+        }
+        let reserved = reserved.ok_or(BUFFERS_FULL)?;
         let body = exchange::read_body(&mut attempt.body, head.deadline).await?;
         let slot = endpoint.admit(&head, false).await?;
         let slot = slot.with_retry_allowance(attempt.repeated)?;
@@ -200,6 +206,17 @@
     }
 }
 
+impl Gate {
+    // Reserves memory for a body that is read before its request takes a slot, so that a slow
+    // caller holds none. A streamed body gets no more than one that is kept for further attempts.
+    fn reserve_buffer(&self, bytes: usize, mode: BodyMode) -> Option<BufferReservation> {
+        if mode == BodyMode::Streamed && bytes > self.deps.bounds.buffered_body_bytes {
+            return None;
+        }
+        self.deps.buffers.reserve(bytes)
+    }
+}
+
 /// `quarantine_refusal` refuses a request that is in quarantine for `remaining` because backend
 /// servers crashed while it ran.
 pub(crate) fn quarantine_refusal(remaining: std::time::Duration) -> Refusal {
--- a/crates/shallothill-node/src/lib.rs
+++ b/crates/shallothill-node/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod peer;
 pub mod refusal;
 pub mod settings;
-pub mod view;
+pub mod unread_body;
+mod view;
 
 pub use errors::{Error, Result};
--- a/crates/shallothill-node/src/peer/codec.rs
+++ b/crates/shallothill-node/src/peer/codec.rs
@@ -9,7 +9,7 @@
 use hyper::http::uri::PathAndQuery;
 use hyper::{Request, Response, Uri, Version};
 use shallothill_core::class::Class;
-use shallothill_core::config::OncePer;
+use shallothill_core::config::{BodyMode, OncePer};
 use shallothill_core::hash::Fingerprint;
 use shallothill_core::headers;
 use shallothill_core::idempotency::IdempotencyKey;
@@ -27,6 +27,17 @@
 /// `AUTHORITY` is the authority of requests between nodes; the caller's host is sent in a header.
 const AUTHORITY: &str = "peer";
 
+/// `RouteRules` is what a gate's own configuration says of the route of an attempt.
+#[derive(Clone, Copy, Debug)]
+pub struct RouteRules {
+    /// The largest request body, in bytes.
+    pub max_body_bytes: u64,
+    /// Whether requests may run more than once.
+    pub idempotent: bool,
+    /// Whether request bodies may be passed on as they arrive.
+    pub body_mode: BodyMode,
+}
+
 fn set_header(map: &mut HeaderMap, name: &'static str, value: &str) {
     if let Ok(value) = HeaderValue::from_str(value) {
         map.insert(HeaderName::from_static(name), value);
@@ -89,12 +100,12 @@
 }
 
 /// `read_attempt` parses an attempt that a peer sent to `node`, and the configuration version of
-/// the peer; `None` if it is malformed. `route_limits` returns the largest body of a route and
-/// whether the route is idempotent.
+/// the peer; `None` if it is malformed. `route_rules` returns what the configuration of
+/// `node` says of a route.
 pub fn read_attempt(
     req: Request<Incoming>,
     node: &NodeName,
-    route_limits: impl FnOnce(&RouteName) -> (u64, bool),
+    route_rules: impl FnOnce(&RouteName) -> RouteRules,
 ) -> Option<(Attempt, ConfigVersion)> {
     let (parts, incoming) = req.into_parts();
     let map = &parts.headers;
@@ -111,8 +122,8 @@
     let trial = text(headers::TRIAL).is_some();
     let repeated = text(headers::REPEATED).is_some();
     let caution = Caution::from_name(text(headers::CAUTION).unwrap_or_default());
-    let (max_body_bytes, route_idempotent) = route_limits(&route);
-    let idempotent = route_idempotent && text(headers::IDEMPOTENT) != Some("false");
+    let rules = route_rules(&route);
+    let idempotent = rules.idempotent && text(headers::IDEMPOTENT) != Some("false");
     let once_per = match text(headers::ONCE_PER) {
         Some("attempt") => OncePer::Attempt,
         _ => OncePer::Key,
@@ -145,7 +156,8 @@
         deadline,
         objective,
         fingerprint,
-        max_body_bytes,
+        max_body_bytes: rules.max_body_bytes,
+        body_mode: rules.body_mode,
     };
     let endpoint = EndpointId {
         service,
@@ -159,7 +171,7 @@
         trial,
         repeated,
         caution,
-        body: Body::stream(Bytes::new(), incoming, max_body_bytes).with_deadline(deadline),
+        body: Body::stream(Bytes::new(), incoming, rules.max_body_bytes).with_deadline(deadline),
     };
     Some((attempt, version))
 }
--- a/crates/shallothill-node/src/peer/mod.rs
+++ b/crates/shallothill-node/src/peer/mod.rs
@@ -5,7 +5,7 @@
 mod links;
 mod server;
 
-pub use codec::{read_attempt, read_reply, write_attempt, write_reply};
+pub use codec::{RouteRules, read_attempt, read_reply, write_attempt, write_reply};
 pub use link::{LinkError, PeerLink};
 pub use links::PeerLinks;
 pub use server::PeerServer;
--- a/crates/shallothill-node/src/peer/server.rs
+++ b/crates/shallothill-node/src/peer/server.rs
@@ -7,6 +7,7 @@
 use hyper::body::Incoming;
 use hyper::{Method, Request, Response};
 use serde::Serialize;
+use shallothill_core::config::BodyMode;
 use shallothill_core::headers;
 use shallothill_core::ids::{NodeName, RouteName};
 use shallothill_core::sections::{Section, SectionId};
@@ -19,14 +20,19 @@
 use crate::gate::Gate;
 use crate::listener::RequestHandler;
 use crate::peer;
+use crate::peer::RouteRules;
 use crate::refusal::Refusal;
 
 /// `MAX_IDS_BYTES` is the largest body of a request for sections, which lists their ids.
 const MAX_IDS_BYTES: usize = 64 * 1024;
 
-/// `UNKNOWN_ROUTE_BODY_BYTES` is the largest body for a route that is not in the configuration of
-/// this node yet.
-const UNKNOWN_ROUTE_BODY_BYTES: u64 = 1024 * 1024;
+/// `UNKNOWN_ROUTE_RULES` applies to a route that is not in the configuration of this node yet. The
+/// entry node's word decides there whether a request may run twice.
+const UNKNOWN_ROUTE_RULES: RouteRules = RouteRules {
+    max_body_bytes: 1024 * 1024,
+    idempotent: true,
+    body_mode: BodyMode::Buffered,
+};
 
 /// `PeerServer` runs attempts that other nodes send and serves them the configuration.
 #[derive(Debug)]
@@ -51,16 +57,16 @@
         if !self.entry.serving() {
             return peer::write_reply(NOT_READY.reply_from_gate(), self.store.version());
         }
-        let route_limits = |name: &RouteName| {
+        let route_rules = |name: &RouteName| {
             let snapshot = self.store.load();
-            snapshot
-                .routes()
-                .by_name(name)
-                .map_or((UNKNOWN_ROUTE_BODY_BYTES, true), |r| {
-                    (r.route.max_body_bytes, r.route.idempotent)
-                })
+            let named = snapshot.routes().by_name(name);
+            named.map_or(UNKNOWN_ROUTE_RULES, |n| RouteRules {
+                max_body_bytes: n.route.max_body_bytes,
+                idempotent: n.route.idempotent,
+                body_mode: n.route.body,
+            })
         };
-        let reply = match peer::read_attempt(req, &self.node, route_limits) {
+        let reply = match peer::read_attempt(req, &self.node, route_rules) {
             Some((attempt, version)) => {
                 self.store.record_version(version);
                 self.counters.count_peer_attempt();
--- a/crates/shallothill-node/tests/routes.rs
+++ b/crates/shallothill-node/tests/routes.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use shallothill_core::class::Class;
-use shallothill_core::config::{OncePer, Route, Target};
+use shallothill_core::config::{BodyMode, OncePer, Route, Target};
 use shallothill_core::ids::{RouteName, ServiceName};
 use shallothill_node::config::{RouteLookup, RouteTable};
 
@@ -22,6 +22,7 @@
         objective: None,
         attempts: None,
         max_body_bytes: 1024,
+        body: BodyMode::Buffered,
     }
 }
 
--- a/crates/shallothill-node/tests/support/cluster.rs
+++ b/crates/shallothill-node/tests/support/cluster.rs
@@ -11,7 +11,7 @@
 use serde_json::json;
 use shallothill_core::class::Class;
 use shallothill_core::config::{
-    Caller, Config, Disposition, Floor, OncePer, Route, Service, Target,
+    BodyMode, Caller, Config, Disposition, Floor, OncePer, Route, Service, Target,
 };
 use shallothill_core::ids::{
     CallerName, DataCentre, KeeperId, NodeName, Region, RouteName, ServiceName,
@@ -69,6 +69,7 @@
         objective: None,
         attempts: None,
         max_body_bytes: 1024 * 1024,
+        body: BodyMode::Buffered,
     }
 }
 
