storage, keeper: a full disk is waited out

Cause: a keeper whose disk was full ended, and could not start while the disk stayed full. Report of other operators: disks of counted machines full in turn, never two at once.

Change: the log is opened again and its unsynced records are appended once more until the disk takes them. Nothing is reported as durable before, so the keeper does not vote or count towards a majority; a primary commits by the others. A failed sync still ends the process.

Ruled out: retrying the write alone, as a part of it may be on the disk.

--- a/crates/shallothill-keeper/src/data.rs
+++ b/crates/shallothill-keeper/src/data.rs
@@ -1,9 +1,13 @@
 //! Opens and inspects the data folder.
 
+use std::time::Duration;
+
 use shallothill_ledger::{LedgerMember, LedgerOptions};
 use shallothill_replica::DurableState;
 use shallothill_storage::{DataFolder, FolderOptions};
 
+use tokio::time;
+
 use crate::errors;
 use crate::ledger::{Journal, first_incarnation};
 use crate::log::LogDisk;
@@ -12,6 +16,9 @@
 /// `RECORD_MAX_BYTES` bounds a record; the largest one is a complete text with its envelope.
 const RECORD_MAX_BYTES: usize = 16 * 1024 * 1024;
 
+/// `DISK_FULL_PAUSE` is the time before a start that found the disk full is tried again.
+const DISK_FULL_PAUSE: Duration = Duration::from_millis(200);
+
 /// `DurableData` is the content of the data folder.
 #[derive(Debug)]
 pub struct DurableData {
@@ -26,10 +33,22 @@
 }
 
 impl DurableData {
-    /// `try_open` locks the data folder and reads it.
+    /// `open` locks the data folder and reads it; while the disk is full it tries again.
     ///
     /// Fails when another process has locked it, or when it cannot be read.
-    pub fn try_open(settings: &Settings) -> errors::Result<Self> {
+    pub async fn open(settings: &Settings) -> errors::Result<Self> {
+        loop {
+            match Self::try_open(settings) {
+                Err(errors::Error::Storage { source }) if source.is_disk_full() => {
+                    tracing::warn!("keeper: {source}; the keeper starts once there is some");
+                    time::sleep(DISK_FULL_PAUSE).await;
+                }
+                opened => return opened,
+            }
+        }
+    }
+
+    fn try_open(settings: &Settings) -> errors::Result<Self> {
         let options = FolderOptions {
             keeper: settings.id,
             max_record_bytes: RECORD_MAX_BYTES,
--- a/crates/shallothill-keeper/src/log/disk.rs
+++ b/crates/shallothill-keeper/src/log/disk.rs
@@ -2,11 +2,12 @@
 
 use std::sync::mpsc;
 use std::thread;
+use std::time::Duration;
 
 use shallothill_replica::{
     DurableState, Entry, HardState, MemberState, Op, Snapshot, SnapshotMeta, SyncToken,
 };
-use shallothill_storage::{DataFolder, Log, Position, RestoredLog};
+use shallothill_storage::{DataFolder, Log, Position, RestoredLog, RetryingLog};
 use tokio::sync::mpsc as async_mpsc;
 
 use crate::errors;
@@ -18,6 +19,9 @@
 /// `STATE_CELL` names the file in the data folder that holds the replica's [`HardState`].
 const STATE_CELL: &str = "replica";
 
+/// `DISK_FULL_PAUSE` is the time before an operation that found the disk full is tried again.
+const DISK_FULL_PAUSE: Duration = Duration::from_millis(100);
+
 /// `QUEUE_MAX` bounds the commands that wait for the disk.
 const QUEUE_MAX: usize = 4096;
 
@@ -40,10 +44,12 @@
 }
 
 /// `LogDisk` holds the stored config log and its data folder.
+///
+/// While the disk is full it reports nothing as durable, so the replica neither votes nor counts
+/// towards a majority; the other members elect and commit without it.
 #[derive(Debug)]
 pub struct LogDisk {
-    folder: DataFolder,
-    log: Log,
+    log: RetryingLog,
 }
 
 impl LogDisk {
@@ -72,7 +78,8 @@
             Some(_) => log,
             None => Log::try_reset(&folder, LOG_NAME)?,
         };
-        Ok((Self { folder, log }, durable))
+        let log = RetryingLog::new(folder, LOG_NAME, log);
+        Ok((Self { log }, durable))
     }
 
     /// `start` spawns the thread that executes commands; it ends when the returned sender is
@@ -116,7 +123,7 @@
                 next = rx.try_recv().ok();
             }
             if let Some(token) = sync {
-                self.log.sync()?;
+                self.log.run(wait_for_space, |_, log| log.sync())?;
                 if reports.send(DiskReport::Synced(token)).is_err() {
                     return Ok(());
                 }
@@ -132,7 +139,7 @@
     ) -> errors::Result<()> {
         match command {
             DiskCommand::Append(first, entries) => {
-                let next = self.log.last_position().next();
+                let next = self.log.log().last_position().next();
                 if next != Position(first.0) {
                     let message = format!(
                         "an entry for position {first} cannot follow the log, whose next position \
@@ -141,18 +148,17 @@
                     return errors::FatalSnafu { message }.fail();
                 }
                 for entry in &entries {
-                    self.log.append(&encode(entry))?;
+                    self.log.append(encode(entry))?;
                 }
             }
-            DiskCommand::Truncate(after) => self.log.truncate_after(Position(after.0))?,
+            DiskCommand::Truncate(after) => {
+                let after = Position(after.0);
+                self.log
+                    .run(wait_for_space, |_, log| log.truncate_after(after))?;
+            }
             DiskCommand::Save(hard_state) => {
-                // The log is marked first: a replica whose state is `Complete` and whose log is
-                // marked as lost would not start.
-                self.log.sync()?;
-                if hard_state.member_state == MemberState::Complete && self.log.is_lost() {
-                    self.log.mark_repaired()?;
-                }
-                self.folder.write_cell(STATE_CELL, &hard_state)?;
+                self.log
+                    .run(wait_for_space, |folder, log| save(folder, log, &hard_state))?;
             }
             DiskCommand::Install(snapshot) => self.store_snapshot(&snapshot)?,
             DiskCommand::Snapshot(snapshot) => {
@@ -167,10 +173,31 @@
 
     fn store_snapshot(&mut self, snapshot: &Snapshot) -> shallothill_storage::Result<()> {
         let position = Position(snapshot.meta.last.op.0);
-        self.log.snapshot(position, &encode(snapshot))
+        let bytes = encode(snapshot);
+        self.log
+            .run(wait_for_space, |_, log| log.snapshot(position, &bytes))
     }
 }
 
+// The log is marked first: a replica whose state is `Complete` and whose log is marked as lost
+// would not start.
+fn save(
+    folder: &DataFolder,
+    log: &mut Log,
+    hard_state: &HardState,
+) -> shallothill_storage::Result<()> {
+    log.sync()?;
+    if hard_state.member_state == MemberState::Complete && log.is_lost() {
+        log.mark_repaired()?;
+    }
+    folder.write_cell(STATE_CELL, hard_state)
+}
+
+fn wait_for_space(e: &shallothill_storage::Error) {
+    tracing::warn!("config: {e}; the keeper acknowledges nothing and tries again");
+    thread::sleep(DISK_FULL_PAUSE);
+}
+
 pub(super) fn build_snapshot(meta: SnapshotMeta, state: Vec<u8>) -> Snapshot {
     Snapshot {
         meta,
--- a/crates/shallothill-keeper/src/process.rs
+++ b/crates/shallothill-keeper/src/process.rs
@@ -91,7 +91,7 @@
         let stop = CancellationToken::new();
         let tasks = TaskTracker::new();
         let timer = Timer::start();
-        let data = DurableData::try_open(&settings)?;
+        let data = DurableData::open(&settings).await?;
         let ledger = LedgerHandle::start(data.member, data.journal, fatal_tx.clone());
         let state = Arc::new(Mutex::new(ConfigState::default()));
         let section_history = Arc::new(Mutex::new(SectionHistory::default()));
--- a/crates/shallothill-storage/src/errors.rs
+++ b/crates/shallothill-storage/src/errors.rs
@@ -62,7 +62,7 @@
     },
     /// The disk has no space left.
     #[snafu(display(
-        "the disk is full, cannot write `{}`; free some space and start the keeper again",
+        "the disk is full, cannot write `{}`; free some space",
         path.display()
     ))]
     DiskFull {
@@ -137,6 +137,11 @@
 }
 
 impl Error {
+    /// `is_disk_full` tells whether the operation can succeed once the disk has space again.
+    pub fn is_disk_full(&self) -> bool {
+        matches!(self, Self::DiskFull { .. })
+    }
+
     pub(crate) fn file(action: &'static str, path: &std::path::Path, source: io::Error) -> Self {
         let path = path.to_path_buf();
         if source.kind() == io::ErrorKind::StorageFull {
--- a/crates/shallothill-storage/src/lib.rs
+++ b/crates/shallothill-storage/src/lib.rs
@@ -18,6 +18,7 @@
 mod record;
 mod record_log;
 mod restored;
+mod retrying_log;
 mod segment;
 mod snapshot;
 
@@ -30,3 +31,4 @@
 pub use position::Position;
 pub use record_log::Log;
 pub use restored::{RestoredLog, RestoredRecord, RestoredSnapshot};
+pub use retrying_log::RetryingLog;
