node: what became of an attempt is asked on another connection

Change: an attempt has an id. When its connection breaks, the entry node asks the gate on a new one: an attempt that never arrived is refused from then on and sent again, one that runs is waited for, and the reply of one that has ended is kept (2 MB a node). Attempts outlive their connection by 250 ms. The id of the gate's process, learnt from its replies, keeps a restarted gate from denying what an earlier process ran. Pings every 500 ms with a timeout of 400 ms; unacknowledged bytes close a connection after 700 ms. The record of old attempts gives way to a mark below which nothing is denied and nothing starts, so no bound on time is needed.

Ruled out: an acknowledgement for each attempt (bytes between regions); keeping ids for some time only (a suspended node may ask at any time).

--- a/crates/shallothill-core/src/headers.rs
+++ b/crates/shallothill-core/src/headers.rs
@@ -47,6 +47,12 @@
 pub const REPEATED: &str = "x-shallothill-repeated";
 /// `REACHED` marks responses between nodes when the request reached a backend server.
 pub const REACHED: &str = "x-shallothill-reached";
+/// `PROCESS` carries the id of the sending process, on hops between nodes.
+pub const PROCESS: &str = "x-shallothill-process";
+/// `ATTEMPT_NUMBER` carries the number of the attempt among all those of the sending process.
+pub const ATTEMPT_NUMBER: &str = "x-shallothill-attempt-number";
+/// `SENT_TO` carries the id of the process that a lost attempt was sent to, in questions about it.
+pub const SENT_TO: &str = "x-shallothill-sent-to";
 /// `RETRY_AFTER_MS` carries the time after which a refused request may be resent, in milliseconds.
 pub const RETRY_AFTER_MS: &str = "x-shallothill-retry-after-ms";
 /// `IDEMPOTENCY_KEY` carries the key that identifies a non-idempotent request across resends.
--- a/crates/shallothill-node/src/attempt.rs
+++ b/crates/shallothill-node/src/attempt.rs
@@ -8,6 +8,7 @@
 use shallothill_core::class::Class;
 use shallothill_core::config::{BodyMode, OncePer};
 use shallothill_core::hash::Fingerprint;
+use shallothill_core::headers;
 use shallothill_core::health::ServingState;
 use shallothill_core::idempotency::IdempotencyKey;
 use shallothill_core::ids::{EndpointId, RouteName, ServiceName};
@@ -17,6 +18,7 @@
 use tokio::time::Instant;
 
 use crate::body::Body;
+use crate::header_filter;
 
 /// `RequestHead` contains what all attempts of a request have in common, except the body.
 #[derive(Debug)]
@@ -133,6 +135,11 @@
             && !self.response.status().is_server_error()
     }
 
+    /// `refused_for` tells whether the reply states `reason`.
+    pub(crate) fn refused_for(&self, reason: &str) -> bool {
+        header_filter::single_value(self.response.headers(), headers::REASON) == Some(reason)
+    }
+
     /// `allows_retry` tells whether another attempt may be made. A refusal that every backend
     /// server would repeat, such as an invalid key, is final.
     pub fn allows_retry(&self, idempotent: bool) -> bool {
--- a/crates/shallothill-node/src/body.rs
+++ b/crates/shallothill-node/src/body.rs
@@ -137,6 +137,12 @@
         self.rest.is_none()
     }
 
+    /// `buffered` returns the content if it is completely in memory.
+    pub fn buffered(&self) -> Option<Bytes> {
+        let complete = self.is_buffered();
+        complete.then(|| self.buffered.clone().unwrap_or_default())
+    }
+
     /// `take_buffered` takes the content if it is completely in memory.
     pub fn take_buffered(&mut self) -> Option<Bytes> {
         if self.rest.is_some() {
--- a/crates/shallothill-node/src/entry/attempts.rs
+++ b/crates/shallothill-node/src/entry/attempts.rs
@@ -14,7 +14,9 @@
 use shallothill_policy::gray::Caution;
 use shallothill_policy::limits::Permit;
 use shallothill_policy::pick;
-use shallothill_policy::pick::{PickRequest, Picked, ReportedLoad, ServiceTable, Tier};
+use shallothill_policy::pick::{
+    EndpointKey, PickRequest, Picked, ReportedLoad, ServiceTable, Tier,
+};
 use shallothill_policy::retry;
 use shallothill_policy::retry::{NextStep, RefusedBy, RetryBudget, RetryOptions};
 use shallothill_wire::crash::CrashNotice;
@@ -29,6 +31,7 @@
 use crate::gate;
 use crate::header_filter;
 use crate::interface::HttpInterface;
+use crate::peer;
 use crate::refusal::Refusal;
 
 /// `LOAD_SHOWN_FOR` is the age up to which logs show the last reported load of a backend server.
@@ -241,6 +244,11 @@
                 .attempts
                 .on_attempt_end(now, reply.outcome, &self.options, &self.budget);
         }
+        if reply.refused_for(peer::NOT_ARRIVED_REASON)
+            && let Some(last) = &self.last_attempt
+        {
+            self.attempts.reconsider(EndpointKey::of(&last.endpoint));
+        }
         let by = self.refused_by(reply);
         self.attempts.on_refusal(now, by, &self.options)
     }
@@ -318,8 +326,7 @@
 
     // Returns who refused an attempt that did not reach the backend server.
     fn refused_by(&self, reply: &AttemptReply) -> RefusedBy {
-        let reason = reply.response.headers().get(headers::REASON);
-        if reason.is_some_and(|r| r.as_bytes() == gate::RETRY_BUDGET_REASON.as_bytes()) {
+        if reply.refused_for(gate::RETRY_BUDGET_REASON) {
             return RefusedBy::RetryBudget;
         }
         match self.last_attempt {
--- a/crates/shallothill-node/src/entry/send.rs
+++ b/crates/shallothill-node/src/entry/send.rs
@@ -14,13 +14,20 @@
 use crate::body::Body;
 use crate::entry::Entry;
 use crate::peer;
-use crate::peer::{LinkError, PeerLink};
+use crate::peer::{LinkError, PeerLink, Question};
 use crate::refusal::Refusal;
 
 /// `GATE_REPLY_GRACE` is the time after the deadline for which the entry still waits for the reply
 /// of a gate. The gate knows whether the request ran; without its reply the outcome is unknown.
 const GATE_REPLY_GRACE: Duration = Duration::from_millis(100);
 
+/// `QUESTION_TIME` is the time in which a peer is asked about an attempt whose connection broke. A
+/// peer that was suspended or cut off for some seconds still has the reply.
+const QUESTION_TIME: Duration = Duration::from_secs(5);
+
+/// `QUESTION_PAUSE` is the time between two of these questions.
+const QUESTION_PAUSE: Duration = Duration::from_millis(100);
+
 /// `SILENCE_DIVISOR` divides the time left for a request. A peer that sends no response at all for
 /// that fraction is picked less. The fraction is shorter than the delay of a hedge, so that the
 /// hedge avoids the path.
@@ -39,9 +46,23 @@
             return self.deps.gate.run(attempt, true).await;
         }
         let deadline = attempt.head.deadline;
-        let req = peer::write_attempt(attempt, self.deps.store.version());
+        let idempotent = attempt.head.idempotent;
+        let id = self.deps.links.next_attempt_id();
+        let req = peer::write_attempt(attempt, id, self.deps.store.version());
         let link = self.deps.links.link(address);
         let sent = self.send_checking_silence(&link, req, deadline, &path);
+        let sent = async {
+            let sent = sent.await;
+            let Err(LinkError::Failed { sent_to, .. }) = &sent else {
+                return sent;
+            };
+            let question = Question {
+                id,
+                sent_to: *sent_to,
+            };
+            let asked = self.ask_for_reply(&link, question, idempotent).await;
+            asked.map_or(sent, Ok)
+        };
         let sent = time::timeout_at(deadline + GATE_REPLY_GRACE, sent).await;
         let now = self.deps.timer.now();
         let refusal = match sent {
@@ -57,8 +78,8 @@
                 tracing::debug!("entry: could not send the attempt to peer {address}: {e}");
                 PEER_UNREACHABLE
             }
-            Ok(Err(LinkError::Failed(e))) => {
-                tracing::debug!("entry: the link to peer {address} failed: {e}");
+            Ok(Err(LinkError::Failed { source, .. })) => {
+                tracing::debug!("entry: the link to peer {address} failed: {source}");
                 PEER_LOST
             }
             Err(_) => PEER_SILENT,
@@ -67,6 +88,35 @@
         refusal.reply_without_gate()
     }
 
+    // Asks on a new connection for the reply of an attempt whose connection broke; `None` if the
+    // peer cannot be reached.
+    async fn ask_for_reply(
+        &self,
+        link: &PeerLink,
+        question: Question,
+        idempotent: bool,
+    ) -> Option<Response<Incoming>> {
+        // An idempotent request is better tried elsewhere than waited for.
+        let time = if idempotent {
+            Duration::ZERO
+        } else {
+            QUESTION_TIME
+        };
+        let give_up_at = Instant::now() + time;
+        loop {
+            match link.send(peer::write_question(&question)).await {
+                Ok(response) => return Some(response),
+                Err(e) => {
+                    tracing::debug!("entry: the question to {} failed: {e:?}", link.address());
+                }
+            }
+            if Instant::now() >= give_up_at {
+                return None;
+            }
+            time::sleep(QUESTION_PAUSE).await;
+        }
+    }
+
     // Records a failure of the path while the request still waits, so that other requests avoid a
     // silent peer.
     async fn send_checking_silence(
--- a/crates/shallothill-node/src/gate/connection_pool.rs
+++ b/crates/shallothill-node/src/gate/connection_pool.rs
@@ -19,6 +19,7 @@
 use crate::body::Body;
 use crate::gate::head_limit::{HeadLimit, HeadLimitedStream};
 use crate::header_filter;
+use crate::sockets;
 
 /// `MAX_IDLE_FRESH` is the longest idle time of a connection that carries a non-idempotent request.
 /// A backend server may close a connection that was idle for longer while the request is being
@@ -148,6 +149,7 @@
             .await
             .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
         stream.set_nodelay(true)?;
+        sockets::limit_unacknowledged(&stream)?;
         let head_limit = HeadLimit::new();
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(MAX_BUFFER_BYTES)
--- a/crates/shallothill-node/src/lib.rs
+++ b/crates/shallothill-node/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod peer;
 pub mod refusal;
 pub mod settings;
+mod sockets;
 pub mod unread_body;
 mod view;
 
--- a/crates/shallothill-node/src/node/build.rs
+++ b/crates/shallothill-node/src/node/build.rs
@@ -23,7 +23,7 @@
 use crate::gate::{Gate, GateDependencies, LedgerClient};
 use crate::interface::HttpInterface;
 use crate::node::{ListenAddresses, Node};
-use crate::peer::PeerLinks;
+use crate::peer::{PeerLinks, ProcessId, RunningAttempts};
 use crate::settings::Settings;
 use crate::view::DirectoryView;
 
@@ -48,7 +48,9 @@
             Keepers::from_seeds(&zone, &settings.seeds)
         });
         let view = Arc::new(DirectoryView::new(settings.node.clone(), zone));
-        let links = Arc::new(PeerLinks::new(bounds.connect_timeout()));
+        let process = ProcessId::random();
+        let links = Arc::new(PeerLinks::new(bounds.connect_timeout(), process));
+        let attempts = Arc::new(RunningAttempts::new(process));
         let options = QuarantineOptions::default();
         let crashes = Arc::new(CrashTracker::new(options, Arc::clone(&changed)));
         let counters = Arc::new(Counters::default());
@@ -89,6 +91,7 @@
             view,
             keepers,
             links,
+            attempts,
             crashes,
             gate,
             entry,
--- a/crates/shallothill-node/src/node/mod.rs
+++ b/crates/shallothill-node/src/node/mod.rs
@@ -34,7 +34,7 @@
 use crate::listener::{Listener, RequestHandler};
 use crate::neighbours::NeighbourExchange;
 use crate::node::sockets::Sockets;
-use crate::peer::{PeerLinks, PeerServer};
+use crate::peer::{PeerLinks, PeerServer, RunningAttempts};
 use crate::settings::Settings;
 use crate::view::DirectoryView;
 
@@ -79,6 +79,7 @@
     view: Arc<DirectoryView>,
     keepers: Arc<Keepers>,
     links: Arc<PeerLinks>,
+    attempts: Arc<RunningAttempts>,
     crashes: Arc<CrashTracker>,
     gate: Arc<Gate>,
     entry: Arc<Entry>,
@@ -127,6 +128,7 @@
         let peers = PeerServer {
             node: self.settings.node.clone(),
             gate: Arc::clone(&self.gate),
+            attempts: Arc::clone(&self.attempts),
             entry: Arc::clone(&self.entry),
             store: Arc::clone(&self.store),
             counters: Arc::clone(&self.counters),
--- a/crates/shallothill-node/src/peer/codec.rs
+++ b/crates/shallothill-node/src/peer/codec.rs
@@ -23,6 +23,7 @@
 use crate::attempt::{Attempt, AttemptReply, RequestHead};
 use crate::body::Body;
 use crate::header_filter;
+use crate::peer::{AttemptId, question};
 
 /// `AUTHORITY` is the authority of requests between nodes; the caller's host is sent in a header.
 const AUTHORITY: &str = "peer";
@@ -44,9 +45,10 @@
     }
 }
 
-/// `write_attempt` builds the request that sends an attempt to a peer. `version` is the
+/// `write_attempt` builds the request that sends an attempt to a peer. `id` identifies the attempt
+/// in questions about it; `version` is the
 /// configuration version of this node.
-pub fn write_attempt(attempt: Attempt, version: ConfigVersion) -> Request<Body> {
+pub fn write_attempt(attempt: Attempt, id: AttemptId, version: ConfigVersion) -> Request<Body> {
     let head = &attempt.head;
     let mut req = Request::new(attempt.body);
     *req.method_mut() = head.method.clone();
@@ -71,6 +73,7 @@
     set_header(map, headers::ATTEMPT, &attempt.number.to_string());
     set_header(map, headers::CONFIG_VERSION, &version.to_string());
     set_header(map, headers::FINGERPRINT, &head.fingerprint.0.to_string());
+    question::write_id(map, id);
     if attempt.trial {
         set_header(map, headers::TRIAL, "true");
     }
--- a/crates/shallothill-node/src/peer/link.rs
+++ b/crates/shallothill-node/src/peer/link.rs
@@ -4,7 +4,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::Duration;
 
 use hyper::body::Incoming;
@@ -18,13 +18,16 @@
 
 use crate::body::Body;
 use crate::listener;
+use crate::peer::{ProcessId, question};
+use crate::sockets;
 
 /// `PING_PERIOD` is the time between keep-alive pings while requests are in flight.
-const PING_PERIOD: Duration = Duration::from_secs(1);
+const PING_PERIOD: Duration = Duration::from_millis(500);
 
 /// `PING_TIMEOUT` is the time after which an unanswered ping closes the connection, which detects a
-/// link that is cut in only one direction.
-const PING_TIMEOUT: Duration = Duration::from_secs(1);
+/// link that is cut in only one direction. A peer that is only slow loses no work by it, because
+/// running attempts are asked for on the next connection.
+const PING_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// `LinkError` tells whether a request that failed may have reached the peer.
 #[derive(Debug)]
@@ -32,12 +35,25 @@
     /// The request did not leave this node; holds the cause.
     NotSent(String),
     /// The peer may have received the request.
-    Failed(hyper::Error),
+    Failed {
+        /// The cause.
+        source: hyper::Error,
+        /// The process that the request was sent to, if it answered before on the connection.
+        sent_to: Option<ProcessId>,
+    },
+}
+
+/// `LinkConnection` is a connection and the process at its other end.
+#[derive(Clone, Debug)]
+struct LinkConnection {
+    sender: http2::SendRequest<Body>,
+    /// Set by the first reply.
+    process: Arc<OnceLock<ProcessId>>,
 }
 
 #[derive(Debug)]
 struct LinkState {
-    sender: Option<http2::SendRequest<Body>>,
+    connection: Option<LinkConnection>,
     last_used: Instant,
     /// When the last attempt to connect failed.
     last_failure: Option<Instant>,
@@ -60,7 +76,7 @@
             address,
             connect_timeout,
             state: Mutex::new(LinkState {
-                sender: None,
+                connection: None,
                 last_used: Instant::now(),
                 last_failure: None,
             }),
@@ -82,7 +98,7 @@
 
     /// `connected` tells whether a connection is open; it counts as a use of the link.
     pub fn connected(&self) -> bool {
-        self.open_sender().is_some()
+        self.open_connection().is_some()
     }
 
     /// `responses` returns the number of responses received since the link was built.
@@ -93,39 +109,44 @@
     /// `send` sends a request, after connecting if necessary, and waits for the headers of the
     /// response.
     pub async fn send(&self, req: Request<Body>) -> Result<Response<Incoming>, LinkError> {
-        let mut sender = match self.open_sender() {
-            Some(sender) => sender,
+        let mut connection = match self.open_connection() {
+            Some(connection) => connection,
             None => self.connect().await.map_err(not_sent)?,
         };
-        if let Err(e) = sender.ready().await {
-            self.drop_sender();
+        if let Err(e) = connection.sender.ready().await {
+            self.drop_connection();
             return Err(not_sent(e));
         }
-        let response = sender.try_send_request(req).await.map_err(|mut e| {
+        let sent = connection.sender.try_send_request(req).await;
+        let response = sent.map_err(|mut e| {
             let unsent = e.take_message().is_some();
-            let e = e.into_error();
+            let source = e.into_error();
             if unsent {
-                not_sent(e)
-            } else {
-                LinkError::Failed(e)
+                return not_sent(source);
             }
+            let sent_to = connection.process.get().copied();
+            LinkError::Failed { source, sent_to }
         })?;
+        if let Some(process) = question::read_process(response.headers()) {
+            let _ = connection.process.set(process);
+        }
         self.responses.fetch_add(1, Ordering::Relaxed);
         Ok(response)
     }
 
-    fn open_sender(&self) -> Option<http2::SendRequest<Body>> {
+    fn open_connection(&self) -> Option<LinkConnection> {
         let mut state = self.lock();
         state.last_used = Instant::now();
-        state.sender.clone().filter(|s| !s.is_closed())
+        let connection = state.connection.clone();
+        connection.filter(|c| !c.sender.is_closed())
     }
 
-    fn drop_sender(&self) {
+    fn drop_connection(&self) {
         let mut state = self.lock();
-        state.sender = None;
+        state.connection = None;
     }
 
-    async fn connect(&self) -> io::Result<http2::SendRequest<Body>> {
+    async fn connect(&self) -> io::Result<LinkConnection> {
         let requested_at = Instant::now();
         // Concurrent requests wait for one connection attempt and share its result, also a failure.
         let _permit = self
@@ -133,8 +154,8 @@
             .acquire()
             .await
             .map_err(|_| io::Error::from(io::ErrorKind::NotConnected))?;
-        if let Some(sender) = self.open_sender() {
-            return Ok(sender);
+        if let Some(connection) = self.open_connection() {
+            return Ok(connection);
         }
         if self
             .lock()
@@ -143,21 +164,22 @@
         {
             return Err(io::Error::from(io::ErrorKind::NotConnected));
         }
-        let result = self.open_connection().await;
+        let result = self.connect_once().await;
         let mut state = self.lock();
         match &result {
-            Ok(sender) => state.sender = Some(sender.clone()),
+            Ok(connection) => state.connection = Some(connection.clone()),
             Err(_) => state.last_failure = Some(Instant::now()),
         }
         result
     }
 
-    async fn open_connection(&self) -> io::Result<http2::SendRequest<Body>> {
+    async fn connect_once(&self) -> io::Result<LinkConnection> {
         let connecting = TcpStream::connect(self.address);
         let stream = time::timeout(self.connect_timeout, connecting)
             .await
             .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
         stream.set_nodelay(true)?;
+        sockets::limit_unacknowledged(&stream)?;
         let (sender, connection) = http2::Builder::new(TokioExecutor::new())
             .timer(TokioTimer::new())
             .initial_stream_window_size(listener::WINDOW_BYTES)
@@ -172,7 +194,10 @@
         tokio::spawn(async move {
             let _ = connection.await;
         });
-        Ok(sender)
+        Ok(LinkConnection {
+            sender,
+            process: Arc::default(),
+        })
     }
 
     fn lock(&self) -> MutexGuard<'_, LinkState> {
--- a/crates/shallothill-node/src/peer/server.rs
+++ b/crates/shallothill-node/src/peer/server.rs
@@ -13,6 +13,7 @@
 use shallothill_core::sections::{Section, SectionId};
 use shallothill_wire::watch::SectionsReply;
 
+use crate::attempt::AttemptReply;
 use crate::body::Body;
 use crate::config::ConfigStore;
 use crate::counters::Counters;
@@ -20,7 +21,7 @@
 use crate::gate::Gate;
 use crate::listener::RequestHandler;
 use crate::peer;
-use crate::peer::RouteRules;
+use crate::peer::{RouteRules, RunningAttempts, question};
 use crate::refusal::Refusal;
 
 /// `MAX_IDS_BYTES` is the largest body of a request for sections, which lists their ids.
@@ -41,6 +42,8 @@
     pub node: NodeName,
     /// The gate that runs the attempts.
     pub gate: Arc<Gate>,
+    /// The attempts that are running or ended lately.
+    pub attempts: Arc<RunningAttempts>,
     /// The entry, which tells whether the node serves yet.
     pub entry: Arc<Entry>,
     /// The configuration that is served and that attempts are read with.
@@ -51,12 +54,19 @@
 
 impl RequestHandler for PeerServer {
     async fn handle(&self, req: Request<Incoming>) -> Response<Body> {
+        if req.uri().path() == question::QUESTION_PATH
+            && let Some(question) = peer::read_question(req.headers())
+        {
+            let reply = self.attempts.wait(question.id, question.sent_to).await;
+            return self.write_reply(reply);
+        }
         if !req.headers().contains_key(headers::ENDPOINT) {
             return self.serve_config(req).await;
         }
         if !self.entry.serving() {
-            return peer::write_reply(NOT_READY.reply_from_gate(), self.store.version());
+            return self.write_reply(NOT_READY.reply_from_gate());
         }
+        let id = question::read_id(req.headers());
         let route_rules = |name: &RouteName| {
             let snapshot = self.store.load();
             let named = snapshot.routes().by_name(name);
@@ -70,15 +80,24 @@
             Some((attempt, version)) => {
                 self.store.record_version(version);
                 self.counters.count_peer_attempt();
-                self.gate.run(attempt, false).await
+                match id {
+                    Some(id) => self.attempts.run(id, Arc::clone(&self.gate), attempt).await,
+                    None => self.gate.run(attempt, false).await,
+                }
             }
             None => MALFORMED.reply_from_gate(),
         };
-        peer::write_reply(reply, self.store.version())
+        self.write_reply(reply)
     }
 }
 
 impl PeerServer {
+    fn write_reply(&self, reply: AttemptReply) -> Response<Body> {
+        let mut response = peer::write_reply(reply, self.store.version());
+        question::write_process(response.headers_mut(), self.attempts.process());
+        response
+    }
+
     async fn serve_config(&self, req: Request<Incoming>) -> Response<Body> {
         if req.method() != Method::GET {
             return UNKNOWN_PATH.response();
--- a/crates/shallothill-policy/src/retry/attempts.rs
+++ b/crates/shallothill-policy/src/retry/attempts.rs
@@ -165,6 +165,13 @@
         allowed && self.may_send(now, options) && withdraw(options, budget)
     }
 
+    /// `reconsider` allows another attempt at an endpoint that an attempt did not reach.
+    pub fn reconsider(&mut self, endpoint: EndpointKey) {
+        for used in self.used.iter_mut().filter(|used| **used == endpoint) {
+            *used = EndpointKey::default();
+        }
+    }
+
     /// `used_endpoints` returns the endpoints of earlier attempts, for `pick::PickRequest::avoid`.
     pub fn used_endpoints(&self) -> &[EndpointKey] {
         &self.used[..usize::from(self.sent).min(MAX_ATTEMPTS)]
--- a/crates/shallothill-testing/src/relay.rs
+++ b/crates/shallothill-testing/src/relay.rs
@@ -32,6 +32,8 @@
     address: SocketAddr,
     to_target: watch::Sender<bool>,
     from_target: watch::Sender<bool>,
+    /// The number of times that the open connections were severed.
+    severed: watch::Sender<u64>,
     forwarded_bytes: Arc<AtomicU64>,
     _stop: DropGuard,
 }
@@ -49,6 +51,7 @@
             .context(errors::ListenSnafu { address })?;
         let (to_target, to_cut) = watch::channel(false);
         let (from_target, from_cut) = watch::channel(false);
+        let (severed, severed_rx) = watch::channel(0);
         let forwarded_bytes = Arc::new(AtomicU64::new(0));
         let count = Arc::clone(&forwarded_bytes);
         let stop = CancellationToken::new();
@@ -60,12 +63,16 @@
                     () = stopped.cancelled() => return,
                 };
                 let Ok((inbound, _)) = accepted else { return };
-                let (to_cut, from_cut) = (to_cut.clone(), from_cut.clone());
+                let blocks = [&to_cut, &from_cut].map(|cut| Block {
+                    cut: cut.clone(),
+                    severed: severed_rx.clone(),
+                    severed_before: *severed_rx.borrow(),
+                });
                 let count = Arc::clone(&count);
                 let stopped = stopped.clone();
                 tokio::spawn(async move {
                     tokio::select! {
-                        () = forward(inbound, target, to_cut, from_cut, count) => {}
+                        () = forward(inbound, target, blocks, count) => {}
                         () = stopped.cancelled() => {}
                     }
                 });
@@ -75,6 +82,7 @@
             address,
             to_target,
             from_target,
+            severed,
             forwarded_bytes,
             _stop: stop.drop_guard(),
         })
@@ -100,6 +108,11 @@
         self.cut_switch(direction).send_replace(false);
     }
 
+    /// `sever` silences the open connections for good, without an error; new ones work.
+    pub fn sever(&self) {
+        self.severed.send_modify(|times| *times += 1);
+    }
+
     fn cut_switch(&self, direction: Direction) -> &watch::Sender<bool> {
         match direction {
             Direction::ToTarget => &self.to_target,
@@ -111,8 +124,7 @@
 async fn forward(
     inbound: TcpStream,
     target: SocketAddr,
-    to_cut: watch::Receiver<bool>,
-    from_cut: watch::Receiver<bool>,
+    blocks: [Block; 2],
     count: Arc<AtomicU64>,
 ) {
     let Ok(outbound) = TcpStream::connect(target).await else {
@@ -121,16 +133,34 @@
     let _ = (inbound.set_nodelay(true), outbound.set_nodelay(true));
     let (inbound_read, inbound_write) = inbound.into_split();
     let (outbound_read, outbound_write) = outbound.into_split();
+    let [to_target, from_target] = blocks;
     tokio::join!(
-        copy_unless_cut(inbound_read, outbound_write, to_cut, &count),
-        copy_unless_cut(outbound_read, inbound_write, from_cut, &count)
+        copy_unless_blocked(inbound_read, outbound_write, to_target, &count),
+        copy_unless_blocked(outbound_read, inbound_write, from_target, &count)
     );
 }
 
-async fn copy_unless_cut(
+/// `Block` tells whether one direction of a connection is blocked.
+struct Block {
+    cut: watch::Receiver<bool>,
+    severed: watch::Receiver<u64>,
+    severed_before: u64,
+}
+
+impl Block {
+    /// `wait` waits until bytes may pass; `None` when the relay ends.
+    async fn wait(&mut self) -> Option<()> {
+        self.cut.wait_for(|cut| !cut).await.ok()?;
+        let before = self.severed_before;
+        self.severed.wait_for(|times| *times == before).await.ok()?;
+        Some(())
+    }
+}
+
+async fn copy_unless_blocked(
     mut from: OwnedReadHalf,
     mut to: OwnedWriteHalf,
-    mut cut: watch::Receiver<bool>,
+    mut block: Block,
     count: &AtomicU64,
 ) {
     let mut buf = vec![0; 16 * 1024];
@@ -138,7 +168,7 @@
         let n = from.read(&mut buf).await.unwrap_or(0);
         // The end of the stream is held back as well, since the peer must not observe it during a
         // cut.
-        if cut.wait_for(|cut| !cut).await.is_err() {
+        if block.wait().await.is_none() {
             return;
         }
         count.fetch_add(n as u64, Ordering::Relaxed);
