node: pipelined idempotent requests run side by side

Change: the bytes of a connection are followed beside hyper. An idempotent request without a body that was read behind a running one starts at once, at most eight a connection; hyper gets its response when its turn comes. Requests that run once wait for their turn, as their caller sends them again if the connection closes. While requests wait, the end of the connection is watched.

Ruled out: a server of our own for HTTP/1.1; a second hyper connection for each request, as the headers that close connections would not be theirs.

--- a/crates/shallothill-node/src/announce.rs
+++ b/crates/shallothill-node/src/announce.rs
@@ -3,7 +3,6 @@
 use std::sync::Arc;
 
 use http_body_util::{BodyExt, Limited};
-use hyper::body::Incoming;
 use hyper::{Method, Request, Response, StatusCode};
 use shallothill_core::ids::{EndpointName, ServiceName};
 
@@ -11,6 +10,7 @@
 use crate::gate::{Announcement, Gate};
 use crate::listener::RequestHandler;
 use crate::refusal::Refusal;
+use crate::unread_body::UnreadBody;
 
 /// `MAX_BODY_BYTES` bounds the body of an announcement.
 const MAX_BODY_BYTES: usize = 4096;
@@ -23,7 +23,7 @@
 }
 
 impl RequestHandler for AnnounceServer {
-    async fn handle(&self, req: Request<Incoming>) -> Response<Body> {
+    async fn handle(&self, req: Request<UnreadBody>) -> Response<Body> {
         let Some((service, name)) = parse_path(req.uri().path()) else {
             return UNKNOWN_PATH.response();
         };
--- a/crates/shallothill-node/src/body.rs
+++ b/crates/shallothill-node/src/body.rs
@@ -5,10 +5,10 @@
 use std::future::Future;
 use std::pin::Pin;
 use std::task::{Context, Poll};
+use std::time::Duration;
 
 use bytes::Bytes;
-use http_body::{Frame, SizeHint};
-use hyper::body::Incoming;
+use http_body::{Body as _, Frame, SizeHint};
 use tokio::time;
 use tokio::time::{Instant, Sleep};
 
@@ -69,6 +69,8 @@
     rest: Option<UnreadBody>,
     remaining_bytes: u64,
     deadline: Option<Pin<Box<Sleep>>>,
+    /// Holds the content back.
+    hold: Option<Pin<Box<Sleep>>>,
     guards: CompletionGuards,
 }
 
@@ -85,15 +87,16 @@
             rest: None,
             remaining_bytes: 0,
             deadline: None,
+            hold: None,
             guards: CompletionGuards::default(),
         }
     }
 
     /// `stream` builds a body from the bytes that were read and the rest of the stream, which may
     /// have at most `remaining_bytes` bytes.
-    pub fn stream(buffered: Bytes, rest: Incoming, remaining_bytes: u64) -> Self {
+    pub fn stream(buffered: Bytes, rest: impl Into<UnreadBody>, remaining_bytes: u64) -> Self {
         Self {
-            rest: Some(UnreadBody::new(rest)),
+            rest: Some(rest.into()),
             remaining_bytes,
             ..Self::full(buffered)
         }
@@ -107,6 +110,13 @@
         self
     }
 
+    /// `held_for` keeps the content back for `time`, in which the receiver of the headers may refuse
+    /// the request.
+    pub fn held_for(mut self, time: Duration) -> Self {
+        self.hold = Some(Box::pin(time::sleep(time)));
+        self
+    }
+
     /// `discarding_rest` reads the rest of a streamed body until `deadline` if it is dropped early,
     /// so that its sender gets the response.
     pub fn discarding_rest(mut self, deadline: Instant) -> Self {
@@ -180,6 +190,10 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        if let Some(hold) = &mut self.hold {
+            std::task::ready!(hold.as_mut().poll(cx));
+            self.hold = None;
+        }
         if let Some(buffered) = self.buffered.take() {
             self.complete_if_ended();
             return Poll::Ready(Some(Ok(Frame::data(buffered))));
@@ -188,7 +202,7 @@
             self.guards.complete();
             return Poll::Ready(None);
         };
-        match rest.poll_frame(cx) {
+        match Pin::new(rest).poll_frame(cx) {
             Poll::Ready(Some(Ok(frame))) => {
                 let len = frame.data_ref().map_or(0, Bytes::len) as u64;
                 if len > self.remaining_bytes {
@@ -212,7 +226,11 @@
     }
 
     fn is_end_stream(&self) -> bool {
-        self.buffered.is_none() && self.rest.as_ref().is_none_or(UnreadBody::is_end_stream)
+        self.buffered.is_none()
+            && self
+                .rest
+                .as_ref()
+                .is_none_or(http_body::Body::is_end_stream)
     }
 
     fn size_hint(&self) -> SizeHint {
--- a/crates/shallothill-node/src/entry/handler.rs
+++ b/crates/shallothill-node/src/entry/handler.rs
@@ -2,17 +2,19 @@
 
 use std::sync::Arc;
 
-use hyper::body::Incoming;
 use hyper::header::{self, HeaderName, HeaderValue};
+use hyper::http::request;
 use hyper::{Request, Response};
 use shallothill_core::headers;
 use tokio::time::Instant;
 
 use crate::attempt::AttemptReply;
 use crate::body::Body;
-use crate::entry::{Entry, InFlight};
+use crate::config::RouteLookup;
+use crate::entry::{Entry, InFlight, prepare};
 use crate::header_filter;
 use crate::listener::RequestHandler;
+use crate::unread_body::UnreadBody;
 
 /// `Decision` is the outcome of a request as it is logged.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -34,7 +36,7 @@
 }
 
 impl RequestHandler for Entry {
-    async fn handle(&self, req: Request<Incoming>) -> Response<Body> {
+    async fn handle(&self, req: Request<UnreadBody>) -> Response<Body> {
         let arrived = Instant::now();
         let id = self.deps.interface.request_id_of(req.headers());
         let id = id.map(str::to_owned);
@@ -77,6 +79,15 @@
             .count_response(response.status().as_u16());
         response
     }
+
+    fn may_start_early(&self, parts: &request::Parts) -> bool {
+        let cfg = self.deps.store.load();
+        let method = parts.method.as_str();
+        let host = prepare::requested_host(parts);
+        let host = host.as_ref().and_then(|h| h.to_str().ok());
+        let found = cfg.routes().find(method, host, parts.uri.path());
+        !self.draining() && matches!(found, RouteLookup::Found(named) if named.route.idempotent)
+    }
 }
 
 impl Entry {
--- a/crates/shallothill-node/src/entry/prepare.rs
+++ b/crates/shallothill-node/src/entry/prepare.rs
@@ -6,7 +6,7 @@
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::Request;
-use hyper::body::{Body as _, Incoming};
+use hyper::body::Body as _;
 use hyper::header::{self, HeaderMap, HeaderValue};
 use hyper::http::request;
 use hyper::http::uri::PathAndQuery;
@@ -31,6 +31,7 @@
 use crate::gate::{BODY_INCOMPLETE, BODY_TOO_LARGE, BODY_TOO_SLOW};
 use crate::header_filter;
 use crate::refusal::Refusal;
+use crate::unread_body::UnreadBody;
 
 /// `FINGERPRINT_BODY_BYTES` is the length of the body prefix that enters the fingerprint of a
 /// request without a key.
@@ -71,7 +72,7 @@
 
 impl Entry {
     /// `prepare` checks a request, counts it against its caller's limit and reads its body.
-    pub(crate) async fn prepare(&self, req: Request<Incoming>) -> Result<Prepared, Rejection> {
+    pub(crate) async fn prepare(&self, req: Request<UnreadBody>) -> Result<Prepared, Rejection> {
         let cfg = self.deps.store.load_full();
         if !self.serving() || cfg.version() == ConfigVersion(0) {
             return Err(NOT_READY.into());
@@ -177,7 +178,7 @@
     async fn read_body(
         &self,
         parts: &request::Parts,
-        mut incoming: Incoming,
+        mut incoming: UnreadBody,
         route: &Route,
         key: &Option<IdempotencyKey>,
         deadline: Instant,
@@ -235,7 +236,7 @@
     hash::fingerprint(parts.method.as_str(), path, prefix)
 }
 
-fn requested_host(parts: &request::Parts) -> Option<HeaderValue> {
+pub(super) fn requested_host(parts: &request::Parts) -> Option<HeaderValue> {
     let authority = || parts.uri.authority().and_then(|a| a.as_str().parse().ok());
     parts.headers.get(header::HOST).cloned().or_else(authority)
 }
--- a/crates/shallothill-node/src/listener.rs
+++ b/crates/shallothill-node/src/listener.rs
@@ -12,6 +12,7 @@
 use std::time::Duration;
 
 use hyper::body::Incoming;
+use hyper::http::request;
 use hyper::service;
 use hyper::{Request, Response};
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
@@ -27,7 +28,10 @@
 
 use crate::body::Body;
 use crate::counters::Counters;
+use crate::pipeline::{Pipeline, PipelinedStream};
 use crate::settings::Bounds;
+use crate::shared_stream::SharedStream;
+use crate::unread_body::UnreadBody;
 
 /// `WINDOW_BYTES` is the flow-control window of one HTTP/2 stream, which bounds its buffers.
 pub const WINDOW_BYTES: u32 = 64 * 1024;
@@ -53,7 +57,14 @@
 /// `RequestHandler` handles the requests that a listener accepts.
 pub trait RequestHandler: Send + Sync + 'static {
     /// `handle` returns the response to one request; failures are responses too.
-    fn handle(&self, req: Request<Incoming>) -> impl Future<Output = Response<Body>> + Send;
+    fn handle(&self, req: Request<UnreadBody>) -> impl Future<Output = Response<Body>> + Send;
+
+    /// `may_start_early` tells whether a request without a body may run before those in front of it
+    /// on its connection are answered; it may then run twice.
+    fn may_start_early(&self, parts: &request::Parts) -> bool {
+        let _ = parts;
+        false
+    }
 }
 
 /// `Listener` accepts the connections of one address.
@@ -160,15 +171,20 @@
             .store(self.timer.now().0, Ordering::Relaxed);
         let request_activity = Arc::clone(&activity);
         let timer = self.timer.clone();
-        let service = service::service_fn(move |req| {
-            let (handler, request_activity, timer) = (
-                Arc::clone(&handler),
+        let pipeline = Arc::new(Pipeline::new(handler));
+        let socket = SharedStream::new(stream);
+        let stream = PipelinedStream::new(socket.clone(), Arc::clone(&pipeline));
+        let abandoned = Arc::clone(&pipeline);
+        let service = service::service_fn(move |req: Request<Incoming>| {
+            let (pipeline, request_activity, timer) = (
+                Arc::clone(&pipeline),
                 Arc::clone(&request_activity),
                 timer.clone(),
             );
             async move {
                 let _running = RunningRequestGuard::start(&request_activity, &timer);
-                Ok::<_, Infallible>(handler.handle(req).await)
+                let req = req.map(UnreadBody::new);
+                Ok::<_, Infallible>(pipeline.handle(req).await)
             }
         });
         let builder = self.builder();
@@ -178,6 +194,10 @@
         tokio::pin!(idle);
         let result = tokio::select! {
             result = connection.as_mut() => result,
+            () = abandoned.abandoned(&socket) => {
+                debug!("listener: a caller left with requests waiting");
+                return;
+            }
             () = self.stop.cancelled() => {
                 connection.as_mut().graceful_shutdown();
                 connection.await
--- a/crates/shallothill-node/src/peer/codec.rs
+++ b/crates/shallothill-node/src/peer/codec.rs
@@ -24,6 +24,7 @@
 use crate::body::Body;
 use crate::header_filter;
 use crate::peer::{AttemptId, question};
+use crate::unread_body::UnreadBody;
 
 /// `AUTHORITY` is the authority of requests between nodes; the caller's host is sent in a header.
 const AUTHORITY: &str = "peer";
@@ -106,7 +107,7 @@
 /// the peer; `None` if it is malformed. `route_rules` returns what the configuration of
 /// `node` says of a route.
 pub fn read_attempt(
-    req: Request<Incoming>,
+    req: Request<UnreadBody>,
     node: &NodeName,
     route_rules: impl FnOnce(&RouteName) -> RouteRules,
 ) -> Option<(Attempt, ConfigVersion)> {
--- a/crates/shallothill-node/src/peer/server.rs
+++ b/crates/shallothill-node/src/peer/server.rs
@@ -4,7 +4,6 @@
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
-use hyper::body::Incoming;
 use hyper::{Method, Request, Response};
 use serde::Serialize;
 use shallothill_core::config::BodyMode;
@@ -23,6 +22,7 @@
 use crate::peer;
 use crate::peer::{RouteRules, RunningAttempts, question};
 use crate::refusal::Refusal;
+use crate::unread_body::UnreadBody;
 
 /// `MAX_IDS_BYTES` is the largest body of a request for sections, which lists their ids.
 const MAX_IDS_BYTES: usize = 64 * 1024;
@@ -53,7 +53,7 @@
 }
 
 impl RequestHandler for PeerServer {
-    async fn handle(&self, req: Request<Incoming>) -> Response<Body> {
+    async fn handle(&self, req: Request<UnreadBody>) -> Response<Body> {
         if req.uri().path() == question::QUESTION_PATH
             && let Some(question) = peer::read_question(req.headers())
         {
@@ -98,7 +98,7 @@
         response
     }
 
-    async fn serve_config(&self, req: Request<Incoming>) -> Response<Body> {
+    async fn serve_config(&self, req: Request<UnreadBody>) -> Response<Body> {
         if req.method() != Method::GET {
             return UNKNOWN_PATH.response();
         }
--- /dev/null
+++ b/crates/shallothill-node/src/pipeline.rs
@@ -0,0 +1,209 @@
+//! Starts requests that a caller sends before the one in front of them is answered.
+//!
+//! hyper handles the requests of an HTTP/1.1 connection one after the other. A slow one would then
+//! use up the time of those behind it. Requests that were read behind a running one are therefore
+//! started at once, and hyper gets their responses when it comes to them, in their order.
+
+use std::collections::HashMap;
+use std::pin::Pin;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::task::{Context, Poll};
+use std::time::Duration;
+use std::{io, mem};
+
+use hyper::http::request;
+use hyper::{Request, Response};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::sync::{Notify, oneshot};
+use tokio::task::AbortHandle;
+use tokio::time;
+
+use crate::body::Body;
+use crate::listener::RequestHandler;
+use crate::request_reader::RequestReader;
+use crate::shared_stream::SharedStream;
+use crate::unread_body::UnreadBody;
+
+/// `MAX_EARLY` bounds the requests of one connection that run ahead of their turn.
+const MAX_EARLY: usize = 8;
+
+/// `CHECK_PAUSE` is the time between two checks whether requests still wait.
+const CHECK_PAUSE: Duration = Duration::from_millis(200);
+
+/// `EarlyRequest` is a request that runs before its turn; dropping it cancels the request.
+#[derive(Debug)]
+struct EarlyRequest {
+    response: oneshot::Receiver<Response<Body>>,
+    task: AbortHandle,
+}
+
+impl Drop for EarlyRequest {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+/// `Pipeline` holds the requests of one connection that run before their turn.
+#[derive(Debug)]
+pub(crate) struct Pipeline<A> {
+    handler: Arc<A>,
+    /// The number of requests that hyper has passed to the handler.
+    begun: AtomicU64,
+    /// The number of these that are answered.
+    answered: AtomicU64,
+    /// The number of requests that were read.
+    read: AtomicU64,
+    /// Notified when a request was read behind another one.
+    waiting: Notify,
+    early: Mutex<HashMap<u64, EarlyRequest>>,
+}
+
+impl<A: RequestHandler> Pipeline<A> {
+    /// `new` handles the requests of a connection with `handler`.
+    pub fn new(handler: Arc<A>) -> Self {
+        Self {
+            handler,
+            begun: AtomicU64::new(0),
+            answered: AtomicU64::new(0),
+            read: AtomicU64::new(0),
+            waiting: Notify::new(),
+            early: Mutex::default(),
+        }
+    }
+
+    /// `handle` returns the response to the next request of the connection, which may be running
+    /// already.
+    pub async fn handle(&self, req: Request<UnreadBody>) -> Response<Body> {
+        let index = self.begun.fetch_add(1, Ordering::Relaxed);
+        let early = self.lock().remove(&index);
+        let response = match early {
+            Some(mut early) => (&mut early.response).await.ok(),
+            None => None,
+        };
+        // An early request ends without a response only when its task has failed. It may run twice.
+        let response = match response {
+            Some(response) => response,
+            None => self.handler.handle(req).await,
+        };
+        self.answered.fetch_add(1, Ordering::Relaxed);
+        response
+    }
+
+    /// `abandoned` returns once the caller has closed `stream` while requests wait on it. hyper does
+    /// not notice that before it has read them.
+    pub async fn abandoned(&self, stream: &SharedStream) {
+        loop {
+            self.waiting.notified().await;
+            let closed = stream.closed();
+            tokio::pin!(closed);
+            while self.read.load(Ordering::Relaxed) > self.begun.load(Ordering::Relaxed) {
+                if time::timeout(CHECK_PAUSE, closed.as_mut()).await.is_ok() {
+                    return;
+                }
+            }
+        }
+    }
+
+    // Records how many requests were read.
+    fn record_read(&self, count: u64) {
+        self.read.store(count, Ordering::Relaxed);
+        if count > self.begun.load(Ordering::Relaxed) {
+            self.waiting.notify_one();
+        }
+    }
+
+    // Starts a request that waits behind another one, if it may run twice.
+    fn start_early(&self, index: u64, parts: request::Parts) {
+        let begun = self.begun.load(Ordering::Relaxed);
+        let waits = index > begun || begun > self.answered.load(Ordering::Relaxed);
+        let mut early = self.lock();
+        if !waits || early.len() >= MAX_EARLY || !self.handler.may_start_early(&parts) {
+            return;
+        }
+        let (tx, response) = oneshot::channel();
+        let handler = Arc::clone(&self.handler);
+        let req = Request::from_parts(parts, UnreadBody::empty());
+        let task = tokio::spawn(async move {
+            // The connection may have closed.
+            let _ = tx.send(handler.handle(req).await);
+        });
+        let task = task.abort_handle();
+        early.insert(index, EarlyRequest { response, task });
+    }
+
+    fn lock(&self) -> MutexGuard<'_, HashMap<u64, EarlyRequest>> {
+        self.early.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// `PipelinedStream` passes bytes on and starts the requests that they contain early.
+#[derive(Debug)]
+pub(crate) struct PipelinedStream<A> {
+    stream: SharedStream,
+    reader: RequestReader,
+    pipeline: Arc<Pipeline<A>>,
+}
+
+impl<A: RequestHandler> PipelinedStream<A> {
+    /// `new` reads the requests of `pipeline` from `stream`.
+    pub fn new(stream: SharedStream, pipeline: Arc<Pipeline<A>>) -> Self {
+        Self {
+            stream,
+            reader: RequestReader::default(),
+            pipeline,
+        }
+    }
+}
+
+impl<A: RequestHandler> AsyncRead for PipelinedStream<A> {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let filled = buf.filled().len();
+        let polled = Pin::new(&mut self.stream).poll_read(cx, buf);
+        let read = buf.filled().get(filled..).unwrap_or_default();
+        if read.is_empty() {
+            return polled;
+        }
+        let mut reader = mem::take(&mut self.reader);
+        for (index, parts) in reader.read(read) {
+            self.pipeline.start_early(index, parts);
+        }
+        self.pipeline.record_read(reader.found_count());
+        self.reader = reader;
+        polled
+    }
+}
+
+impl<A: RequestHandler> AsyncWrite for PipelinedStream<A> {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(cx, buf)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+}
--- a/crates/shallothill-node/src/unread_body.rs
+++ b/crates/shallothill-node/src/unread_body.rs
@@ -1,4 +1,4 @@
-//! Reads on after a caller whose request was answered before its body had arrived.
+//! Bodies that are still arriving, also after their request was answered.
 
 use std::pin::Pin;
 use std::task::{Context, Poll};
@@ -28,6 +28,14 @@
 }
 
 impl UnreadBody {
+    /// `empty` is a body without content.
+    pub fn empty() -> Self {
+        Self {
+            incoming: None,
+            discard: None,
+        }
+    }
+
     /// `new` reads `incoming`; a drop before its end closes the stream.
     pub fn new(incoming: Incoming) -> Self {
         Self {
@@ -40,10 +48,20 @@
     pub fn discard_rest(&mut self, bytes: u64, deadline: Instant) {
         self.discard = Some(DiscardLimits { bytes, deadline });
     }
+}
+
+impl From<Incoming> for UnreadBody {
+    fn from(incoming: Incoming) -> Self {
+        Self::new(incoming)
+    }
+}
+
+impl http_body::Body for UnreadBody {
+    type Data = Bytes;
+    type Error = hyper::Error;
 
-    /// `poll_frame` polls the next part of the body.
-    pub fn poll_frame(
-        &mut self,
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
         let Some(incoming) = self.incoming.as_mut() else {
@@ -56,15 +74,13 @@
         polled
     }
 
-    /// `is_end_stream` tells whether the whole body has been read.
-    pub fn is_end_stream(&self) -> bool {
+    fn is_end_stream(&self) -> bool {
         self.incoming
             .as_ref()
             .is_none_or(http_body::Body::is_end_stream)
     }
 
-    /// `size_hint` returns the bounds on the bytes that are still to come.
-    pub fn size_hint(&self) -> SizeHint {
+    fn size_hint(&self) -> SizeHint {
         self.incoming
             .as_ref()
             .map_or_else(|| SizeHint::with_exact(0), http_body::Body::size_hint)
@@ -73,7 +89,7 @@
 
 impl Drop for UnreadBody {
     fn drop(&mut self) {
-        let ended = self.is_end_stream();
+        let ended = http_body::Body::is_end_stream(self);
         if let (Some(limits), Some(incoming), false) = (self.discard, self.incoming.take(), ended) {
             tokio::spawn(discard(incoming, limits));
         }
