--- a/crates/shallothill-node/src/entry/attempts.rs
+++ b/crates/shallothill-node/src/entry/attempts.rs
@@ -38,6 +38,13 @@
 /// The pick uses only younger reports.
 const LOAD_SHOWN_FOR: Duration = Duration::from_secs(10);
 
+/// `HELD_BODY_BYTES` is the size from which a body is held back on its way to another region.
+const HELD_BODY_BYTES: u64 = 1024;
+
+/// `BODY_HOLD` is the time in which a gate in another region can refuse an attempt by its headers,
+/// one round trip. The body of a refused attempt is not sent.
+const BODY_HOLD: Duration = Duration::from_millis(60);
+
 /// `EndedAttempt` is the reply of an attempt with the guards that outlive it.
 struct EndedAttempt {
     reply: AttemptReply,
@@ -261,7 +268,12 @@
         table: &ServiceTable,
     ) -> Result<Attempt, Refusal> {
         let endpoint = picked.endpoint;
-        let body = self.take_body().ok_or(NO_BACKEND)?;
+        let mut body = self.take_body().ok_or(NO_BACKEND)?;
+        if picked.tier == Tier::OtherRegion
+            && http_body::Body::size_hint(&body).lower() >= HELD_BODY_BYTES
+        {
+            body = body.held_for(BODY_HOLD);
+        }
         let caution = if self.can_resend() {
             self.attempts.caution(table.endpoints().len())
         } else {
