--- a/crates/shallothill-node/src/attempt.rs
+++ b/crates/shallothill-node/src/attempt.rs
@@ -6,8 +6,9 @@
 use hyper::http::uri::PathAndQuery;
 use hyper::{Method, Response};
 use shallothill_core::class::Class;
-use shallothill_core::config::OncePer;
+use shallothill_core::config::{BodyMode, OncePer};
 use shallothill_core::hash::Fingerprint;
+use shallothill_core::headers;
 use shallothill_core::health::ServingState;
 use shallothill_core::idempotency::IdempotencyKey;
 use shallothill_core::ids::{EndpointId, RouteName, ServiceName};
@@ -17,6 +18,7 @@
 use tokio::time::Instant;
 
 use crate::body::Body;
+use crate::header_filter;
 
 /// `RequestHead` contains what all attempts of a request have in common, except the body.
 #[derive(Debug)]
@@ -54,6 +56,8 @@
     pub fingerprint: Fingerprint,
     /// The limit of the request body, in bytes.
     pub max_body_bytes: u64,
+    /// Whether the request body may be passed on as it arrives.
+    pub body_mode: BodyMode,
 }
 
 /// `Attempt` is one try to run a request at one backend server.
@@ -131,6 +135,11 @@
             && !self.response.status().is_server_error()
     }
 
+    /// `refused_for` tells whether the reply states `reason`.
+    pub(crate) fn refused_for(&self, reason: &str) -> bool {
+        header_filter::single_value(self.response.headers(), headers::REASON) == Some(reason)
+    }
+
     /// `allows_retry` tells whether another attempt may be made. A refusal that every backend
     /// server would repeat, such as an invalid key, is final.
     pub fn allows_retry(&self, idempotent: bool) -> bool {
--- a/crates/shallothill-node/src/body.rs
+++ b/crates/shallothill-node/src/body.rs
@@ -5,15 +5,16 @@
 use std::future::Future;
 use std::pin::Pin;
 use std::task::{Context, Poll};
+use std::time::Duration;
 
 use bytes::Bytes;
-use http_body::{Frame, SizeHint};
-use hyper::body::Incoming;
+use http_body::{Body as _, Frame, SizeHint};
 use tokio::time;
 use tokio::time::{Instant, Sleep};
 
 use crate::entry;
 use crate::gate;
+use crate::unread_body::UnreadBody;
 
 /// `BodyError` is why a body ended early.
 #[derive(Debug)]
@@ -65,9 +66,11 @@
 #[derive(Debug)]
 pub struct Body {
     buffered: Option<Bytes>,
-    rest: Option<Incoming>,
+    rest: Option<UnreadBody>,
     remaining_bytes: u64,
     deadline: Option<Pin<Box<Sleep>>>,
+    /// Holds the content back.
+    hold: Option<Pin<Box<Sleep>>>,
     guards: CompletionGuards,
 }
 
@@ -84,15 +87,16 @@
             rest: None,
             remaining_bytes: 0,
             deadline: None,
+            hold: None,
             guards: CompletionGuards::default(),
         }
     }
 
     /// `stream` builds a body from the bytes that were read and the rest of the stream, which may
     /// have at most `remaining_bytes` bytes.
-    pub fn stream(buffered: Bytes, rest: Incoming, remaining_bytes: u64) -> Self {
+    pub fn stream(buffered: Bytes, rest: impl Into<UnreadBody>, remaining_bytes: u64) -> Self {
         Self {
-            rest: Some(rest),
+            rest: Some(rest.into()),
             remaining_bytes,
             ..Self::full(buffered)
         }
@@ -106,6 +110,22 @@
         self
     }
 
+    /// `held_for` keeps the content back for `time`, in which the receiver of the headers may refuse
+    /// the request.
+    pub fn held_for(mut self, time: Duration) -> Self {
+        self.hold = Some(Box::pin(time::sleep(time)));
+        self
+    }
+
+    /// `discarding_rest` reads the rest of a streamed body until `deadline` if it is dropped early,
+    /// so that its sender gets the response.
+    pub fn discarding_rest(mut self, deadline: Instant) -> Self {
+        if let Some(rest) = &mut self.rest {
+            rest.discard_rest(self.remaining_bytes, deadline);
+        }
+        self
+    }
+
     /// `with_gate_guard` completes `running` when the body ends, and aborts or drops it when the
     /// body is cut off.
     pub fn with_gate_guard(mut self, running: gate::RunningRequest) -> Self {
@@ -127,6 +147,12 @@
         self.rest.is_none()
     }
 
+    /// `buffered` returns the content if it is completely in memory.
+    pub fn buffered(&self) -> Option<Bytes> {
+        let complete = self.is_buffered();
+        complete.then(|| self.buffered.clone().unwrap_or_default())
+    }
+
     /// `take_buffered` takes the content if it is completely in memory.
     pub fn take_buffered(&mut self) -> Option<Bytes> {
         if self.rest.is_some() {
@@ -139,7 +165,7 @@
     fn complete_if_ended(&mut self) {
         let ended = match &self.rest {
             None => self.buffered.is_none(),
-            Some(rest) => self.buffered.is_none() && http_body::Body::is_end_stream(rest),
+            Some(rest) => self.buffered.is_none() && rest.is_end_stream(),
         };
         if ended {
             self.guards.complete();
@@ -164,6 +190,10 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        if let Some(hold) = &mut self.hold {
+            std::task::ready!(hold.as_mut().poll(cx));
+            self.hold = None;
+        }
         if let Some(buffered) = self.buffered.take() {
             self.complete_if_ended();
             return Poll::Ready(Some(Ok(Frame::data(buffered))));
@@ -208,7 +238,7 @@
         let Some(rest) = &self.rest else {
             return SizeHint::with_exact(buffered);
         };
-        let hint = http_body::Body::size_hint(rest);
+        let hint = rest.size_hint();
         let mut sum = SizeHint::new();
         if let Some(upper) = hint.upper() {
             sum.set_upper(upper.saturating_add(buffered));
--- a/crates/shallothill-node/src/entry/attempts.rs
+++ b/crates/shallothill-node/src/entry/attempts.rs
@@ -14,7 +14,9 @@
 use shallothill_policy::gray::Caution;
 use shallothill_policy::limits::Permit;
 use shallothill_policy::pick;
-use shallothill_policy::pick::{PickRequest, Picked, ReportedLoad, ServiceTable, Tier};
+use shallothill_policy::pick::{
+    EndpointKey, PickRequest, Picked, ReportedLoad, ServiceTable, Tier,
+};
 use shallothill_policy::retry;
 use shallothill_policy::retry::{NextStep, RefusedBy, RetryBudget, RetryOptions};
 use shallothill_wire::crash::CrashNotice;
@@ -29,12 +31,20 @@
 use crate::gate;
 use crate::header_filter;
 use crate::interface::HttpInterface;
+use crate::peer;
 use crate::refusal::Refusal;
 
 /// `LOAD_SHOWN_FOR` is the age up to which logs show the last reported load of a backend server.
 /// The pick uses only younger reports.
 const LOAD_SHOWN_FOR: Duration = Duration::from_secs(10);
 
+/// `HELD_BODY_BYTES` is the size from which a body is held back on its way to another region.
+const HELD_BODY_BYTES: u64 = 1024;
+
+/// `BODY_HOLD` is the time in which a gate in another region can refuse an attempt by its headers,
+/// one round trip. The body of a refused attempt is not sent.
+const BODY_HOLD: Duration = Duration::from_millis(60);
+
 /// `EndedAttempt` is the reply of an attempt with the guards that outlive it.
 struct EndedAttempt {
     reply: AttemptReply,
@@ -241,6 +251,11 @@
                 .attempts
                 .on_attempt_end(now, reply.outcome, &self.options, &self.budget);
         }
+        if reply.refused_for(peer::NOT_ARRIVED_REASON)
+            && let Some(last) = &self.last_attempt
+        {
+            self.attempts.reconsider(EndpointKey::of(&last.endpoint));
+        }
         let by = self.refused_by(reply);
         self.attempts.on_refusal(now, by, &self.options)
     }
@@ -253,8 +268,18 @@
         table: &ServiceTable,
     ) -> Result<Attempt, Refusal> {
         let endpoint = picked.endpoint;
-        let body = self.take_body().ok_or(NO_BACKEND)?;
-        let caution = self.attempts.caution(table.endpoints().len());
+        let mut body = self.take_body().ok_or(NO_BACKEND)?;
+        if picked.tier == Tier::OtherRegion
+            && http_body::Body::size_hint(&body).lower() >= HELD_BODY_BYTES
+        {
+            body = body.held_for(BODY_HOLD);
+        }
+        let caution = if self.can_resend() {
+            self.attempts.caution(table.endpoints().len())
+        } else {
+            // A refusal would be final, so only a suspected backend server may refuse.
+            Caution::Settle
+        };
         let repeated = self.attempts.reached_count() > 0;
         self.attempts
             .record_start(endpoint.key, &self.options, &self.budget);
@@ -313,8 +338,7 @@
 
     // Returns who refused an attempt that did not reach the backend server.
     fn refused_by(&self, reply: &AttemptReply) -> RefusedBy {
-        let reason = reply.response.headers().get(headers::REASON);
-        if reason.is_some_and(|r| r.as_bytes() == gate::RETRY_BUDGET_REASON.as_bytes()) {
+        if reply.refused_for(gate::RETRY_BUDGET_REASON) {
             return RefusedBy::RetryBudget;
         }
         match self.last_attempt {
--- a/crates/shallothill-node/src/lib.rs
+++ b/crates/shallothill-node/src/lib.rs
@@ -19,8 +19,13 @@
 pub mod neighbours;
 pub mod node;
 pub mod peer;
+mod pipeline;
 pub mod refusal;
+pub mod request_reader;
 pub mod settings;
-pub mod view;
+mod shared_stream;
+mod sockets;
+pub mod unread_body;
+mod view;
 
 pub use errors::{Error, Result};
--- a/crates/shallothill-node/src/peer/server.rs
+++ b/crates/shallothill-node/src/peer/server.rs
@@ -4,14 +4,15 @@
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
-use hyper::body::Incoming;
 use hyper::{Method, Request, Response};
 use serde::Serialize;
+use shallothill_core::config::BodyMode;
 use shallothill_core::headers;
 use shallothill_core::ids::{NodeName, RouteName};
 use shallothill_core::sections::{Section, SectionId};
 use shallothill_wire::watch::SectionsReply;
 
+use crate::attempt::AttemptReply;
 use crate::body::Body;
 use crate::config::ConfigStore;
 use crate::counters::Counters;
@@ -19,14 +20,20 @@
 use crate::gate::Gate;
 use crate::listener::RequestHandler;
 use crate::peer;
+use crate::peer::{RouteRules, RunningAttempts, question};
 use crate::refusal::Refusal;
+use crate::unread_body::UnreadBody;
 
 /// `MAX_IDS_BYTES` is the largest body of a request for sections, which lists their ids.
 const MAX_IDS_BYTES: usize = 64 * 1024;
 
-/// `UNKNOWN_ROUTE_BODY_BYTES` is the largest body for a route that is not in the configuration of
-/// this node yet.
-const UNKNOWN_ROUTE_BODY_BYTES: u64 = 1024 * 1024;
+/// `UNKNOWN_ROUTE_RULES` applies to a route that is not in the configuration of this node yet. The
+/// entry node's word decides there whether a request may run twice.
+const UNKNOWN_ROUTE_RULES: RouteRules = RouteRules {
+    max_body_bytes: 1024 * 1024,
+    idempotent: true,
+    body_mode: BodyMode::Buffered,
+};
 
 /// `PeerServer` runs attempts that other nodes send and serves them the configuration.
 #[derive(Debug)]
@@ -35,6 +42,8 @@
     pub node: NodeName,
     /// The gate that runs the attempts.
     pub gate: Arc<Gate>,
+    /// The attempts that are running or ended lately.
+    pub attempts: Arc<RunningAttempts>,
     /// The entry, which tells whether the node serves yet.
     pub entry: Arc<Entry>,
     /// The configuration that is served and that attempts are read with.
@@ -44,36 +53,52 @@
 }
 
 impl RequestHandler for PeerServer {
-    async fn handle(&self, req: Request<Incoming>) -> Response<Body> {
+    async fn handle(&self, req: Request<UnreadBody>) -> Response<Body> {
+        if req.uri().path() == question::QUESTION_PATH
+            && let Some(question) = peer::read_question(req.headers())
+        {
+            let reply = self.attempts.wait(question.id, question.sent_to).await;
+            return self.write_reply(reply);
+        }
         if !req.headers().contains_key(headers::ENDPOINT) {
             return self.serve_config(req).await;
         }
         if !self.entry.serving() {
-            return peer::write_reply(NOT_READY.reply_from_gate(), self.store.version());
+            return self.write_reply(NOT_READY.reply_from_gate());
         }
-        let route_limits = |name: &RouteName| {
+        let id = question::read_id(req.headers());
+        let route_rules = |name: &RouteName| {
             let snapshot = self.store.load();
-            snapshot
-                .routes()
-                .by_name(name)
-                .map_or((UNKNOWN_ROUTE_BODY_BYTES, true), |r| {
-                    (r.route.max_body_bytes, r.route.idempotent)
-                })
+            let named = snapshot.routes().by_name(name);
+            named.map_or(UNKNOWN_ROUTE_RULES, |n| RouteRules {
+                max_body_bytes: n.route.max_body_bytes,
+                idempotent: n.route.idempotent,
+                body_mode: n.route.body,
+            })
         };
-        let reply = match peer::read_attempt(req, &self.node, route_limits) {
+        let reply = match peer::read_attempt(req, &self.node, route_rules) {
             Some((attempt, version)) => {
                 self.store.record_version(version);
                 self.counters.count_peer_attempt();
-                self.gate.run(attempt, false).await
+                match id {
+                    Some(id) => self.attempts.run(id, Arc::clone(&self.gate), attempt).await,
+                    None => self.gate.run(attempt, false).await,
+                }
             }
             None => MALFORMED.reply_from_gate(),
         };
-        peer::write_reply(reply, self.store.version())
+        self.write_reply(reply)
     }
 }
 
 impl PeerServer {
-    async fn serve_config(&self, req: Request<Incoming>) -> Response<Body> {
+    fn write_reply(&self, reply: AttemptReply) -> Response<Body> {
+        let mut response = peer::write_reply(reply, self.store.version());
+        question::write_process(response.headers_mut(), self.attempts.process());
+        response
+    }
+
+    async fn serve_config(&self, req: Request<UnreadBody>) -> Response<Body> {
         if req.method() != Method::GET {
             return UNKNOWN_PATH.response();
         }
