--- a/crates/shallothill-node/src/entry/attempts.rs
+++ b/crates/shallothill-node/src/entry/attempts.rs
@@ -362,7 +362,7 @@
                 self.payload = Some(Payload::Buffered(bytes, reserved));
                 Some(body)
             }
-            Payload::Stream(body) => Some(body),
+            Payload::Stream(body) => Some(*body),
         }
     }
 
@@ -371,7 +371,7 @@
     fn request_bytes(&self) -> u64 {
         let body = match &self.payload {
             Some(Payload::Buffered(bytes, _)) => bytes.len() as u64,
-            Some(Payload::Stream(body)) => http_body::Body::size_hint(body).lower(),
+            Some(Payload::Stream(body)) => http_body::Body::size_hint(&**body).lower(),
             None => 0,
         };
         body + self.head.path.as_str().len() as u64
--- a/crates/shallothill-node/src/entry/prepare.rs
+++ b/crates/shallothill-node/src/entry/prepare.rs
@@ -43,7 +43,7 @@
     /// The whole body is in memory and can be sent again.
     Buffered(Bytes, Option<BufferReservation>),
     /// The body is forwarded as it arrives and can be sent only once.
-    Stream(Body),
+    Stream(Box<Body>),
 }
 
 /// `Prepared` is a request that passed all checks. `permit` is absent for callers without a limit.
@@ -221,7 +221,7 @@
         } else {
             let remaining = route.max_body_bytes.saturating_sub(buffered.len() as u64);
             let body = Body::stream(buffered, incoming, remaining).with_deadline(deadline);
-            Payload::Stream(body.discarding_rest(deadline))
+            Payload::Stream(Box::new(body.discarding_rest(deadline)))
         };
         Ok((payload, fingerprint))
     }
--- a/crates/shallothill-storage/tests/full_disk.rs
+++ b/crates/shallothill-storage/tests/full_disk.rs
@@ -29,10 +29,10 @@
         let mut log = open(&files);
         log.run(|_| {}, |_, log| log.mark_repaired()).unwrap();
         files.limit_capacity(Some(capacity));
-        let pauses = Cell::new(0);
+        let pauses = Cell::new(0_u32);
         let pause = |_: &_| {
             pauses.set(pauses.get() + 1);
-            if pauses.get() % PAUSES == 0 {
+            if pauses.get().is_multiple_of(PAUSES) {
                 files.limit_capacity(None);
             }
         };
