--- a/crates/shallothill-node/src/entry/attempts.rs
+++ b/crates/shallothill-node/src/entry/attempts.rs
@@ -13,7 +13,6 @@
 use shallothill_core::time::Millis;
 use shallothill_policy::gray::Caution;
 use shallothill_policy::limits::Permit;
-use shallothill_policy::pick;
 use shallothill_policy::pick::{
     EndpointKey, PickRequest, Picked, ReportedLoad, ServiceTable, Tier,
 };
@@ -25,7 +24,8 @@
 use crate::attempt;
 use crate::attempt::{Attempt, AttemptReply, RequestHead};
 use crate::body::Body;
-use crate::crashes::QuarantinePermit;
+use crate::entry::ended_attempt;
+use crate::entry::ended_attempt::EndedAttempt;
 use crate::entry::prepare::{Payload, Prepared};
 use crate::entry::{Entry, InFlight};
 use crate::gate;
@@ -45,14 +45,6 @@
 /// one round trip. The body of a refused attempt is not sent.
 const BODY_HOLD: Duration = Duration::from_millis(60);
 
-/// `EndedAttempt` is the reply of an attempt with the guards that outlive it.
-struct EndedAttempt {
-    reply: AttemptReply,
-    in_flight: pick::InFlight,
-    /// Set for a response that clears the crashes of the fingerprint once all of it has arrived.
-    quarantine_permit: Option<QuarantinePermit>,
-}
-
 /// `RunState` is the state of one request across its attempts.
 struct RunState {
     head: Arc<RequestHead>,
@@ -142,7 +134,7 @@
                 break;
             }
             let next = r.next_step(now, &ended.reply);
-            worst = Some(more_severe(worst, ended));
+            worst = Some(ended_attempt::more_severe(worst, ended));
             match next {
                 NextStep::Wait => {}
                 NextStep::Return(_) => break,
@@ -385,20 +377,6 @@
     }
 }
 
-// Returns the reply with the more severe outcome, and the later one of two equal ones.
-fn more_severe(a: Option<EndedAttempt>, b: EndedAttempt) -> EndedAttempt {
-    let rank = |e: &EndedAttempt| match e.reply.outcome {
-        Outcome::RefusedNotRun => 0,
-        Outcome::RanAndFailed => 1,
-        Outcome::Unknown => 2,
-        Outcome::Answered => 3,
-    };
-    match a {
-        Some(a) if rank(&a) > rank(&b) => a,
-        _ => b,
-    }
-}
-
 const NO_SERVICE: Refusal = Refusal::not_run(
     "no-service",
     "the service of the route is not configured; send the request again",
