review: a planned stop cuts off a request that was passed on before its turn

Cause: a draining node closes each connection after its next response, also where a later request of that connection is at work at a server already.

--- a/review/stand-ins/fleet.rs
+++ b/review/stand-ins/fleet.rs
@@ -32,6 +32,13 @@
     fn kill(pid: i32, signal: i32) -> i32;
 }
 
+/// Sends a signal to a process that this program has started.
+pub fn signal(pid: u32, number: i32) {
+    if pid > 0 {
+        unsafe { kill(pid as i32, number) };
+    }
+}
+
 /// One machine with its process.
 pub struct Machine {
     pub name: String,
@@ -63,11 +70,14 @@
         self.at(APP)
     }
 
+    /// The id of the process, 0 without one.
+    pub fn pid(&self) -> u32 {
+        self.child.as_ref().map_or(0, |c| c.id())
+    }
+
     /// Sends a signal to the process, which this program has started.
-    pub fn signal(&self, signal: i32) {
-        if let Some(child) = &self.child {
-            unsafe { kill(child.id() as i32, signal) };
-        }
+    pub fn signal(&self, number: i32) {
+        signal(self.pid(), number);
     }
 
     /// Waits until the process has ended.
--- a/review/stand-ins/main.rs
+++ b/review/stand-ins/main.rs
@@ -4,6 +4,7 @@
 #![allow(dead_code)]
 
 mod fleet;
+mod pipelined_stop;
 mod http;
 mod late_check_in;
 mod record;
@@ -35,6 +36,7 @@
     let root = Path::new(".").canonicalize().unwrap_or_default();
     let verdict = match case.as_str() {
         "late-check-in" => late_check_in::play(&root, &record, trouble),
+        "pipelined-stop" => pipelined_stop::play(&root, &record, trouble),
         _ => Verdict::CouldNotRun(format!("no case {case}")),
     };
     let (text, code) = match verdict {
