review: a planned stop ends the connections of queued requests without an answer

Cause: a stopping node waits for its connections up to the stop timeout and then exits; requests that still wait in the queue of a gate are not answered as refused before that.

--- a/review/stand-ins/main.rs
+++ b/review/stand-ins/main.rs
@@ -5,6 +5,7 @@
 
 mod fleet;
 mod pipelined_stop;
+mod queued_stop;
 mod http;
 mod late_check_in;
 mod record;
@@ -37,6 +38,7 @@
     let verdict = match case.as_str() {
         "late-check-in" => late_check_in::play(&root, &record, trouble),
         "pipelined-stop" => pipelined_stop::play(&root, &record, trouble),
+        "queued-stop" => queued_stop::play(&root, &record, trouble),
         _ => Verdict::CouldNotRun(format!("no case {case}")),
     };
     let (text, code) = match verdict {
--- a/review/stand-ins/server.rs
+++ b/review/stand-ins/server.rs
@@ -26,6 +26,7 @@
     control: SocketAddr,
     born: u128,
     sequence: AtomicU64,
+    concurrency: AtomicU64,
     work: Duration,
     runs: Mutex<Vec<Run>>,
     stopped: AtomicBool,
@@ -52,6 +53,7 @@
             control,
             born: born.map_or(0, |d| d.as_millis()),
             sequence: AtomicU64::new(0),
+            concurrency: AtomicU64::new(7),
             work,
             runs: Mutex::default(),
             stopped: AtomicBool::new(false),
@@ -118,6 +120,11 @@
         }
     }
 
+    /// Sets how many requests the server says to run at a time; the default is 7.
+    pub fn set_concurrency(&self, slots: u64) {
+        self.concurrency.store(slots, Ordering::SeqCst);
+    }
+
     /// The requests that were run so far.
     pub fn runs(&self) -> Vec<Run> {
         self.runs.lock().unwrap().clone()
@@ -128,9 +135,12 @@
         let sequence = self.sequence.fetch_add(1, Ordering::SeqCst) + 1;
         format!(
             "{{\"address\":\"{}\",\"born\":{},\"info\":{{\"service\":\"{}\",\"version\":\"v1\",\
-             \"zone\":\"a-1\",\"concurrency\":7}},\"status\":{{\"state\":\"{state}\",\
+             \"zone\":\"a-1\",\"concurrency\":{}}},\"status\":{{\"state\":\"{state}\",\
              \"sequence\":{sequence},\"cold_remaining_ms\":0}}}}",
-            self.address, self.born, self.service
+            self.address,
+            self.born,
+            self.service,
+            self.concurrency.load(Ordering::SeqCst)
         )
     }
 
