review: a request that crashes its servers is let through beside requests that begin alike

Cause: the fingerprint of a request takes the first 1,024 bytes of its body, and each answer to a request with the same fingerprint clears its crashes.

--- a/review/stand-ins/main.rs
+++ b/review/stand-ins/main.rs
@@ -3,6 +3,7 @@
 
 #![allow(dead_code)]
 
+mod crashing_request;
 mod fleet;
 mod pipelined_stop;
 mod queued_stop;
@@ -39,6 +40,7 @@
         "late-check-in" => late_check_in::play(&root, &record, trouble),
         "pipelined-stop" => pipelined_stop::play(&root, &record, trouble),
         "queued-stop" => queued_stop::play(&root, &record, trouble),
+        "crashing-request" => crashing_request::play(&root, &record, trouble),
         _ => Verdict::CouldNotRun(format!("no case {case}")),
     };
     let (text, code) = match verdict {
--- a/review/stand-ins/server.rs
+++ b/review/stand-ins/server.rs
@@ -17,6 +17,12 @@
     pub at_ms: u64,
 }
 
+/// The request that makes a server crash, by its body.
+#[derive(Clone)]
+pub struct Poison {
+    pub body: Vec<u8>,
+}
+
 /// A server beside a node. It signs its answers, echoes request ids and runs only what is meant
 /// for it.
 pub struct Server {
@@ -31,6 +37,8 @@
     runs: Mutex<Vec<Run>>,
     stopped: AtomicBool,
     beating: AtomicBool,
+    streams: Mutex<Vec<TcpStream>>,
+    poison: Mutex<Option<Poison>>,
     record: Record,
 }
 
@@ -58,6 +66,8 @@
             runs: Mutex::default(),
             stopped: AtomicBool::new(false),
             beating: AtomicBool::new(true),
+            streams: Mutex::default(),
+            poison: Mutex::default(),
             record: record.clone(),
         });
         let accepting = Arc::clone(&server);
@@ -82,6 +92,7 @@
     fn serve(&self, stream: TcpStream) -> Option<()> {
         stream.set_nodelay(true).ok()?;
         let mut writer = stream.try_clone().ok()?;
+        self.streams.lock().unwrap().push(stream.try_clone().ok()?);
         let mut reader = BufReader::new(stream);
         loop {
             let req = http::read_message(&mut reader).ok()??;
@@ -110,7 +121,15 @@
             let what = req.start.split(' ').take(2).collect::<Vec<_>>().join(" ");
             self.record
                 .line(format!("server {} runs request {id}: {what}", self.id));
+            if self.is_poisoned(&req) {
+                self.record.line(format!("server {} crashes on request {id}", self.id));
+                self.crash();
+                return None;
+            }
             thread::sleep(self.work);
+            if self.is_stopped() {
+                return None;
+            }
             let headers = [
                 ("X-Request-Id", id.as_str()),
                 ("X-Response-Signature", "3e1b.07.5a2.600.0.c9f2a4d1"),
@@ -185,6 +204,29 @@
         self.beating.store(false, Ordering::SeqCst);
     }
 
+    fn is_poisoned(&self, req: &http::Message) -> bool {
+        let poison = self.poison.lock().unwrap();
+        poison.as_ref().is_some_and(|p| p.body == req.body)
+    }
+
+    /// Makes the server crash on some requests.
+    pub fn set_poison(&self, poison: Poison) {
+        *self.poison.lock().unwrap() = Some(poison);
+    }
+
+    /// Whether the server has crashed or was stopped.
+    pub fn has_ended(&self) -> bool {
+        self.is_stopped()
+    }
+
+    // Closes the listening socket and all connections at once, as the end of a process does.
+    fn crash(&self) {
+        self.stop();
+        for stream in self.streams.lock().unwrap().drain(..) {
+            let _ = stream.shutdown(std::net::Shutdown::Both);
+        }
+    }
+
     /// Ends the server: it accepts nothing and runs nothing from now on.
     pub fn stop(&self) {
         self.stop_beating();
