--- a/review/stand-ins/fleet.rs
+++ b/review/stand-ins/fleet.rs
@@ -46,6 +46,8 @@
     role: &'static str,
     settings: PathBuf,
     log: PathBuf,
+    /// The settings of the next start, if they differ.
+    later_settings: Option<String>,
     child: Option<Child>,
 }
 
@@ -205,12 +207,22 @@
             ip,
             role,
             settings,
+            later_settings: None,
             child: None,
         })
     }
 
+    /// Starts a keeper; only its first start is that of a new system.
     pub fn spawn_core(&mut self, n: usize) -> io::Result<()> {
+        if let Some(text) = self.core[n].later_settings.take() {
+            fs::write(&self.core[n].settings, text)?;
+        }
         let child = self.spawn(&self.core[n])?;
+        let settings = &self.core[n].settings;
+        let text = fs::read_to_string(settings)?;
+        if !text.contains("new_group: false") {
+            self.core[n].later_settings = Some(text.replace("new_group: true", "new_group: false"));
+        }
         self.core[n].child = Some(child);
         Ok(())
     }
--- a/review/stand-ins/main.rs
+++ b/review/stand-ins/main.rs
@@ -9,6 +9,7 @@
 mod queued_stop;
 mod http;
 mod late_check_in;
+mod many_changes;
 mod record;
 mod server;
 
@@ -41,6 +42,7 @@
         "pipelined-stop" => pipelined_stop::play(&root, &record, trouble),
         "queued-stop" => queued_stop::play(&root, &record, trouble),
         "crashing-request" => crashing_request::play(&root, &record, trouble),
+        "many-changes" => many_changes::play(&root, &record, trouble),
         _ => Verdict::CouldNotRun(format!("no case {case}")),
     };
     let (text, code) = match verdict {
