--- a/review/stand-ins/fleet.rs
+++ b/review/stand-ins/fleet.rs
@@ -4,6 +4,7 @@
 use std::fs;
 use std::io;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
+use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::thread;
@@ -25,9 +26,11 @@
 
 pub const SIGTERM: i32 = 15;
 pub const SIGKILL: i32 = 9;
+const PR_SET_PDEATHSIG: i32 = 1;
 
 extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
+    fn prctl(option: i32, value: u64) -> i32;
 }
 
 /// One machine with its process.
@@ -245,7 +248,15 @@
             .open(&machine.log)?;
         self.record
             .line(format!("start of {} on {}", machine.name, machine.ip));
-        Command::new(program)
+        let mut command = Command::new(program);
+        // Ends the process with this program, also when that is killed.
+        unsafe {
+            command.pre_exec(|| {
+                prctl(PR_SET_PDEATHSIG, SIGKILL as u64);
+                Ok(())
+            });
+        }
+        command
             .args(words)
             .current_dir(&self.root)
             .env_clear()
