node, policy: queued requests come back when the node that took them stops

A node that had taken bookings for a busy backend server was stopped; the bookings that still waited for a slot got no answer at the end of the grace time, although they had not run and never did. A caller may not send such a booking again.

Cause: only the stopping node knows when it ends. The gates at which its requests wait go by the callers' deadlines and keep them in their queues; the entry node waits for their replies without a bound of its own.

The gate logs no end of their attempts. The stopping node's own gate is ruled out, since it refuses its queue at once.

Change: attempts carry the time by which the entry node needs the reply (`reply_by`), and one message sets it for each attempt in flight when the stop begins.

Why this works: nothing waits beyond the end of the node any more, and the gate alone decides that a request has not run, so that the refusal is true.

--- a/crates/shallothill-bench/src/scenarios/cost.rs
+++ b/crates/shallothill-bench/src/scenarios/cost.rs
@@ -114,6 +114,7 @@
             kind: RequestKind(0),
             class: Class::Shop,
             deadline: now + Duration::from_secs(10),
+            reply_by: None,
             objective: None,
             rank: 0,
             trial: false,
--- a/crates/shallothill-bench/src/sim/fleet_request.rs
+++ b/crates/shallothill-bench/src/sim/fleet_request.rs
@@ -109,6 +109,7 @@
             kind: RequestKind(u64::from(request.call.class.is_internal())),
             class: request.call.class,
             deadline: millis(request.deadline),
+            reply_by: None,
             objective: None,
             rank: 0,
             trial: trial && request.call.idempotent,
--- a/crates/shallothill-core/src/headers.rs
+++ b/crates/shallothill-core/src/headers.rs
@@ -42,6 +42,9 @@
 /// `OBJECTIVE_MS` carries the time left until the request exceeds its target latency, in
 /// milliseconds, on hops between nodes.
 pub const OBJECTIVE_MS: &str = "x-shallothill-objective-ms";
+/// `REPLY_BY_MS` carries the time left until the entry node of an attempt stops, in milliseconds, on
+/// hops between nodes.
+pub const REPLY_BY_MS: &str = "x-shallothill-reply-by-ms";
 /// `REPEATED` marks attempts of a request that an earlier attempt may have delivered to a backend
 /// server, on hops between nodes.
 pub const REPEATED: &str = "x-shallothill-repeated";
--- a/crates/shallothill-node/src/attempt.rs
+++ b/crates/shallothill-node/src/attempt.rs
@@ -19,6 +19,7 @@
 
 use crate::body::Body;
 use crate::header_filter;
+use crate::reply_by::ReplyBy;
 
 /// `RequestHead` contains what all attempts of a request have in common, except the body.
 #[derive(Debug)]
@@ -75,6 +76,8 @@
     pub repeated: bool,
     /// Whether the gate may refuse the request while it suspects a gray failure.
     pub caution: Caution,
+    /// When the entry node stops, if it is stopping.
+    pub reply_by: ReplyBy,
     /// The request body.
     pub body: Body,
 }
--- a/crates/shallothill-node/src/entry/attempts.rs
+++ b/crates/shallothill-node/src/entry/attempts.rs
@@ -27,12 +27,14 @@
 use crate::entry::ended_attempt;
 use crate::entry::ended_attempt::EndedAttempt;
 use crate::entry::prepare::{Payload, Prepared};
+use crate::entry::stop;
 use crate::entry::{Entry, InFlight};
 use crate::gate;
 use crate::header_filter;
 use crate::interface::HttpInterface;
 use crate::peer;
 use crate::refusal::Refusal;
+use crate::reply_by::ReplyBy;
 
 /// `LOAD_SHOWN_FOR` is the age up to which logs show the last reported load of a backend server.
 /// The pick uses only younger reports.
@@ -110,6 +112,8 @@
         }
         let hedge = hedge_timer(r.hedge_delay());
         tokio::pin!(hedge);
+        let final_answer_due = self.final_answer_due();
+        tokio::pin!(final_answer_due);
         let mut hedged = false;
         loop {
             let ended = tokio::select! {
@@ -124,6 +128,10 @@
                     }
                     continue;
                 }
+                () = final_answer_due.as_mut() => {
+                    let reply = stop::STOPPED.reply_without_gate();
+                    return (reply, InFlight::new(permit, None));
+                }
             };
             let Some(ended) = ended else { break };
             let now = self.deps.timer.now();
@@ -163,7 +171,11 @@
     // cannot resend the request to them before that.
     async fn delay_failure(&self, r: &RunState) {
         let now = self.deps.timer.now();
-        time::sleep(self.deps.crashes.withhold_time(now, r.head.fingerprint)).await;
+        let delay = self.deps.crashes.withhold_time(now, r.head.fingerprint);
+        tokio::select! {
+            () = time::sleep(delay) => {}
+            () = self.final_answer_due() => {}
+        }
     }
 
     fn record_crash(
@@ -190,6 +202,7 @@
         &'a self,
         r: &mut RunState,
     ) -> Result<impl Future<Output = EndedAttempt> + Send + use<'a>, Refusal> {
+        self.check_time_left()?;
         let now = self.deps.timer.now();
         let quarantine_permit = self
             .deps
@@ -210,7 +223,7 @@
             let limit = r.service.cross_region_bytes_per_s;
             table.cross_region_bytes().charge(now, bytes, limit);
         }
-        let attempt = r.new_attempt(now, &picked, table)?;
+        let attempt = r.new_attempt(now, &picked, table, &self.reply_by)?;
         let id = endpoint.info.id.clone();
         let stats = Arc::clone(&endpoint.stats);
         let path = Arc::clone(&endpoint.path);
@@ -258,6 +271,7 @@
         now: Millis,
         picked: &Picked<'_>,
         table: &ServiceTable,
+        reply_by: &ReplyBy,
     ) -> Result<Attempt, Refusal> {
         let endpoint = picked.endpoint;
         let mut body = self.take_body().ok_or(NO_BACKEND)?;
@@ -289,6 +303,7 @@
             trial: picked.trial,
             repeated,
             caution,
+            reply_by: reply_by.clone(),
             body,
         })
     }
--- a/crates/shallothill-node/src/entry/mod.rs
+++ b/crates/shallothill-node/src/entry/mod.rs
@@ -6,6 +6,7 @@
 mod in_flight;
 mod prepare;
 mod send;
+mod stop;
 
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -25,6 +26,7 @@
 use crate::gate::Gate;
 use crate::interface::HttpInterface;
 use crate::peer::PeerLinks;
+use crate::reply_by::ReplyBy;
 use crate::settings::Bounds;
 use crate::view::DirectoryView;
 
@@ -68,7 +70,8 @@
     deps: EntryDependencies,
     budgets: RwLock<HashMap<ServiceName, Arc<RetryBudget>>>,
     serving: AtomicBool,
-    draining: AtomicBool,
+    /// Set when the node begins to stop.
+    reply_by: ReplyBy,
 }
 
 impl Entry {
@@ -78,7 +81,7 @@
             deps,
             budgets: RwLock::default(),
             serving: AtomicBool::new(false),
-            draining: AtomicBool::new(false),
+            reply_by: ReplyBy::default(),
         }
     }
 
@@ -88,12 +91,6 @@
         self.serving.store(true, Ordering::Relaxed);
     }
 
-    /// `start_draining` makes the node unready and closes connections after their next response, so
-    /// that callers move to another node; requests that still arrive are served.
-    pub fn start_draining(&self) {
-        self.draining.store(true, Ordering::Relaxed);
-    }
-
     /// `ready` tells whether callers should use this node: it serves, has a configuration and does
     /// not drain.
     pub fn ready(&self) -> bool {
@@ -101,11 +98,6 @@
         self.serving() && configured && !self.draining()
     }
 
-    /// `draining` tells whether [`Self::start_draining`] was called.
-    pub fn draining(&self) -> bool {
-        self.draining.load(Ordering::Relaxed)
-    }
-
     /// `serving` tells whether requests are served; it stays true while the node drains.
     pub fn serving(&self) -> bool {
         self.serving.load(Ordering::Relaxed)
--- a/crates/shallothill-node/src/entry/send.rs
+++ b/crates/shallothill-node/src/entry/send.rs
@@ -1,5 +1,6 @@
 //! Sends one attempt to a gate.
 
+use std::future::Future;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -14,7 +15,7 @@
 use crate::body::Body;
 use crate::entry::Entry;
 use crate::peer;
-use crate::peer::{LinkError, PeerLink, Question};
+use crate::peer::{AttemptId, LinkError, PeerLink, Question};
 use crate::refusal::Refusal;
 
 /// `GATE_REPLY_GRACE` is the time after the deadline for which the entry still waits for the reply
@@ -25,7 +26,7 @@
 /// peer that was suspended or cut off for some seconds still has the reply.
 const QUESTION_TIME: Duration = Duration::from_secs(5);
 
-/// `QUESTION_PAUSE` is the time between two of these questions.
+/// `QUESTION_PAUSE` is the time between two messages to a peer about an attempt.
 const QUESTION_PAUSE: Duration = Duration::from_millis(100);
 
 /// `SILENCE_DIVISOR` divides the time left for a request. A peer that sends no response at all for
@@ -48,6 +49,7 @@
         let deadline = attempt.head.deadline;
         let idempotent = attempt.head.idempotent;
         let id = self.deps.links.next_attempt_id();
+        let told_reply_by = attempt.reply_by.get().is_some();
         let req = peer::write_attempt(attempt, id, self.deps.store.version());
         let link = self.deps.links.link(address);
         let sent = self.send_checking_silence(&link, req, deadline, &path);
@@ -63,7 +65,12 @@
             let asked = self.ask_for_reply(&link, question, idempotent).await;
             asked.map_or(sent, Ok)
         };
-        let sent = time::timeout_at(deadline + GATE_REPLY_GRACE, sent).await;
+        let sent = time::timeout_at(deadline + GATE_REPLY_GRACE, sent);
+        let sent = if told_reply_by {
+            sent.await
+        } else {
+            self.send_reply_limit_meanwhile(&link, id, sent).await
+        };
         let now = self.deps.timer.now();
         let refusal = match sent {
             Ok(Ok(response)) => match peer::read_reply(response, deadline) {
@@ -88,6 +95,33 @@
         refusal.reply_without_gate()
     }
 
+    // Waits for `sent`. If this node begins to stop meanwhile, the gate learns by when it needs the
+    // reply, so that the attempt does not wait for a slot beyond that.
+    async fn send_reply_limit_meanwhile<T>(
+        &self,
+        link: &PeerLink,
+        id: AttemptId,
+        sent: impl Future<Output = T>,
+    ) -> T {
+        let limit = async {
+            let reply_by = self.reply_by.wait_set().await;
+            while let Err(e) = link.send(peer::write_reply_limit(id, reply_by)).await {
+                tracing::debug!(
+                    "entry: the reply limit for {} failed: {e:?}",
+                    link.address()
+                );
+                time::sleep(QUESTION_PAUSE).await;
+            }
+        };
+        tokio::pin!(sent);
+        tokio::select! {
+            biased;
+            sent = sent.as_mut() => return sent,
+            () = limit => {}
+        }
+        sent.await
+    }
+
     // Asks on a new connection for the reply of an attempt whose connection broke; `None` if the
     // peer cannot be reached.
     async fn ask_for_reply(
--- a/crates/shallothill-node/src/gate/endpoint.rs
+++ b/crates/shallothill-node/src/gate/endpoint.rs
@@ -31,6 +31,7 @@
 use crate::gate::queued_request::QueuedRequest;
 use crate::gate::slot::Slot;
 use crate::refusal::Refusal;
+use crate::reply_by::ReplyBy;
 
 /// `Inner` is the mutable state of an endpoint; its lock is never held across an await point.
 #[derive(Debug)]
@@ -177,13 +178,15 @@
     }
 
     /// `admit` waits for a slot until the deadline of the request. `trial` marks a request that
-    /// tests an ejected backend server.
+    /// tests an ejected backend server. A request that cannot be answered until `reply_by` is
+    /// refused.
     ///
     /// Fails with a refusal of outcome `RefusedNotRun`.
     pub(crate) async fn admit(
         self: &Arc<Self>,
         head: &RequestHead,
         trial: bool,
+        reply_by: &ReplyBy,
     ) -> Result<Slot, Refusal> {
         let now = self.now();
         let now_instant = Instant::now();
@@ -193,6 +196,7 @@
             kind: RequestKind(hash::hash64(head.route.as_str().as_bytes())),
             class: head.class,
             deadline: to_millis(deadline),
+            reply_by: reply_by.get().map(to_millis),
             objective: head.objective.map(to_millis),
             rank: head.rank,
             trial,
@@ -219,10 +223,20 @@
             }
         };
         QueuedRequest::new(Arc::clone(self), ticket)
-            .wait(rx, deadline)
+            .wait(rx, deadline, reply_by)
             .await
     }
 
+    /// `limit_reply` refuses the queued request of `ticket` unless it can be answered until
+    /// `reply_by`.
+    pub(crate) fn limit_reply(&self, ticket: Ticket, reply_by: Instant) {
+        let now = self.now();
+        let reply_by = now + reply_by.saturating_duration_since(Instant::now());
+        let mut inner = self.lock();
+        inner.gate.limit_reply(now, ticket, reply_by);
+        inner.notify_waiters(now);
+    }
+
     /// `record_start` records that the request of `ticket` is about to be written; `objective` is
     /// the latency objective of its route, or zero if there is none.
     pub(crate) fn record_start(
--- a/crates/shallothill-node/src/gate/mod.rs
+++ b/crates/shallothill-node/src/gate/mod.rs
@@ -177,7 +177,7 @@
         }
         if head.idempotent {
             let trial = attempt.trial;
-            let slot = endpoint.admit(&head, trial).await?;
+            let slot = endpoint.admit(&head, trial, &attempt.reply_by).await?;
             let slot = slot.with_retry_allowance(attempt.repeated)?;
             return self.forward(slot, head, attempt.body, permit).await;
         }
@@ -189,13 +189,13 @@
         // Kept until the request has been written.
         let reserved = self.reserve_buffer(expected, head.body_mode);
         if reserved.is_none() && head.body_mode == BodyMode::Streamed {
-            let slot = endpoint.admit(&head, false).await?;
+            let slot = endpoint.admit(&head, false, &attempt.reply_by).await?;
             let slot = slot.with_retry_allowance(attempt.repeated)?;
             return self.forward(slot, head, attempt.body, permit).await;
         }
         let reserved = reserved.ok_or(BUFFERS_FULL)?;
         let body = exchange::read_body(&mut attempt.body, head.deadline).await?;
-        let slot = endpoint.admit(&head, false).await?;
+        let slot = endpoint.admit(&head, false, &attempt.reply_by).await?;
         let slot = slot.with_retry_allowance(attempt.repeated)?;
         let reply = match key {
             Some(key) => self.run_with_claim(slot, head, key, body, permit).await,
--- a/crates/shallothill-node/src/gate/queued_request.rs
+++ b/crates/shallothill-node/src/gate/queued_request.rs
@@ -12,6 +12,7 @@
 use crate::gate::Endpoint;
 use crate::gate::slot::Slot;
 use crate::refusal::Refusal;
+use crate::reply_by::ReplyBy;
 
 /// `QueuedRequest` is a request in the queue of a backend server; dropping it before it is admitted
 /// or refused removes it from the queue.
@@ -32,15 +33,17 @@
         }
     }
 
-    /// `wait` waits for a slot until `deadline`.
+    /// `wait` waits for a slot until `deadline`, as long as the request can be answered until
+    /// `reply_by`.
     ///
     /// Fails with a refusal of outcome `RefusedNotRun`.
     pub(crate) async fn wait(
         mut self,
         rx: oneshot::Receiver<Result<(), admit::Refusal>>,
         deadline: Instant,
+        reply_by: &ReplyBy,
     ) -> Result<Slot, Refusal> {
-        let decision = time::timeout_at(deadline, rx).await;
+        let decision = time::timeout_at(deadline, self.decision(rx, reply_by)).await;
         match decision {
             Ok(Ok(Ok(()))) => {
                 self.decided = true;
@@ -53,6 +56,21 @@
             Ok(Err(_)) | Err(_) => Err(admission_refusal(admit::Refusal::Deadline, Duration::ZERO)),
         }
     }
+
+    // Returns the decision of the admission gate. Once `reply_by` is set, the gate may refuse the
+    // request because of it.
+    async fn decision(
+        &self,
+        mut rx: oneshot::Receiver<Result<(), admit::Refusal>>,
+        reply_by: &ReplyBy,
+    ) -> Result<Result<(), admit::Refusal>, oneshot::error::RecvError> {
+        tokio::select! {
+            biased;
+            decision = &mut rx => return decision,
+            at = reply_by.wait_set() => self.endpoint.limit_reply(self.ticket, at),
+        }
+        rx.await
+    }
 }
 
 impl Drop for QueuedRequest {
@@ -78,6 +96,9 @@
         admit::Refusal::Ejected => "the backend server is ejected; send the request again",
         admit::Refusal::QueueFull => "all slots and the queue are full; send the request later",
         admit::Refusal::Deadline => "the deadline cannot be met; allow more time or send it later",
+        admit::Refusal::Stopping => {
+            "the node that took the request stops before it can be answered; send it to another"
+        }
         admit::Refusal::Shed => "a more urgent request took the place; send it later",
     };
     Refusal {
--- a/crates/shallothill-node/src/lib.rs
+++ b/crates/shallothill-node/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod peer;
 mod pipeline;
 pub mod refusal;
+pub mod reply_by;
 pub mod request_reader;
 pub mod settings;
 mod shared_stream;
--- a/crates/shallothill-node/src/node/mod.rs
+++ b/crates/shallothill-node/src/node/mod.rs
@@ -15,6 +15,7 @@
 use tokio::net::TcpListener;
 use tokio::sync::Notify;
 use tokio::time;
+use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 use tracing::{info, warn};
@@ -325,10 +326,12 @@
     /// waits for requests in flight, up to the stop timeout.
     pub async fn run_until_stopped(&self) {
         self.stop.cancelled().await;
-        self.entry.start_draining();
+        let bounds = &self.settings.bounds;
+        let ends_at = Instant::now() + bounds.lame_duck() + bounds.stop_timeout();
+        self.entry.start_draining(ends_at);
         self.gate.drain_all();
         // The timer fails only when the process ends.
-        let _ = self.timer.after(self.settings.bounds.lame_duck()).await;
+        let _ = self.timer.after(bounds.lame_duck()).await;
         self.close_listeners.cancel();
         self.connections.close();
         self.background.close();
@@ -336,9 +339,8 @@
             self.connections.wait().await;
             self.background.wait().await;
         };
-        let timeout = self.settings.bounds.stop_timeout();
-        if time::timeout(timeout, finished).await.is_err() {
-            warn!("node: requests are still in flight after {timeout:?}; ending them");
+        if time::timeout_at(ends_at, finished).await.is_err() {
+            warn!("node: connections are still open at the end of the stop timeout; ending them");
         }
         self.end_tasks.cancel();
         info!("node: stopped");
--- a/crates/shallothill-node/src/peer/codec.rs
+++ b/crates/shallothill-node/src/peer/codec.rs
@@ -24,6 +24,7 @@
 use crate::body::Body;
 use crate::header_filter;
 use crate::peer::{AttemptId, question};
+use crate::reply_by::ReplyBy;
 use crate::unread_body::UnreadBody;
 
 /// `AUTHORITY` is the authority of requests between nodes; the caller's host is sent in a header.
@@ -97,6 +98,9 @@
         let left = objective.saturating_duration_since(Instant::now());
         set_header(map, headers::OBJECTIVE_MS, &left.as_millis().to_string());
     }
+    if let Some(at) = attempt.reply_by.get() {
+        question::write_reply_by(map, at);
+    }
     if let Some(key) = &head.key {
         set_header(map, headers::IDEMPOTENCY_KEY, &key.to_string());
     }
@@ -175,6 +179,7 @@
         trial,
         repeated,
         caution,
+        reply_by: question::read_reply_by(map).map_or_else(ReplyBy::default, ReplyBy::at),
         body: Body::stream(Bytes::new(), incoming, rules.max_body_bytes).with_deadline(deadline),
     };
     Some((attempt, version))
--- a/crates/shallothill-node/src/peer/mod.rs
+++ b/crates/shallothill-node/src/peer/mod.rs
@@ -13,7 +13,7 @@
 pub use codec::{RouteRules, read_attempt, read_reply, write_attempt, write_reply};
 pub use link::{LinkError, PeerLink};
 pub use links::PeerLinks;
-pub use question::{Question, read_question, write_question};
+pub use question::{Question, read_question, read_reply_limit, write_question, write_reply_limit};
 pub(crate) use running_attempts::NOT_ARRIVED_REASON;
 pub use running_attempts::RunningAttempts;
 pub use server::PeerServer;
--- a/crates/shallothill-node/src/peer/question.rs
+++ b/crates/shallothill-node/src/peer/question.rs
@@ -1,8 +1,11 @@
-//! Encodes questions about attempts whose connection broke.
+//! Encodes messages about attempts that were sent before.
+
+use std::time::Duration;
 
 use hyper::header::{HeaderMap, HeaderName, HeaderValue};
 use hyper::{Request, Uri, Version};
 use shallothill_core::headers;
+use tokio::time::Instant;
 
 use crate::body::Body;
 use crate::header_filter;
@@ -11,6 +14,9 @@
 /// `QUESTION_PATH` is the path of questions about attempts.
 pub(super) const QUESTION_PATH: &str = "/peer/attempt";
 
+/// `REPLY_LIMIT_PATH` is the path of messages that limit the time for the reply to an attempt.
+pub(super) const REPLY_LIMIT_PATH: &str = "/peer/attempt/reply-limit";
+
 /// `Question` asks a gate what became of an attempt.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Question {
@@ -22,16 +28,8 @@
 
 /// `write_question` builds the request that asks a gate about an attempt.
 pub fn write_question(question: &Question) -> Request<Body> {
-    let mut req = Request::new(Body::empty());
-    *req.version_mut() = Version::HTTP_2;
-    let uri = Uri::builder()
-        .scheme("http")
-        .authority("peer")
-        .path_and_query(QUESTION_PATH)
-        .build();
-    *req.uri_mut() = uri.unwrap_or_default();
+    let mut req = request_about(QUESTION_PATH, question.id);
     let map = req.headers_mut();
-    write_id(map, question.id);
     if let Some(process) = question.sent_to {
         set_number(map, headers::SENT_TO, process.0);
     }
@@ -46,6 +44,45 @@
     })
 }
 
+/// `write_reply_limit` builds the request that tells a gate that the entry node of an attempt stops
+/// at `reply_by`.
+pub fn write_reply_limit(id: AttemptId, reply_by: Instant) -> Request<Body> {
+    let mut req = request_about(REPLY_LIMIT_PATH, id);
+    write_reply_by(req.headers_mut(), reply_by);
+    req
+}
+
+/// `read_reply_limit` parses the headers of a reply limit; `None` if they are malformed.
+pub fn read_reply_limit(map: &HeaderMap) -> Option<(AttemptId, Instant)> {
+    Some((read_id(map)?, read_reply_by(map)?))
+}
+
+/// `write_reply_by` adds the time that is left until `reply_by`.
+pub(super) fn write_reply_by(map: &mut HeaderMap, reply_by: Instant) {
+    let left = reply_by.saturating_duration_since(Instant::now());
+    let left_ms = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
+    set_number(map, headers::REPLY_BY_MS, left_ms);
+}
+
+/// `read_reply_by` parses the time until which a reply is needed; `None` if it is absent.
+pub(super) fn read_reply_by(map: &HeaderMap) -> Option<Instant> {
+    let left = Duration::from_millis(number(map, headers::REPLY_BY_MS)?);
+    Instant::now().checked_add(left)
+}
+
+fn request_about(path: &str, id: AttemptId) -> Request<Body> {
+    let mut req = Request::new(Body::empty());
+    *req.version_mut() = Version::HTTP_2;
+    let uri = Uri::builder()
+        .scheme("http")
+        .authority("peer")
+        .path_and_query(path)
+        .build();
+    *req.uri_mut() = uri.unwrap_or_default();
+    write_id(req.headers_mut(), id);
+    req
+}
+
 /// `write_id` adds the headers that identify an attempt.
 pub(super) fn write_id(map: &mut HeaderMap, id: AttemptId) {
     set_number(map, headers::PROCESS, id.sender.0);
--- a/crates/shallothill-node/src/peer/running_attempts.rs
+++ b/crates/shallothill-node/src/peer/running_attempts.rs
@@ -11,6 +11,7 @@
 use tokio::sync::oneshot;
 use tokio::task::AbortHandle;
 use tokio::time;
+use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
 use crate::attempt::{Attempt, AttemptReply};
@@ -19,6 +20,7 @@
 use crate::peer::attempt_table::{AttemptState, AttemptTable};
 use crate::peer::{AttemptId, ProcessId};
 use crate::refusal::Refusal;
+use crate::reply_by::ReplyBy;
 
 /// `DETACHED_TIME` is the time for which an attempt runs on after its connection has closed. It is
 /// the time for the entry node to ask for it on another connection; a caller that has left does not
@@ -78,6 +80,7 @@
 struct RunningAttempt {
     waiting: AtomicUsize,
     ended: CancellationToken,
+    reply_by: ReplyBy,
     task: OnceLock<AbortHandle>,
 }
 
@@ -139,7 +142,10 @@
         gate: Arc<Gate>,
         attempt: Attempt,
     ) -> AttemptReply {
-        let running = Arc::new(RunningAttempt::default());
+        let running = Arc::new(RunningAttempt {
+            reply_by: attempt.reply_by.clone(),
+            ..RunningAttempt::default()
+        });
         if !self.lock().start(id, Arc::clone(&running)) {
             return GIVEN_UP.reply_from_gate();
         }
@@ -183,6 +189,14 @@
         }
     }
 
+    /// `limit_reply` records that the entry node of an attempt stops at `reply_by`. An attempt that
+    /// has not arrived is refused from then on.
+    pub fn limit_reply(&self, id: AttemptId, reply_by: Instant) {
+        if let AttemptState::Running(running) = self.lock().ask(id, true) {
+            running.reply_by.set(reply_by);
+        }
+    }
+
     fn guard(self: &Arc<Self>, id: AttemptId, running: &Arc<RunningAttempt>) -> WaitGuard {
         running.waiting.fetch_add(1, Ordering::Relaxed);
         WaitGuard {
--- a/crates/shallothill-node/src/peer/server.rs
+++ b/crates/shallothill-node/src/peer/server.rs
@@ -60,6 +60,12 @@
             let reply = self.attempts.wait(question.id, question.sent_to).await;
             return self.write_reply(reply);
         }
+        if req.uri().path() == question::REPLY_LIMIT_PATH
+            && let Some((id, reply_by)) = peer::read_reply_limit(req.headers())
+        {
+            self.attempts.limit_reply(id, reply_by);
+            return Response::new(Body::empty());
+        }
         if !req.headers().contains_key(headers::ENDPOINT) {
             return self.serve_config(req).await;
         }
--- a/crates/shallothill-policy/src/admit/gate.rs
+++ b/crates/shallothill-policy/src/admit/gate.rs
@@ -67,19 +67,20 @@
         let waiting = WaitingRequest {
             ticket: self.next_ticket(),
             deadline: req.deadline,
+            reply_by: req.reply_by,
             objective: req.objective,
             rank: req.rank,
             kind: req.kind,
             expected_duration: self.latencies.expected(req.kind),
         };
-        let Some(expected_duration) = self.check_deadline(now, &req, &waiting) else {
-            return self.refuse(Refusal::Deadline);
+        let internal = req.class.is_internal();
+        let Some(expected_duration) = self.check_end(now, internal, &waiting) else {
+            return self.refuse(waiting.late_reason());
         };
         self.latencies.record_admitted(now, req.kind);
         if self.has_free_slot() && self.queue.len() == 0 {
             return self.run_now(waiting.ticket, req.kind);
         }
-        let internal = req.class.is_internal();
         self.enqueue(
             now,
             internal,
@@ -126,6 +127,24 @@
         self.queue.remove(ticket)
     }
 
+    /// `limit_reply` records that the node that took the request of `ticket` stops at `reply_by`. A
+    /// queued request that can't be answered by then is refused, so that its caller can send it to
+    /// another node; one that runs already goes on.
+    pub fn limit_reply(&mut self, now: Millis, ticket: Ticket, reply_by: Millis) {
+        let Some((internal, waiting)) = self.queue.find_mut(ticket) else {
+            return;
+        };
+        waiting.reply_by = Some(reply_by);
+        let waiting = *waiting;
+        let left = waiting.end().saturating_since(now);
+        let duration = self.latencies.expected(waiting.kind);
+        if left <= self.expected_wait(now, internal, &waiting) + duration {
+            self.queue.remove(ticket);
+            let refused = QueueDecision::Refused(ticket, waiting.late_reason());
+            self.displaced.push_back(refused);
+        }
+    }
+
     /// `poll` returns the next decision on a queued request, or `None` while none can be decided.
     pub fn poll(&mut self, now: Millis) -> Option<QueueDecision> {
         if let Some(displaced) = self.displaced.pop_front() {
@@ -142,8 +161,12 @@
                 .pop_any()
                 .map(|w| QueueDecision::Refused(w.ticket, reason));
         }
-        if let Some(expired) = self.queue.pop_expired(now) {
-            return Some(QueueDecision::Refused(expired.ticket, Refusal::Deadline));
+        let estimate = |kind| self.latencies.expected(kind);
+        if let Some(expired) = self.queue.pop_expired(now, estimate) {
+            return Some(QueueDecision::Refused(
+                expired.ticket,
+                expired.late_reason(),
+            ));
         }
         if !self.has_free_slot() {
             return None;
@@ -272,36 +295,32 @@
     }
 
     // Returns the duration to assume for the request once it starts, or `None` if it can't be
-    // answered before its deadline.
+    // answered before its end.
     //
     // The queueing delay depends on the latency of all kinds, the response time only on that of its
-    // own kind. A request whose queueing delay alone exceeds the deadline is always refused. The
+    // own kind. A request whose queueing delay alone exceeds the time left is always refused. The
     // estimate for the kind may be outdated, so a request that it would refuse is admitted from
     // time to time as a trial. Such a trial is assumed to take no time, so that it is not refused
-    // while it waits.
-    fn check_deadline(
-        &self,
-        now: Millis,
-        req: &GateRequest,
-        waiting: &WaitingRequest,
-    ) -> Option<Duration> {
-        let left = req.deadline.saturating_since(now);
-        let after_wait = left.checked_sub(self.expected_wait(now, req, waiting))?;
+    // while it waits. A request whose node stops is no trial: another node can still take it.
+    fn check_end(&self, now: Millis, internal: bool, waiting: &WaitingRequest) -> Option<Duration> {
+        let left = waiting.end().saturating_since(now);
+        let after_wait = left.checked_sub(self.expected_wait(now, internal, waiting))?;
         if after_wait > waiting.expected_duration {
             return Some(waiting.expected_duration);
         }
-        let worth_trying = !after_wait.is_zero() && self.latencies.is_trial_due(now, req.kind);
-        worth_trying.then_some(Duration::ZERO)
+        let trial_due = self.latencies.is_trial_due(now, waiting.kind);
+        let worth_trying = waiting.late_reason() == Refusal::Deadline && !after_wait.is_zero();
+        (worth_trying && trial_due).then_some(Duration::ZERO)
     }
 
-    // Estimates the time until a slot is free for the request, counting the requests that start
-    // before it.
-    fn expected_wait(&self, now: Millis, req: &GateRequest, waiting: &WaitingRequest) -> Duration {
+    // Estimates the time until a slot is free for a request that arrives or waits, counting the
+    // requests that start before it.
+    fn expected_wait(&self, now: Millis, internal: bool, waiting: &WaitingRequest) -> Duration {
         if self.has_free_slot() && self.queue.len() == 0 {
             return Duration::ZERO;
         }
-        let before = if req.class.is_internal() {
-            self.queue.len()
+        let before = if internal {
+            self.queue.len_without(waiting.ticket)
         } else {
             self.queue.callers_ahead_of(now, waiting.urgency(now))
         };
--- a/crates/shallothill-policy/src/admit/queue.rs
+++ b/crates/shallothill-policy/src/admit/queue.rs
@@ -4,12 +4,14 @@
 
 use shallothill_core::time::Millis;
 
-use crate::admit::request::{RequestKind, Ticket};
+use crate::admit::request::{Refusal, RequestKind, Ticket};
 
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct WaitingRequest {
     pub(crate) ticket: Ticket,
     pub(crate) deadline: Millis,
+    /// When the node that took the request stops, if it is stopping.
+    pub(crate) reply_by: Option<Millis>,
     /// When the latency objective ends, if that is before the deadline.
     pub(crate) objective: Option<Millis>,
     pub(crate) rank: u8,
@@ -30,6 +32,19 @@
 }
 
 impl WaitingRequest {
+    /// Returns until when a response is of use.
+    pub(crate) fn end(&self) -> Millis {
+        self.reply_by.unwrap_or(self.deadline).min(self.deadline)
+    }
+
+    /// Returns the reason for refusing the request when it can't be answered until its end.
+    pub(crate) fn late_reason(&self) -> Refusal {
+        match self.reply_by {
+            Some(at) if at < self.deadline => Refusal::Stopping,
+            _ => Refusal::Deadline,
+        }
+    }
+
     pub(crate) fn urgency(&self, now: Millis) -> Urgency {
         Urgency {
             late: self
@@ -56,6 +71,12 @@
         self.callers.len() + self.internal.len()
     }
 
+    /// Counts the requests other than that of `ticket`.
+    pub(crate) fn len_without(&self, ticket: Ticket) -> usize {
+        let all = self.callers.iter().chain(&self.internal);
+        all.filter(|w| w.ticket != ticket).count()
+    }
+
     pub(crate) fn callers_len(&self) -> usize {
         self.callers.len()
     }
@@ -66,9 +87,21 @@
         before.count()
     }
 
-    /// Removes a request that can no longer be answered before its deadline.
-    pub(crate) fn pop_expired(&mut self, now: Millis) -> Option<WaitingRequest> {
-        let expired = |w: &WaitingRequest| w.deadline <= now + w.expected_duration;
+    /// Removes a request that can no longer be answered before its end. `estimate` returns how long
+    /// a kind of request is expected to run by now. It counts for requests whose node stops, since
+    /// another node can still take them.
+    pub(crate) fn pop_expired(
+        &mut self,
+        now: Millis,
+        estimate: impl Fn(RequestKind) -> Duration,
+    ) -> Option<WaitingRequest> {
+        let expired = |w: &WaitingRequest| {
+            let duration = match w.reply_by {
+                Some(_) => estimate(w.kind),
+                None => w.expected_duration,
+            };
+            w.end() <= now + duration
+        };
         for queue in [&mut self.callers, &mut self.internal] {
             if let Some(i) = queue.iter().position(expired) {
                 return Some(queue.remove(i));
@@ -126,6 +159,13 @@
         remove_most_urgent(&mut self.callers, now)
     }
 
+    /// Returns whether the request of `ticket` is an internal one, and the request itself.
+    pub(crate) fn find_mut(&mut self, ticket: Ticket) -> Option<(bool, &mut WaitingRequest)> {
+        let callers = self.callers.iter_mut().map(|w| (false, w));
+        let internal = self.internal.iter_mut().map(|w| (true, w));
+        callers.chain(internal).find(|(_, w)| w.ticket == ticket)
+    }
+
     pub(crate) fn remove(&mut self, ticket: Ticket) -> bool {
         for queue in [&mut self.callers, &mut self.internal] {
             if let Some(i) = queue.iter().position(|w| w.ticket == ticket) {
--- a/crates/shallothill-policy/src/admit/request.rs
+++ b/crates/shallothill-policy/src/admit/request.rs
@@ -33,6 +33,9 @@
     pub class: Class,
     /// When the caller stops waiting.
     pub deadline: Millis,
+    /// When the node that took the request from the caller stops, if it is stopping; a later
+    /// response reaches nobody.
+    pub reply_by: Option<Millis>,
     /// When the latency objective of the route ends, if that is before the deadline.
     pub objective: Option<Millis>,
     /// The priority within the class; 0 is the highest.
@@ -53,6 +56,8 @@
     QueueFull,
     /// The request can't be answered before its deadline.
     Deadline,
+    /// The request can't be answered before the node that took it stops.
+    Stopping,
     /// A request of a higher class or greater urgency displaced it from the queue.
     Shed,
 }
@@ -65,6 +70,7 @@
             Self::Ejected => "ejected",
             Self::QueueFull => "queue-full",
             Self::Deadline => "deadline",
+            Self::Stopping => "stopping",
             Self::Shed => "shed",
         }
     }
--- a/crates/shallothill-policy/tests/admit.rs
+++ b/crates/shallothill-policy/tests/admit.rs
@@ -39,6 +39,7 @@
         kind: RequestKind(0),
         class,
         deadline: Millis(deadline),
+        reply_by: None,
         objective: None,
         rank: 0,
         trial: false,
--- a/crates/shallothill-policy/tests/kinds.rs
+++ b/crates/shallothill-policy/tests/kinds.rs
@@ -32,6 +32,7 @@
         kind: BOOKING,
         class: Class::Shop,
         deadline: Millis(now + 12_000),
+        reply_by: None,
         objective: Some(Millis(now + 4000)),
         rank: 1,
         trial: false,
@@ -42,6 +43,7 @@
     GateRequest {
         kind: LOOKUP,
         deadline: Millis(now + LOOKUP_DEADLINE_MS),
+        reply_by: None,
         objective: Some(Millis(now + LOOKUP_DEADLINE_MS)),
         rank: 0,
         ..booking(now)
