node, keeper, directory: departures of backend servers outlive their node's process

A server that had left, confirmed by its node, got about half of the requests again after the node was restarted and a heartbeat from before arrived late.

Cause: departures stood in the memory of the node only. A new process takes the first announcement of an unknown server whatever its age; the reports at the keepers only lack a server that has left.

Change: keepers store departures durably (`record_departures`, a cell of the data folder). A node confirms a withdrawal once a majority has it, and reads them from a majority before it registers servers after a start. Drains are stored without waiting. A withdrawal of a server that is not registered is recorded too, one of an earlier process of the same name no longer removes the later one, and a drain announced while the node stops is stored.

Why this works: any majority that a restarted node asks has a keeper in common with the one that stored a departure, and the departure covers every announcement that was sent before it.

--- a/crates/shallothill-directory/src/lib.rs
+++ b/crates/shallothill-directory/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod cursor;
 mod delta;
+mod departure;
 mod directory;
 mod endpoint_load;
 mod endpoint_status;
@@ -17,6 +18,7 @@
 
 pub use cursor::Cursor;
 pub use delta::{Delta, DirectoryChange};
+pub use departure::{Departure, DepartureTable};
 pub use directory::Directory;
 pub use endpoint_load::EndpointLoad;
 pub use endpoint_status::EndpointStatus;
--- a/crates/shallothill-keeper/src/control.rs
+++ b/crates/shallothill-keeper/src/control.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use shallothill_core::idempotency::IdempotencyKey;
+use shallothill_core::ids::NodeName;
 use shallothill_core::version::ConfigVersion;
 use shallothill_directory::{Delta, LeaseReply, LeaseRequest, ReleaseRequest};
 use shallothill_ledger::{
@@ -11,6 +12,9 @@
 };
 use shallothill_wire::control::KeeperControl;
 use shallothill_wire::crash::CrashNotice;
+use shallothill_wire::departures::{
+    DeparturesReply, KeeperGroup, RecordDeparturesReply, RecordDeparturesRequest,
+};
 use shallothill_wire::keeper_info::KeeperInfo;
 use shallothill_wire::report::{ReportReply, ReportRequest};
 use shallothill_wire::watch::{SectionsReply, SectionsRequest, WatchReply, WatchRequest};
@@ -53,6 +57,18 @@
         })
     }
 
+    fn group(&self) -> KeeperGroup {
+        let replica = self.0.log.status().replica;
+        let members = replica.map_or(0, |r| r.members.len());
+        KeeperGroup {
+            members: u32::try_from(members).unwrap_or(u32::MAX),
+            keepers: match self.0.settings.uses_discovery() {
+                true => self.0.known_keepers(),
+                false => Vec::new(),
+            },
+        }
+    }
+
     // Isolation matters only with discovery; nodes of a fixed list of keepers compare versions.
     fn is_isolated(&self) -> bool {
         self.0.settings.uses_discovery() && self.0.is_isolated()
@@ -104,6 +120,26 @@
         }
     }
 
+    async fn record_departures(
+        self,
+        _: Context,
+        req: RecordDeparturesRequest,
+    ) -> RecordDeparturesReply {
+        let now = self.0.timer.now();
+        let departures = &self.0.departures;
+        RecordDeparturesReply {
+            durable: departures.record(now, &req.node, req.departures).await,
+            group: self.group(),
+        }
+    }
+
+    async fn departures(self, _: Context, node: NodeName) -> DeparturesReply {
+        DeparturesReply {
+            departures: self.0.departures.of_node(&node),
+            group: self.group(),
+        }
+    }
+
     async fn watch(self, _: Context, req: WatchRequest) -> WatchReply {
         self.0.observe_version(req.config_version);
         let wait = Duration::from_millis(u64::from(req.wait_ms)).min(LONG_POLL_MAX);
--- a/crates/shallothill-keeper/src/data.rs
+++ b/crates/shallothill-keeper/src/data.rs
@@ -8,6 +8,7 @@
 
 use tokio::time;
 
+use crate::endpoint_departures::EndpointDepartures;
 use crate::errors;
 use crate::ledger::{Journal, first_incarnation};
 use crate::log::LogDisk;
@@ -30,6 +31,8 @@
     pub journal: Journal,
     /// The ledger member, after replaying the records of `journal`.
     pub member: LedgerMember,
+    /// The departures of backend servers.
+    pub departures: EndpointDepartures,
 }
 
 impl DurableData {
@@ -62,12 +65,14 @@
             LedgerOptions::default(),
         )?;
         let journal = Journal::try_open(&folder, &mut member)?;
+        let departures = EndpointDepartures::open(folder.share());
         let (disk, durable) = LogDisk::try_open(folder)?;
         Ok(Self {
             disk,
             durable,
             journal,
             member,
+            departures,
         })
     }
 }
--- a/crates/shallothill-keeper/src/housekeeping.rs
+++ b/crates/shallothill-keeper/src/housekeeping.rs
@@ -31,6 +31,7 @@
     while ticks.recv().await.is_some() {
         count += 1;
         keeper.update_node_registry(|now, node_registry| node_registry.expire(now));
+        keeper.departures.expire(keeper.timer.now());
         lock(&keeper.leases).drop_ended_grants(keeper.timer.now());
         if !was_complete && keeper.is_directory_complete() {
             was_complete = true;
--- a/crates/shallothill-keeper/src/keeper.rs
+++ b/crates/shallothill-keeper/src/keeper.rs
@@ -19,6 +19,7 @@
 
 use crate::change_log;
 use crate::config_state::{ConfigState, SectionHistory};
+use crate::endpoint_departures::EndpointDepartures;
 use crate::isolation::Isolation;
 use crate::ledger::LedgerHandle;
 use crate::log::LogHandle;
@@ -59,6 +60,8 @@
     pub log: LogHandle,
     /// Connections to the other keepers.
     pub peers: Arc<Peers>,
+    /// The departures of backend servers.
+    pub departures: Arc<EndpointDepartures>,
 }
 
 /// `Keeper` holds the state that the tasks and servers of a keeper share.
@@ -86,6 +89,8 @@
     pub log: LogHandle,
     /// Connections to the other keepers.
     pub peers: Arc<Peers>,
+    /// The departures of backend servers.
+    pub departures: Arc<EndpointDepartures>,
     /// Plans changes of the group; used only where keepers discover each other.
     pub membership_planner: Mutex<MembershipPlanner>,
     /// The configuration that was checked last and the hash of its text, so that it is not parsed
@@ -109,6 +114,7 @@
             ledger,
             log,
             peers,
+            departures,
         } = parts;
         let options = MembershipOptions {
             tolerated_losses: settings.tolerated_losses,
@@ -116,6 +122,7 @@
         };
         Self {
             peers,
+            departures,
             membership_planner: Mutex::new(MembershipPlanner::new(options)),
             isolation: Mutex::default(),
             node_registry: Mutex::new(NodeRegistry::new(settings.id, incarnation)),
--- a/crates/shallothill-keeper/src/lib.rs
+++ b/crates/shallothill-keeper/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod crashes;
 pub mod data;
 pub mod departure;
+pub mod endpoint_departures;
 pub mod errors;
 pub mod fatal;
 pub mod fetch;
--- a/crates/shallothill-keeper/src/process.rs
+++ b/crates/shallothill-keeper/src/process.rs
@@ -129,6 +129,7 @@
             ledger,
             log,
             peers,
+            departures: Arc::new(data.departures),
         });
         let process = Self {
             control_address,
--- a/crates/shallothill-keeper/tests/restart.rs
+++ b/crates/shallothill-keeper/tests/restart.rs
@@ -8,8 +8,9 @@
 use common::Group;
 use shallothill_core::hash::ContentHash;
 use shallothill_core::idempotency::IdempotencyKey;
-use shallothill_core::ids::NodeName;
+use shallothill_core::ids::{EndpointName, NodeName, ServiceName};
 use shallothill_core::version::ConfigVersion;
+use shallothill_directory::Departure;
 use shallothill_ledger::{
     Claim, ClaimAnswer, ClaimId, ClaimRefusal, ClaimReply, ClaimRequest, CompleteRequest,
     Completion, MemberStatus,
@@ -18,6 +19,7 @@
 use shallothill_testing::process::Process;
 use shallothill_wire::channel::RpcChannel;
 use shallothill_wire::control::KeeperControlClient;
+use shallothill_wire::departures::RecordDeparturesRequest;
 use shallothill_wire::operator::{ShowReply, SubmitReply};
 
 fn request(claim: u64) -> ClaimRequest {
@@ -235,6 +237,38 @@
     assert_eq!(reply, SubmitReply::Accepted { version });
 }
 
+/// Guards against the loss of departures of backend servers when all keepers are restarted.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn departures_survive_a_restart() {
+    let mut group = Group::start(1).await;
+    let node = NodeName::try_new("n1").unwrap();
+    let departure = Departure {
+        service: ServiceName::try_new("courier").unwrap(),
+        name: EndpointName::try_new("e1").unwrap(),
+        started_ms: 1,
+        sequence: u64::MAX,
+    };
+    let req = RecordDeparturesRequest {
+        node: node.clone(),
+        departures: vec![departure.clone()],
+    };
+    let control = group.control(0);
+    let call = control.call(common::DEADLINE, |c, cx| async move {
+        c.record_departures(cx, req).await
+    });
+    let durable = call.await.unwrap().durable;
+
+    group.stop_one(0).await;
+    group.start_one(0, false).await;
+    let control = group.control(0);
+    let call = control.call(common::DEADLINE, |c, cx| async move {
+        c.departures(cx, node).await
+    });
+
+    assert!(durable);
+    assert_eq!(call.await.unwrap().departures, [departure]);
+}
+
 /// Guards against a keeper that goes on acknowledging after its disk has failed.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn failed_disk_ends_the_process() {
--- a/crates/shallothill-node/src/announce.rs
+++ b/crates/shallothill-node/src/announce.rs
@@ -1,12 +1,14 @@
 //! The HTTP endpoint for the announcements of the backend servers on the host.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use http_body_util::{BodyExt, Limited};
 use hyper::{Method, Request, Response, StatusCode};
 use shallothill_core::ids::{EndpointName, ServiceName};
 
 use crate::body::Body;
+use crate::gate;
 use crate::gate::{Announcement, Gate};
 use crate::listener::RequestHandler;
 use crate::refusal::Refusal;
@@ -15,6 +17,10 @@
 /// `MAX_BODY_BYTES` bounds the body of an announcement.
 const MAX_BODY_BYTES: usize = 4096;
 
+/// `MAX_RESTORE_WAIT` is the time for which an announcement waits at the start of the node until the
+/// earlier departures are known. Backend servers wait about a second for the acknowledgement.
+pub const MAX_RESTORE_WAIT: Duration = Duration::from_millis(800);
+
 /// `AnnounceServer` answers `PUT` and `DELETE /announce/{service}/{endpoint}`.
 #[derive(Debug)]
 pub struct AnnounceServer {
@@ -28,12 +34,18 @@
             return UNKNOWN_PATH.response();
         };
         if req.method() == Method::DELETE {
-            self.gate.withdraw_announcement(&service, &name);
-            return no_content();
+            let withdrawn = self.gate.withdraw_announcement(&service, &name, None);
+            return match withdrawn.await {
+                Ok(()) => no_content(),
+                Err(gate::DepartureNotStored) => NOT_STORED.response(),
+            };
         }
         if req.method() != Method::PUT {
             return METHOD_NOT_ALLOWED.response();
         }
+        if !self.gate.wait_restored(MAX_RESTORE_WAIT).await {
+            return STARTING.response();
+        }
         let body = Limited::new(req.into_body(), MAX_BODY_BYTES)
             .collect()
             .await;
@@ -78,3 +90,11 @@
     "send JSON: {\"address\": \"ip:port\", \"state\": \"ready|cold|draining\", \"slots\": n}, \
      with a port and n above 0, a start that is not in the future and a sequence that rises by one",
 );
+const NOT_STORED: Refusal = Refusal::not_run(
+    "not-stored",
+    "the backend server gets no more requests, but too few keepers have stored that; send it again",
+);
+const STARTING: Refusal = Refusal::not_run(
+    "starting",
+    "the node does not know yet which backend servers have left; announce again",
+);
--- a/crates/shallothill-node/src/control/mod.rs
+++ b/crates/shallothill-node/src/control/mod.rs
@@ -1,6 +1,7 @@
 //! Communication with keepers: reports, watches, discovery and the configuration.
 
 mod config_fetch;
+mod departures;
 mod discovery;
 mod failover;
 mod keepers;
@@ -10,6 +11,7 @@
 mod watch;
 
 pub use config_fetch::ConfigFetcher;
+pub use departures::{recent_departures, record_departure};
 pub use discovery::Discovery;
 pub use failover::KeeperFailover;
 pub use keepers::{Keeper, Keepers};
--- a/crates/shallothill-node/src/gate/announcement.rs
+++ b/crates/shallothill-node/src/gate/announcement.rs
@@ -73,14 +73,13 @@
     ///
     /// Fails when a value cannot come from a working backend server.
     pub(crate) fn validate(&self, now: UnixMillis) -> Result<(), AnnouncementError> {
-        let ahead = u64::try_from(MAX_CLOCK_SKEW.as_millis()).unwrap_or(u64::MAX);
         if self.slots == 0 {
             return Err(AnnouncementError::NoSlots);
         }
         if self.address.port() == 0 {
             return Err(AnnouncementError::NoPort);
         }
-        if self.started_ms > now.0.saturating_add(ahead) {
+        if !is_plausible_start(self.started_ms, now) {
             return Err(AnnouncementError::FutureStart);
         }
         Ok(())
@@ -105,3 +104,9 @@
         (self.started_ms, self.sequence)
     }
 }
+
+/// `is_plausible_start` tells whether a process that runs now can have started at `started_ms`.
+pub(super) fn is_plausible_start(started_ms: u64, now: UnixMillis) -> bool {
+    let ahead = u64::try_from(MAX_CLOCK_SKEW.as_millis()).unwrap_or(u64::MAX);
+    started_ms <= now.0.saturating_add(ahead)
+}
--- a/crates/shallothill-node/src/gate/mod.rs
+++ b/crates/shallothill-node/src/gate/mod.rs
@@ -6,6 +6,7 @@
 mod claimed_request;
 mod connection_pool;
 mod departed;
+mod departures;
 mod endpoint;
 mod exchange;
 mod head_limit;
@@ -27,7 +28,7 @@
 use shallothill_core::incarnation::Incarnation;
 use shallothill_policy::pick::ReportedLoad;
 use shallothill_runtime::timer::Timer;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 use tokio_util::task::TaskTracker;
 
 use crate::attempt::{Attempt, AttemptReply};
@@ -45,6 +46,7 @@
 pub use announcement::{Announced, Announcement, AnnouncementError};
 pub(crate) use attempt_limits::RETRY_BUDGET_REASON;
 pub(crate) use connection_pool::{Connection, ConnectionPool, SendError};
+pub use departures::DepartureNotStored;
 pub use endpoint::Endpoint;
 pub(crate) use exchange::{BODY_INCOMPLETE, BODY_TOO_LARGE, BODY_TOO_SLOW};
 pub use ledger_client::LedgerClient;
@@ -90,6 +92,8 @@
     deps: GateDependencies,
     endpoints: ArcSwap<Endpoints>,
     departed: Mutex<DepartedEndpoints>,
+    /// Whether the departures from before a restart are known.
+    restored: watch::Sender<bool>,
     stopping: AtomicBool,
     next_incarnation: std::sync::atomic::AtomicU64,
 }
@@ -101,6 +105,7 @@
             deps,
             endpoints: ArcSwap::default(),
             departed: Mutex::default(),
+            restored: watch::Sender::new(false),
             stopping: AtomicBool::new(false),
             next_incarnation: std::sync::atomic::AtomicU64::new(0),
         }
--- a/crates/shallothill-node/src/gate/registration.rs
+++ b/crates/shallothill-node/src/gate/registration.rs
@@ -9,6 +9,7 @@
 use tracing::{info, warn};
 
 use crate::gate::departed::DepartedEndpoints;
+use crate::gate::departures::final_departure;
 use crate::gate::{Announced, Announcement, AnnouncementError, Endpoint, Gate};
 
 impl Gate {
@@ -44,6 +45,10 @@
             return;
         }
         if self.stopping.load(Ordering::Relaxed) {
+            // The next process of the node must know of this drain, which is acknowledged.
+            if a.state == Announced::Draining {
+                self.store_drain(key, &a);
+            }
             return;
         }
         self.remove_predecessors(key, &a);
@@ -66,6 +71,7 @@
                 if a.state == Announced::Draining && !draining {
                     info!("gate: {} is draining", endpoint.id);
                     endpoint.drain();
+                    self.store_drain(key, &a);
                     self.deps.changed.notify_one();
                 }
                 return;
@@ -75,6 +81,7 @@
         info!("gate: {} is announced at {}", endpoint.id, a.address);
         if a.state == Announced::Draining {
             endpoint.drain();
+            self.store_drain(key, &a);
         }
         if let Some(previous) = current {
             previous.drain();
@@ -83,38 +90,19 @@
         self.set_endpoint(key.clone(), Some(endpoint));
     }
 
-    /// `withdraw_announcement` removes a backend server at its own request; returns whether it was
-    /// registered.
-    pub fn withdraw_announcement(&self, service: &ServiceName, name: &EndpointName) -> bool {
-        let key = (service.clone(), name.clone());
-        let Some(endpoint) = self.endpoints.load().get(&key).cloned() else {
-            return false;
-        };
-        info!("gate: {} has withdrawn its announcement", endpoint.id);
-        self.end_incarnation(key, &endpoint);
-        true
-    }
-
-    // Announcements of the same incarnation that arrive later are ignored from now on.
-    fn end_incarnation(&self, key: (ServiceName, EndpointName), endpoint: &Endpoint) {
-        let started_ms = endpoint.lock().order_key.0;
-        self.departed().insert(key.clone(), started_ms);
-        self.remove_endpoint(key, endpoint);
-    }
-
-    fn remove_endpoint(&self, key: (ServiceName, EndpointName), endpoint: &Endpoint) {
+    pub(super) fn remove_endpoint(&self, key: (ServiceName, EndpointName), endpoint: &Endpoint) {
         endpoint.drain();
         endpoint.pool.clear();
         self.set_endpoint(key, None);
     }
 
-    fn departed(&self) -> MutexGuard<'_, DepartedEndpoints> {
+    pub(super) fn departed(&self) -> MutexGuard<'_, DepartedEndpoints> {
         self.departed.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     // Announcements may arrive late, after a newer one or after their sender has departed.
     fn is_stale(&self, key: &(ServiceName, EndpointName), a: &Announcement) -> bool {
-        if self.departed().has_departed(key, a.started_ms) {
+        if self.departed().is_outdated(key, a.order_key()) {
             return true;
         }
         let newer = |(other, e): (&(ServiceName, EndpointName), &Arc<Endpoint>)| {
@@ -165,10 +153,10 @@
                 endpoint.id
             );
             if draining {
-                self.end_incarnation(key.clone(), endpoint);
-            } else {
-                self.remove_endpoint(key.clone(), endpoint);
+                let started_ms = endpoint.lock().order_key.0;
+                self.departed().insert(&final_departure(key, started_ms));
             }
+            self.remove_endpoint(key.clone(), endpoint);
         }
     }
 }
--- a/crates/shallothill-node/tests/announcements.rs
+++ b/crates/shallothill-node/tests/announcements.rs
@@ -22,7 +22,7 @@
 
 struct GateFixture {
     node: cluster::RunningNode,
-    _keepers: Keepers,
+    keepers: Keepers,
 }
 
 impl GateFixture {
@@ -34,7 +34,7 @@
         };
         Self {
             node: cluster::RunningNode::start("n1", &keepers.addresses, bounds).await,
-            _keepers: keepers,
+            keepers,
         }
     }
 
@@ -45,6 +45,14 @@
         let _ = self.node.node.gate().announce(&service, &name, a);
     }
 
+    async fn withdraw(&self, name: &str, started_ms: u64) {
+        let service = ServiceName::try_new("courier").unwrap();
+        let name = EndpointName::try_new(name).unwrap();
+        let gate = self.node.node.gate();
+        let withdrawn = gate.withdraw_announcement(&service, &name, Some(started_ms));
+        withdrawn.await.unwrap();
+    }
+
     fn state(&self, name: &str) -> Option<ServingState> {
         let statuses = self.node.node.gate().endpoint_statuses();
         let found = statuses.into_iter().find(|s| s.name.as_str() == name);
@@ -139,6 +147,44 @@
     assert_eq!(gate.state("e1"), None);
 }
 
+/// Guards against a departure that is confirmed although the keepers do not have it, so that a
+/// restart of the node would undo it, and against requests to a server whose departure is not
+/// confirmed.
+#[tokio::test]
+async fn a_departure_is_confirmed_only_if_a_majority_of_the_keepers_has_it() {
+    let mut gate = GateFixture::start(10_000).await;
+    gate.announce("e1", ready(now_ms(), 1));
+    let at = gate.node.node.addresses().announce;
+    let client = Client::default();
+    let withdraw = || {
+        let path = "/announce/courier/e1";
+        client.send(Method::DELETE, at, path, &[], Bytes::new(), MAX_WAIT)
+    };
+
+    gate.keepers.kill(0);
+    let with_majority = withdraw().await.unwrap().status;
+    gate.announce("e1", ready(now_ms(), 2));
+    gate.keepers.kill(1);
+    let without_majority = withdraw().await.unwrap().status;
+    let state = gate.state("e1");
+
+    assert_eq!(with_majority, StatusCode::NO_CONTENT);
+    assert_eq!(without_majority, StatusCode::SERVICE_UNAVAILABLE);
+    assert_eq!(state, None);
+}
+
+/// Guards against a late withdrawal of an earlier process that removes the one that is running.
+#[tokio::test]
+async fn a_withdrawal_of_an_earlier_process_removes_no_later_one() {
+    let gate = GateFixture::start(10_000).await;
+    let start = now_ms();
+    gate.announce("e1", ready(start, 1));
+
+    gate.withdraw("e1", start - 1000).await;
+
+    assert!(gate.state("e1").is_some());
+}
+
 /// Guards against a backend server that can never register again after an announcement under
 /// another name at its address.
 #[tokio::test]
--- a/crates/shallothill-node/tests/support/keepers.rs
+++ b/crates/shallothill-node/tests/support/keepers.rs
@@ -8,14 +8,14 @@
 
 use shallothill_core::config::Config;
 use shallothill_core::idempotency::IdempotencyKey;
-use shallothill_core::ids::{DataCentre, KeeperId, Region, Zone};
+use shallothill_core::ids::{DataCentre, KeeperId, NodeName, Region, Zone};
 use shallothill_core::incarnation::Incarnation;
 use shallothill_core::sections;
 use shallothill_core::time::{Millis, UnixMillis};
 use shallothill_core::version::ConfigVersion;
 use shallothill_directory::{
-    Directory, DirectoryOptions, EndpointLoad, LeaseAnswer, LeaseReply, LeaseRequest,
-    ReleaseRequest, ServiceSummary,
+    DepartureTable, Directory, DirectoryOptions, EndpointLoad, LeaseAnswer, LeaseReply,
+    LeaseRequest, ReleaseRequest, ServiceSummary,
 };
 use shallothill_ledger::{
     ClaimReply, ClaimRequest, CompleteRequest, LedgerMember, LedgerOptions, LedgerRecord,
@@ -24,6 +24,9 @@
 use shallothill_node::settings::KeeperAddress;
 use shallothill_wire::control::KeeperControl;
 use shallothill_wire::crash::CrashNotice;
+use shallothill_wire::departures::{
+    DeparturesReply, KeeperGroup, RecordDeparturesReply, RecordDeparturesRequest,
+};
 use shallothill_wire::keeper_info::KeeperInfo;
 use shallothill_wire::report::{ReportReply, ReportRequest};
 use shallothill_wire::watch::{
@@ -51,6 +54,7 @@
     infos: Mutex<Vec<KeeperInfo>>,
     directory: Mutex<Directory>,
     crashes: Mutex<Vec<CrashNotice>>,
+    departures: Mutex<DepartureTable>,
     pub claims: Mutex<BTreeMap<IdempotencyKey, usize>>,
 }
 
@@ -102,6 +106,7 @@
                 DirectoryOptions::default(),
             )),
             crashes: Mutex::default(),
+            departures: Mutex::default(),
             claims: Mutex::default(),
         });
         let group = [KeeperId(1), KeeperId(2), KeeperId(3)];
@@ -168,6 +173,13 @@
 }
 
 impl FakeKeeper {
+    fn group(&self) -> KeeperGroup {
+        KeeperGroup {
+            members: self.shared.infos.lock().unwrap().len() as u32,
+            keepers: Vec::new(),
+        }
+    }
+
     fn is_isolated(&self) -> bool {
         self.shared.isolated.lock().unwrap().contains(&self.id)
     }
@@ -203,6 +215,26 @@
         }
     }
 
+    async fn record_departures(
+        self,
+        _: Context,
+        req: RecordDeparturesRequest,
+    ) -> RecordDeparturesReply {
+        let mut departures = self.shared.departures.lock().unwrap();
+        departures.record(self.shared.now(), &req.node, req.departures);
+        RecordDeparturesReply {
+            durable: true,
+            group: self.group(),
+        }
+    }
+
+    async fn departures(self, _: Context, node: NodeName) -> DeparturesReply {
+        DeparturesReply {
+            departures: self.shared.departures.lock().unwrap().of_node(&node),
+            group: self.group(),
+        }
+    }
+
     async fn watch(self, _: Context, req: WatchRequest) -> WatchReply {
         let until = Instant::now() + Duration::from_millis(u64::from(req.wait_ms));
         if req.cursor.is_none() {
--- a/crates/shallothill-storage/src/folder.rs
+++ b/crates/shallothill-storage/src/folder.rs
@@ -79,6 +79,21 @@
         })
     }
 
+    /// `share` returns another handle to the folder, which stays locked until all handles are
+    /// dropped.
+    pub fn share(&self) -> Self
+    where
+        F: Clone,
+    {
+        Self {
+            files: self.files.clone(),
+            path: self.path.clone(),
+            options: self.options.clone(),
+            lock: Arc::clone(&self.lock),
+            new: self.new,
+        }
+    }
+
     /// `is_new` tells whether `try_open` created the identity file. The logs of a new folder are
     /// marked lost, also after a restart, until [`crate::Log::mark_repaired`] is called.
     pub fn is_new(&self) -> bool {
--- a/crates/shallothill-wire/src/control.rs
+++ b/crates/shallothill-wire/src/control.rs
@@ -4,12 +4,14 @@
 use std::net::SocketAddr;
 
 use shallothill_core::idempotency::IdempotencyKey;
+use shallothill_core::ids::NodeName;
 use shallothill_core::version::ConfigVersion;
 use shallothill_directory::{LeaseReply, LeaseRequest, ReleaseRequest};
 use shallothill_ledger::{ClaimReply, ClaimRequest, CompleteRequest, WithdrawRequest};
 use tarpc::client;
 
 use crate::channel;
+use crate::departures::{DeparturesReply, RecordDeparturesReply, RecordDeparturesRequest};
 use crate::keeper_info::KeeperInfo;
 use crate::report::{ReportReply, ReportRequest};
 use crate::transport;
@@ -20,6 +22,10 @@
 pub trait KeeperControl {
     /// `report` stores a node's state in the directory.
     async fn report(req: ReportRequest) -> ReportReply;
+    /// `record_departures` stores departures of backend servers.
+    async fn record_departures(req: RecordDeparturesRequest) -> RecordDeparturesReply;
+    /// `departures` returns the recent departures of the backend servers of a node.
+    async fn departures(node: NodeName) -> DeparturesReply;
     /// `watch` is a long poll for changes of the configuration and of the directory.
     async fn watch(req: WatchRequest) -> WatchReply;
     /// `sections` returns the requested sections of a configuration version.
