--- a/crates/shallothill-node/src/control/config_fetch.rs
+++ b/crates/shallothill-node/src/control/config_fetch.rs
@@ -16,7 +16,7 @@
 use shallothill_wire::watch::{ConfigUpdate, SectionsReply, SectionsRequest, WatchRequest};
 use tokio::time;
 use tokio_util::sync::CancellationToken;
-use tracing::{info, warn};
+use tracing::{debug, info, warn};
 
 use crate::body::Body;
 use crate::config::{ApplyResult, ConfigStore};
@@ -61,15 +61,28 @@
                 () = self.store.wait_for_newer_version() => {}
                 () = stop.cancelled() => return,
             }
+            let known = self.store.highest_known_version();
+            if self.store.version() < known {
+                info!(
+                    in_force = self.store.version().0,
+                    "config: version {known} exists; asking peers for it"
+                );
+            }
             while self.store.version() < self.store.highest_known_version() {
                 let peers = self.view.random_peers(PEERS_PER_ROUND);
                 for address in self.store.newest_version_peer().into_iter().chain(peers) {
-                    if self.fetch_from_peer(address).await == Some(ApplyResult::InForce) {
+                    let fetched = self.fetch_from_peer(address).await;
+                    if fetched == Some(ApplyResult::InForce) {
                         gate.apply_config();
                         let version = self.store.version();
                         info!("config: version {version} of peer {address} is in force");
                         break;
                     }
+                    let answered = fetched.is_some();
+                    debug!(
+                        answered,
+                        "config: peer {address} has no newer version for us"
+                    );
                 }
                 tokio::select! {
                     _ = self.timer.after(ROUND_PAUSE) => {}
--- a/crates/shallothill-node/src/control/watch.rs
+++ b/crates/shallothill-node/src/control/watch.rs
@@ -101,6 +101,13 @@
                 unanswered = 0;
                 continue;
             }
+            let waited = self.timer.now().saturating_since(now);
+            info!(
+                waited_ms = waited.as_millis() as u64,
+                first = state.keeper != Some(keeper.id()),
+                "watch: keeper {} does not answer",
+                keeper.id()
+            );
             index = (index + 1) % all.len();
             switched = now;
             unanswered += 1;
--- a/crates/shallothill-node/src/dump.rs
+++ b/crates/shallothill-node/src/dump.rs
@@ -29,6 +29,7 @@
             "directory": self.dump_directory(),
             "picks": self.dump_picks(),
             "peers": self.links().addresses(),
+            "open_requests": self.entry().open_requests().count(),
             "limited_callers": self.entry().limited_callers(),
             "buffered_bytes": self.entry().buffered_bytes(),
             "counters": self.counters().dump(),
--- a/crates/shallothill-node/src/entry/handler.rs
+++ b/crates/shallothill-node/src/entry/handler.rs
@@ -38,6 +38,7 @@
 impl RequestHandler for Entry {
     async fn handle(&self, req: Request<UnreadBody>) -> Response<Body> {
         let arrived = Instant::now();
+        let _open = self.open.start();
         let id = self.deps.interface.request_id_of(req.headers());
         let id = id.map(str::to_owned);
         let mut head = None;
--- a/crates/shallothill-node/src/entry/mod.rs
+++ b/crates/shallothill-node/src/entry/mod.rs
@@ -4,6 +4,7 @@
 mod ended_attempt;
 mod handler;
 mod in_flight;
+mod open_requests;
 mod prepare;
 mod run_state;
 mod send;
@@ -32,6 +33,7 @@
 use crate::view::DirectoryView;
 
 pub use in_flight::InFlight;
+pub use open_requests::OpenRequests;
 pub(crate) use prepare::NOT_READY;
 
 /// `EntryDependencies` contains the components and settings that an entry is built from.
@@ -71,6 +73,7 @@
     deps: EntryDependencies,
     budgets: RwLock<HashMap<ServiceName, Arc<RetryBudget>>>,
     serving: AtomicBool,
+    open: OpenRequests,
     /// Set when the node begins to stop.
     reply_by: ReplyBy,
 }
@@ -82,6 +85,7 @@
             deps,
             budgets: RwLock::default(),
             serving: AtomicBool::new(false),
+            open: OpenRequests::default(),
             reply_by: ReplyBy::default(),
         }
     }
@@ -104,6 +108,11 @@
         self.serving.load(Ordering::Relaxed)
     }
 
+    /// `open_requests` counts the requests of callers that are not answered yet.
+    pub fn open_requests(&self) -> &OpenRequests {
+        &self.open
+    }
+
     /// `limited_callers` returns the number of callers with state for their limits.
     pub fn limited_callers(&self) -> usize {
         self.deps.limits.len()
--- a/crates/shallothill-node/src/node/mod.rs
+++ b/crates/shallothill-node/src/node/mod.rs
@@ -352,8 +352,10 @@
         let ends_at = Instant::now() + bounds.lame_duck() + bounds.stop_timeout();
         self.entry.start_draining(ends_at);
         self.gate.drain_all();
+        self.log_stop("node: draining; the gate takes no more attempts");
         // The timer fails only when the process ends.
         let _ = self.timer.after(bounds.lame_duck()).await;
+        self.log_stop("node: closing the listeners");
         self.close_listeners.cancel();
         self.connections.close();
         self.background.close();
@@ -365,6 +367,20 @@
             warn!("node: connections are still open at the end of the stop timeout; ending them");
         }
         self.end_tasks.cancel();
-        info!("node: stopped");
+        self.log_stop("node: stopped");
+    }
+
+    // Shows what a stop still waits for: callers' requests, or attempts at the own backend servers.
+    fn log_stop(&self, step: &str) {
+        let endpoints = self.gate.endpoints();
+        let loads = endpoints.values().map(|e| e.reported_load());
+        let (running, queued) = loads.fold((0, 0), |(running, queued), l| {
+            (
+                running + u32::from(l.in_flight),
+                queued + u32::from(l.queued),
+            )
+        });
+        let open = self.entry.open_requests().count();
+        info!(open, running, queued, "{step}");
     }
 }
