--- /dev/null
+++ b/crates/shallothill-node/tests/silent_keepers.rs
@@ -0,0 +1,75 @@
+//! Connections to keepers that go silent for good while new ones work.
+
+mod support;
+
+use std::time::Duration;
+
+use shallothill_core::version::ConfigVersion;
+use shallothill_testing::process;
+use shallothill_testing::relay::Relay;
+use support::cluster::RunningNode;
+use support::keepers::Keepers;
+use support::{MAX_WAIT, cluster};
+
+/// The time after a failure by which every node acts on an accepted configuration.
+const IN_FORCE_AFTER: Duration = Duration::from_secs(3);
+
+/// Starts a relay in front of each keeper; nodes know only the addresses of the relays.
+async fn start_relays(keepers: &Keepers) -> Vec<Relay> {
+    let mut relays = Vec::new();
+    for i in 0..3 {
+        let target = keepers.address(i);
+        let relay = Relay::start(cluster::any_local_port(), target).await;
+        relays.push(relay.unwrap());
+    }
+    keepers.advertise(relays.iter().map(Relay::address));
+    relays
+}
+
+async fn start_node(relays: &[Relay]) -> RunningNode {
+    let seeds = relays.iter().map(Relay::address).collect();
+    let node = RunningNode::start_with_seeds("n1", seeds).await;
+    process::wait_until("the node serves", MAX_WAIT, || async {
+        node.node.store().version() == ConfigVersion(1) && node.node.keepers().all().len() == 3
+    })
+    .await
+    .unwrap();
+    node
+}
+
+async fn wait_for_version(node: &RunningNode, version: u64, limit: Duration) {
+    let in_force = || async { node.node.store().version() == ConfigVersion(version) };
+    process::wait_until("the new version is in force", limit, in_force)
+        .await
+        .unwrap();
+}
+
+/// Guards against a node that acts on an old version while it waits on silent connections, one
+/// keeper after the other.
+#[tokio::test]
+async fn a_new_version_is_in_force_soon_after_all_connections_went_silent() {
+    let keepers = Keepers::start(cluster::REGION, cluster::config()).await;
+    let relays = start_relays(&keepers).await;
+    let node = start_node(&relays).await;
+
+    relays.iter().for_each(Relay::sever);
+    keepers.shared.set_config(2, cluster::config());
+
+    wait_for_version(&node, 2, IN_FORCE_AFTER).await;
+}
+
+/// Guards against a node that waits for keepers that are gone in turn, each for the whole timeout.
+#[tokio::test]
+async fn a_new_version_is_in_force_soon_after_two_keepers_fell_silent() {
+    let keepers = Keepers::start(cluster::REGION, cluster::config()).await;
+    let relays = start_relays(&keepers).await;
+    let node = start_node(&relays).await;
+
+    // New connections are accepted, as by a suspended process, but nothing is answered.
+    for relay in &relays[..2] {
+        relay.cut(shallothill_testing::relay::Direction::FromTarget);
+    }
+    keepers.shared.set_config(2, cluster::config());
+
+    wait_for_version(&node, 2, IN_FORCE_AFTER).await;
+}
--- a/crates/shallothill-node/tests/support/keepers.rs
+++ b/crates/shallothill-node/tests/support/keepers.rs
@@ -167,6 +167,14 @@
             .apply_report(now, report);
     }
 
+    /// Makes the keepers list each other at other addresses, such as those of relays.
+    pub fn advertise(&self, addresses: impl Iterator<Item = SocketAddr>) {
+        let mut infos = self.shared.infos.lock().unwrap();
+        for (info, address) in infos.iter_mut().zip(addresses) {
+            info.control_address = address;
+        }
+    }
+
     pub fn address(&self, i: usize) -> SocketAddr {
         self.addresses[i].control_address
     }
