wire, node: a silent connection to a keeper is found within 1.5 s

What callers saw: requests handled by an old configuration (CONFIG: "handled by version N or older; version N was acked more than N ms before"), and 404 on routes that had been added.

Cause: when open connections go silent, a watch ended only at its own timeout, 3 s, and the first watch at the next keeper 8 s later, since its connection had been open, and silent, from the start of the node. Until then the whole region followed nobody; its peers, the only other source, were as old.

Change: a keeper holds a watch for 1 s and it is given up after 1.5 s; then it is repeated at once at the same keeper on a new connection, with its cursor; then all other keepers are asked at the same time, and the first that hears a primary is followed. The first watch, which may take long, follows a small call that is answered. RpcChannel, which all calls between processes use, does not use a connection again that had no reply for 3 s, so reports, discovery and departures don't wait on silent connections either. A failed call no longer discards a connection that another call has opened.

--- a/crates/shallothill-node/src/control/failover.rs
+++ b/crates/shallothill-node/src/control/failover.rs
@@ -3,18 +3,15 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use shallothill_core::ids::KeeperId;
 use shallothill_runtime::timer::Timer;
 use tokio_util::sync::CancellationToken;
 
-use crate::control::{Keeper, KeeperSwitch, Keepers};
+use crate::control::search::Found;
+use crate::control::{KeeperSwitch, Keepers, search};
 
 /// `SEARCH_PERIOD` is the time between searches; each asks every other keeper at most once.
 const SEARCH_PERIOD: Duration = Duration::from_millis(250);
 
-/// `CALL_TIMEOUT` is the longest wait for one keeper.
-const CALL_TIMEOUT: Duration = Duration::from_millis(500);
-
 /// `KeeperFailover` moves the watch to a keeper that hears a primary when the followed one does
 /// not.
 ///
@@ -40,30 +37,10 @@
                 () = stop.cancelled() => return,
             }
             if let Some(isolated) = self.switch.isolated_keeper()
-                && let Some(index) = self.find_connected(isolated).await
+                && let Found::Connected(index) = search::find_keeper(&self.keepers, isolated).await
             {
                 self.switch.request(index);
             }
         }
     }
-
-    // Returns the list index of the nearest keeper that hears a primary. Keepers are asked one at a
-    // time.
-    async fn find_connected(&self, isolated: KeeperId) -> Option<usize> {
-        let all = self.keepers.all();
-        let others = all.iter().enumerate().filter(|(_, k)| k.id() != isolated);
-        for (index, keeper) in others {
-            if hears_primary(keeper).await {
-                return Some(index);
-            }
-        }
-        None
-    }
-}
-
-async fn hears_primary(keeper: &Keeper) -> bool {
-    let call = keeper
-        .channel()
-        .call(CALL_TIMEOUT, |c, cx| async move { c.isolated(cx).await });
-    matches!(call.await, Ok(false))
 }
--- a/crates/shallothill-node/src/control/mod.rs
+++ b/crates/shallothill-node/src/control/mod.rs
@@ -7,6 +7,7 @@
 mod keepers;
 mod probe;
 mod report;
+mod search;
 mod startup;
 mod watch;
 
--- a/crates/shallothill-node/src/control/watch.rs
+++ b/crates/shallothill-node/src/control/watch.rs
@@ -12,20 +12,26 @@
 use tracing::{info, warn};
 
 use crate::config::{ApplyResult, ConfigStore};
-use crate::control::{ConfigFetcher, Keeper, KeeperSwitch, Keepers};
+use crate::control::search::Found;
+use crate::control::{ConfigFetcher, Keeper, KeeperSwitch, Keepers, search};
 use crate::crashes::CrashTracker;
 use crate::gate::Gate;
 use crate::view::DirectoryView;
 
-/// `MAX_HOLD_TIME` is the time for which a keeper may hold a watch open without changes.
-const MAX_HOLD_TIME: Duration = Duration::from_secs(2);
+/// `MAX_HOLD_TIME` is the time for which a keeper may hold a watch open without changes. A
+/// connection that went silent is noticed only when the reply is overdue, and the node has to find
+/// another keeper within 3 s after the failure.
+const MAX_HOLD_TIME: Duration = Duration::from_secs(1);
 
-/// `WATCH_TIMEOUT` is the longest wait for a watch; a keeper that takes longer is cut off or has
-/// stopped.
-const WATCH_TIMEOUT: Duration = Duration::from_secs(3);
+/// `WATCH_TIMEOUT` is the longest wait for a watch.
+const WATCH_TIMEOUT: Duration = Duration::from_millis(1500);
+
+/// `RETRY_TIMEOUT` is the longest wait for the watch that is repeated on a new connection, without
+/// a hold time; a keeper that takes longer is cut off or has stopped.
+const RETRY_TIMEOUT: Duration = Duration::from_millis(800);
 
 /// `FIRST_WATCH_TIMEOUT` is the longest wait for the first watch of a keeper, which returns the
-/// whole directory.
+/// whole directory. The keeper has answered a small call right before.
 const FIRST_WATCH_TIMEOUT: Duration = Duration::from_secs(8);
 
 /// `NEAREST_RETRY_AFTER` is the time after which the nearest keeper is tried again.
@@ -65,6 +71,23 @@
     cursor: Option<Cursor>,
     /// Whether the keeper has sent its whole directory.
     complete: bool,
+    /// Whether the last watch had no answer and is repeated on a new connection.
+    repeating: bool,
+}
+
+impl WatchState {
+    fn follows(&self, keeper: &Keeper) -> bool {
+        self.keeper == Some(keeper.id())
+    }
+
+    /// `limits` returns for how long the keeper may hold the next watch, and the longest wait.
+    fn limits(&self, keeper: &Keeper) -> (Duration, Duration) {
+        match (self.follows(keeper), self.repeating) {
+            (false, _) => (Duration::ZERO, FIRST_WATCH_TIMEOUT),
+            (true, true) => (Duration::ZERO, RETRY_TIMEOUT),
+            (true, false) => (MAX_HOLD_TIME, WATCH_TIMEOUT),
+        }
+    }
 }
 
 impl Watcher {
@@ -73,7 +96,7 @@
         let mut index = 0;
         let mut state = WatchState::default();
         let mut switched = self.timer.now();
-        let mut unanswered = 0;
+        let mut warned = false;
         loop {
             let now = self.timer.now();
             if index != 0 && now.saturating_since(switched) >= NEAREST_RETRY_AFTER {
@@ -98,57 +121,62 @@
             };
             keeper.set_reachable(watched);
             if watched {
-                unanswered = 0;
+                warned = false;
+                state.repeating = false;
                 continue;
             }
             let waited = self.timer.now().saturating_since(now);
             info!(
                 waited_ms = waited.as_millis() as u64,
-                first = state.keeper != Some(keeper.id()),
+                first = !state.follows(keeper),
                 "watch: keeper {} does not answer",
                 keeper.id()
             );
-            index = (index + 1) % all.len();
-            switched = now;
-            unanswered += 1;
-            if unanswered >= all.len() {
-                if unanswered == all.len() {
-                    warn!(
-                        "watch: no keeper answers; the last configuration and directory stay in use"
-                    );
-                }
-                // The timer fails only when the process ends.
-                let _ = self.timer.after(ROUND_PAUSE).await;
+            // The connection may be silent while the keeper is well.
+            state.repeating = state.follows(keeper) && !state.repeating;
+            if state.repeating {
+                continue;
             }
+            switched = self.timer.now();
+            index = match search::find_keeper(&self.keepers, keeper.id()).await {
+                Found::Connected(found) | Found::Isolated(found) => found,
+                Found::Nothing => {
+                    if !warned {
+                        warn!(
+                            "watch: no keeper answers; the last configuration and directory stay \
+                             in use"
+                        );
+                        warned = true;
+                    }
+                    // The timer fails only when the process ends.
+                    let _ = self.timer.after(ROUND_PAUSE).await;
+                    (index + 1) % all.len()
+                }
+            };
         }
     }
 
     async fn watch(&self, keeper: &Arc<Keeper>, state: &mut WatchState) -> bool {
-        let first = state.keeper != Some(keeper.id());
+        let first = !state.follows(keeper);
         if first {
+            if search::is_isolated(keeper).await.is_none() {
+                return false;
+            }
             self.switch.set_followed_version(None);
             self.switch.set_isolated_keeper(None);
         }
+        let (hold, timeout) = state.limits(keeper);
         let req = WatchRequest {
             node: self.node.clone(),
             config_version: self.store.version(),
             cursor: state.cursor.filter(|_| !first),
             complete: state.complete && !first,
             isolated: self.switch.isolated_keeper().is_some(),
-            wait_ms: if first {
-                0
-            } else {
-                MAX_HOLD_TIME.as_millis() as u32
-            },
+            wait_ms: hold.as_millis() as u32,
         };
-        let call = keeper.channel().call(
-            if first {
-                FIRST_WATCH_TIMEOUT
-            } else {
-                WATCH_TIMEOUT
-            },
-            |c, cx| async move { c.watch(cx, req).await },
-        );
+        let call = keeper
+            .channel()
+            .call(timeout, |c, cx| async move { c.watch(cx, req).await });
         let Ok(reply) = call.await else { return false };
         self.switch.set_followed_version(Some(reply.config_version));
         if first {
--- a/crates/shallothill-wire/src/channel.rs
+++ b/crates/shallothill-wire/src/channel.rs
@@ -4,6 +4,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
 use arc_swap::ArcSwapOption;
@@ -19,12 +20,26 @@
     fn connect(address: SocketAddr) -> impl Future<Output = io::Result<Self>> + Send;
 }
 
+/// `MAX_IDLE_TIME` is the time without a reply after which a connection is not used again. A link
+/// may drop an idle connection without an error, and the call would find that out only at its
+/// deadline.
+const MAX_IDLE_TIME: Duration = Duration::from_secs(3);
+
 /// `RpcChannel` sends RPC calls to one process. It connects at the first call, and again at the
-/// next call after a failure.
+/// next call after a failure or an idle time.
 #[derive(Debug)]
 pub struct RpcChannel<C> {
     address: SocketAddr,
-    client: ArcSwapOption<C>,
+    started: Instant,
+    connection: ArcSwapOption<Connection<C>>,
+}
+
+/// `Connection` is one open connection and the time of its last reply.
+#[derive(Debug)]
+struct Connection<C> {
+    client: C,
+    /// Milliseconds since the start of the channel.
+    last_reply_ms: AtomicU64,
 }
 
 impl<C: Connect> RpcChannel<C> {
@@ -32,7 +47,8 @@
     pub fn new(address: SocketAddr) -> Self {
         Self {
             address,
-            client: ArcSwapOption::empty(),
+            started: Instant::now(),
+            connection: ArcSwapOption::empty(),
         }
     }
 
@@ -51,27 +67,52 @@
         F: FnOnce(C, context::Context) -> Fut,
         Fut: Future<Output = std::result::Result<T, RpcError>>,
     {
-        let client = match self.client.load_full() {
-            Some(client) => client,
-            None => {
-                let connected = C::connect(self.address).await;
-                let client = Arc::new(connected.context(errors::ConnectSnafu {
-                    address: self.address,
-                })?);
-                self.client.store(Some(Arc::clone(&client)));
-                client
-            }
-        };
+        let connection = self.connection().await?;
         let mut cx = context::current();
         cx.deadline = Instant::now() + deadline;
-        let result = f(client.as_ref().clone(), cx).await;
+        let result = f(connection.client.clone(), cx).await;
         if matches!(&result, Err(e) if !matches!(e, RpcError::Server(_))) {
             // A call without a reply may mean that the link fails in one direction, so the next
             // call uses a new connection.
-            self.client.store(None);
+            self.discard(&connection);
+        } else {
+            let now = self.now_ms();
+            connection.last_reply_ms.store(now, Ordering::Relaxed);
         }
         result.context(errors::CallSnafu {
             address: self.address,
         })
     }
+
+    // Returns the open connection, or a new one if there is none that was used lately.
+    async fn connection(&self) -> errors::Result<Arc<Connection<C>>> {
+        let max_idle_ms = MAX_IDLE_TIME.as_millis() as u64;
+        if let Some(open) = self.connection.load_full() {
+            let last_reply_ms = open.last_reply_ms.load(Ordering::Relaxed);
+            if self.now_ms().saturating_sub(last_reply_ms) < max_idle_ms {
+                return Ok(open);
+            }
+        }
+        let address = self.address;
+        let client = C::connect(address).await;
+        let client = client.context(errors::ConnectSnafu { address })?;
+        let opened = Arc::new(Connection {
+            client,
+            last_reply_ms: AtomicU64::new(self.now_ms()),
+        });
+        self.connection.store(Some(Arc::clone(&opened)));
+        Ok(opened)
+    }
+
+    // A connection that another call has opened meanwhile stays open.
+    fn discard(&self, failed: &Arc<Connection<C>>) {
+        self.connection.rcu(|current| {
+            let is_failed = current.as_ref().is_some_and(|c| Arc::ptr_eq(c, failed));
+            current.clone().filter(|_| !is_failed)
+        });
+    }
+
+    fn now_ms(&self) -> u64 {
+        self.started.elapsed().as_millis() as u64
+    }
 }
