node, policy: the gate of a stopping node goes on while callers wait

Cause: a node closed its gate at the signal, though its backend server is not affected, and then lived on for up to 5.95 s to answer the requests of its own callers, which run at other servers. Each server was away for 3.5 to 6.8 s with its node. The servers that were left got more load, so the callers' requests took longer, so the stops did too.

Change: during a stop the gate admits what can be answered before the node ends, also if it takes three times as long as usual, as what runs at the end is cut off. It closes once all requests of the node's own callers are answered, at the latest after half of the stop timeout. The node reports that it leaves, and closes its listener for other nodes, then.

--- a/crates/shallothill-node/src/gate/endpoint.rs
+++ b/crates/shallothill-node/src/gate/endpoint.rs
@@ -147,6 +147,14 @@
         inner.notify_waiters(self.now());
     }
 
+    /// `stop_at` refuses requests that can't be answered by `at`, when the node stops.
+    pub(crate) fn stop_at(&self, at: Millis) {
+        let now = self.now();
+        let mut inner = self.lock();
+        inner.gate.stop_at(now, at);
+        inner.notify_waiters(now);
+    }
+
     /// `set_options` applies a changed configuration.
     pub(crate) fn set_options(&self, gate: GateOptions, detect: DetectOptions, gray: GrayOptions) {
         let mut inner = self.lock();
--- a/crates/shallothill-node/src/gate/lifecycle.rs
+++ b/crates/shallothill-node/src/gate/lifecycle.rs
@@ -8,6 +8,7 @@
 use shallothill_core::config::Disposition;
 use shallothill_core::ids::{EndpointId, EndpointName, KeeperId, ServiceName};
 use shallothill_core::incarnation::Incarnation;
+use shallothill_core::time::Millis;
 use shallothill_directory::{EndpointLoad, EndpointStatus, LeaseOptions};
 use shallothill_policy::admit;
 use shallothill_policy::admit::GateOptions;
@@ -31,9 +32,18 @@
 const MAX_IDLE_CONNECTIONS: u16 = 64;
 
 impl Gate {
-    /// `drain_all` drains all endpoints and ignores new announcements, when the node stops.
-    pub fn drain_all(&self) {
-        self.stopping.store(true, Ordering::Relaxed);
+    /// `stop_at` makes all endpoints refuse attempts that can't be answered by `at`, when the node
+    /// stops.
+    pub fn stop_at(&self, at: Millis) {
+        let at = *self.stops_at.get_or_init(|| at);
+        for endpoint in self.endpoints.load().values() {
+            endpoint.stop_at(at);
+        }
+    }
+
+    /// `close` drains all endpoints and ignores new announcements. The node is about to end.
+    pub fn close(&self) {
+        self.closed.store(true, Ordering::Relaxed);
         for endpoint in self.endpoints.load().values() {
             endpoint.drain();
         }
@@ -191,7 +201,11 @@
         };
         let max_idle = usize::from(a.slots.clamp(1, MAX_IDLE_CONNECTIONS));
         let pool = ConnectionPool::new(a.address, self.deps.bounds.connect_timeout(), max_idle);
-        Endpoint::new(init, pool, self.deps.timer.clone())
+        let endpoint = Endpoint::new(init, pool, self.deps.timer.clone());
+        if let Some(at) = self.stops_at.get() {
+            endpoint.stop_at(*at);
+        }
+        endpoint
     }
 
     fn new_health(
--- a/crates/shallothill-node/src/gate/mod.rs
+++ b/crates/shallothill-node/src/gate/mod.rs
@@ -20,12 +20,13 @@
 
 use std::collections::BTreeMap;
 use std::sync::atomic::AtomicBool;
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, OnceLock};
 
 use arc_swap::ArcSwap;
 use shallothill_core::config::{BodyMode, OncePer};
 use shallothill_core::ids::{EndpointId, EndpointName, NodeName, Region, ServiceName};
 use shallothill_core::incarnation::Incarnation;
+use shallothill_core::time::Millis;
 use shallothill_policy::pick::ReportedLoad;
 use shallothill_runtime::timer::Timer;
 use tokio::sync::{Notify, watch};
@@ -94,7 +95,10 @@
     departed: Mutex<DepartedEndpoints>,
     /// Whether the departures from before a restart are known.
     restored: watch::Sender<bool>,
-    stopping: AtomicBool,
+    /// Set when the node begins to stop.
+    stops_at: OnceLock<Millis>,
+    /// Whether the gate takes no more attempts and announcements.
+    closed: AtomicBool,
     next_incarnation: std::sync::atomic::AtomicU64,
 }
 
@@ -106,7 +110,8 @@
             endpoints: ArcSwap::default(),
             departed: Mutex::default(),
             restored: watch::Sender::new(false),
-            stopping: AtomicBool::new(false),
+            stops_at: OnceLock::new(),
+            closed: AtomicBool::new(false),
             next_incarnation: std::sync::atomic::AtomicU64::new(0),
         }
     }
--- a/crates/shallothill-node/src/gate/registration.rs
+++ b/crates/shallothill-node/src/gate/registration.rs
@@ -44,7 +44,7 @@
             info!("gate: an outdated announcement of {service}/{name} is ignored");
             return;
         }
-        if self.stopping.load(Ordering::Relaxed) {
+        if self.closed.load(Ordering::Relaxed) {
             // The next process of the node must know of this drain, which is acknowledged.
             if a.state == Announced::Draining {
                 self.store_drain(key, &a);
--- a/crates/shallothill-node/src/node/mod.rs
+++ b/crates/shallothill-node/src/node/mod.rs
@@ -33,7 +33,7 @@
 use crate::errors;
 use crate::gate::Gate;
 use crate::interface::HttpInterface;
-use crate::listener::{Listener, RequestHandler};
+use crate::listener::Listener;
 use crate::neighbours::NeighbourExchange;
 use crate::node::sockets::Sockets;
 use crate::peer::{PeerLinks, PeerServer, RunningAttempts};
@@ -57,6 +57,14 @@
 /// `VERSION_RETRY_PAUSE` is the pause before the keepers are asked for the version again.
 const VERSION_RETRY_PAUSE: Duration = Duration::from_millis(200);
 
+/// `GATE_TIME_DIVISOR` gives the part of the stop timeout for which the gate still takes attempts; in
+/// the rest those that run can end.
+const GATE_TIME_DIVISOR: u32 = 2;
+
+/// `GATE_REPLY_MARGIN` is the time before the end of the node by which the gate's attempts must be
+/// answered, so that the replies reach the other nodes.
+const GATE_REPLY_MARGIN: Duration = Duration::from_millis(250);
+
 /// `ListenAddresses` contains the addresses that a started node listens on.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct ListenAddresses {
@@ -89,8 +97,10 @@
     changed: Arc<Notify>,
     metrics: StatsdClient,
     stop: CancellationToken,
-    /// Closes the listeners, the lame-duck time after `stop`.
-    close_listeners: CancellationToken,
+    /// Closes the listener for callers, the lame-duck time after `stop`.
+    close_callers: CancellationToken,
+    /// Closes the listener for other nodes and reports that this one leaves, with the gate.
+    leave: CancellationToken,
     /// Ends the tasks that run until all requests are answered.
     end_tasks: CancellationToken,
     connections: TaskTracker,
@@ -138,17 +148,14 @@
         let announcements = AnnounceServer {
             gate: Arc::clone(&self.gate),
         };
-        self.spawn_listener(
-            sockets.caller,
-            b.caller_connections,
-            Arc::clone(&self.entry),
-        );
-        self.spawn_listener(sockets.peer, b.peer_connections, Arc::new(peers));
+        let callers = self.listener(sockets.caller, b.caller_connections, &self.close_callers);
+        self.connections.spawn(callers.run(Arc::clone(&self.entry)));
+        let nodes = self.listener(sockets.peer, b.peer_connections, &self.leave);
+        self.connections.spawn(nodes.run(Arc::new(peers)));
         // Backend servers keep these connections open, so the stop does not wait for them.
         let announce = Listener {
-            stop: self.end_tasks.clone(),
             tasks: TaskTracker::new(),
-            ..self.listener(sockets.announce, b.announce_connections)
+            ..self.listener(sockets.announce, b.announce_connections, &self.end_tasks)
         };
         tokio::spawn(announce.run(Arc::new(announcements)));
         tokio::spawn(admin::serve(
@@ -158,24 +165,19 @@
         ));
     }
 
-    fn spawn_listener<A: RequestHandler>(
+    fn listener(
         &self,
         socket: TcpListener,
         connections: usize,
-        handler: Arc<A>,
-    ) {
-        let listener = self.listener(socket, connections);
-        self.connections.spawn(listener.run(handler));
-    }
-
-    fn listener(&self, socket: TcpListener, connections: usize) -> Listener {
+        stop: &CancellationToken,
+    ) -> Listener {
         Listener {
             socket,
             connections,
             bounds: self.settings.bounds.clone(),
             timer: self.timer.clone(),
             counters: Arc::clone(&self.counters),
-            stop: self.close_listeners.clone(),
+            stop: stop.clone(),
             tasks: self.connections.clone(),
         }
     }
@@ -236,7 +238,7 @@
             tokio::spawn(probe.run(self.end_tasks.clone()));
         }
         tokio::spawn(fetch.run(Arc::clone(&self.gate), self.end_tasks.clone()));
-        self.connections.spawn(reporter.run(self.stop.clone()));
+        self.connections.spawn(reporter.run(self.leave.clone()));
     }
 
     // Without the exchange the node learns the load of backend servers only from their responses.
@@ -346,17 +348,28 @@
 
     /// `run_until_stopped` waits for the stop, then accepts callers for the lame-duck time and
     /// waits for requests in flight, up to the stop timeout.
+    ///
+    /// The backend servers of the host go on, so the gate takes attempts of other nodes as long as
+    /// this node still waits for the answers of its own callers' requests.
     pub async fn run_until_stopped(&self) {
         self.stop.cancelled().await;
         let bounds = &self.settings.bounds;
-        let ends_at = Instant::now() + bounds.lame_duck() + bounds.stop_timeout();
+        let stop_time = bounds.lame_duck() + bounds.stop_timeout();
+        let ends_at = Instant::now() + stop_time;
         self.entry.start_draining(ends_at);
-        self.gate.drain_all();
-        self.log_stop("node: draining; the gate takes no more attempts");
+        self.gate
+            .stop_at(self.timer.now() + stop_time.saturating_sub(GATE_REPLY_MARGIN));
+        self.log_stop("node: draining");
         // The timer fails only when the process ends.
         let _ = self.timer.after(bounds.lame_duck()).await;
-        self.log_stop("node: closing the listeners");
-        self.close_listeners.cancel();
+        self.close_callers.cancel();
+        self.log_stop("node: callers are no longer accepted");
+        let answered = self.entry.open_requests().none_left();
+        let gate_time = bounds.stop_timeout() / GATE_TIME_DIVISOR;
+        let _ = time::timeout(gate_time, answered).await;
+        self.gate.close();
+        self.leave.cancel();
+        self.log_stop("node: the gate takes no more attempts");
         self.connections.close();
         self.background.close();
         let finished = async {
--- a/crates/shallothill-policy/src/admit/gate.rs
+++ b/crates/shallothill-policy/src/admit/gate.rs
@@ -14,6 +14,10 @@
 };
 use crate::pick::ReportedLoad;
 
+/// `STOP_RESERVE` is how many times its usual duration a request may take at a stopping node. What
+/// still runs at the end is cut off, and its caller does not learn whether it has run.
+pub const STOP_RESERVE: u32 = 3;
+
 /// `Gate` limits the load on one endpoint: concurrent requests (slots), a bounded queue that
 /// honours deadlines and class priority, connections, the ramp of a cold start, draining and
 /// ejection.
@@ -34,6 +38,8 @@
     open_connections: u32,
     served_since_start: u32,
     latencies: LatencyEstimates,
+    /// When the node of the gate stops, if it is stopping.
+    stops_at: Option<Millis>,
 }
 
 impl Gate {
@@ -53,6 +59,7 @@
             last_ticket: 0,
             open_connections: 0,
             served_since_start: 0,
+            stops_at: None,
         }
     }
 
@@ -67,7 +74,7 @@
         let waiting = WaitingRequest {
             ticket: self.next_ticket(),
             deadline: req.deadline,
-            reply_by: req.reply_by,
+            reply_by: earliest(req.reply_by, self.latest_answer(req.kind)),
             objective: req.objective,
             rank: req.rank,
             kind: req.kind,
@@ -134,7 +141,7 @@
         let Some((internal, waiting)) = self.queue.find_mut(ticket) else {
             return;
         };
-        waiting.reply_by = Some(reply_by);
+        waiting.reply_by = earliest(waiting.reply_by, Some(reply_by));
         let waiting = *waiting;
         let left = waiting.end().saturating_since(now);
         let duration = self.latencies.expected(waiting.kind);
@@ -145,6 +152,26 @@
         }
     }
 
+    /// `stop_at` records that the node of this gate stops at `at`. From now on only requests that can
+    /// be answered by then, even if they take [`STOP_RESERVE`] times as long as usual, wait or
+    /// start, so that the backend server works until its node is about to end.
+    pub fn stop_at(&mut self, now: Millis, at: Millis) {
+        self.stops_at = Some(at);
+        for (ticket, kind) in self.queue.kinds() {
+            if let Some(at) = self.latest_answer(kind) {
+                self.limit_reply(now, ticket, at);
+            }
+        }
+    }
+
+    // Returns by when a request of `kind` must be answered as usual if the node stops.
+    fn latest_answer(&self, kind: RequestKind) -> Option<Millis> {
+        let reserve = self.latencies.expected(kind) * (STOP_RESERVE - 1);
+        let reserve_ms = u64::try_from(reserve.as_millis()).unwrap_or(u64::MAX);
+        let stops_at = self.stops_at?;
+        Some(Millis(stops_at.0.saturating_sub(reserve_ms)))
+    }
+
     /// `poll` returns the next decision on a queued request, or `None` while none can be decided.
     pub fn poll(&mut self, now: Millis) -> Option<QueueDecision> {
         if let Some(displaced) = self.displaced.pop_front() {
@@ -337,3 +364,7 @@
         }
     }
 }
+
+fn earliest(a: Option<Millis>, b: Option<Millis>) -> Option<Millis> {
+    a.into_iter().chain(b).min()
+}
--- a/crates/shallothill-policy/src/admit/mod.rs
+++ b/crates/shallothill-policy/src/admit/mod.rs
@@ -6,7 +6,7 @@
 mod queue;
 mod request;
 
-pub use gate::Gate;
+pub use gate::{Gate, STOP_RESERVE};
 pub use options::GateOptions;
 pub use request::{
     Admission, GateRequest, QueueDecision, Refusal, RequestKind, SlotOutcome, Ticket,
--- a/crates/shallothill-policy/src/admit/queue.rs
+++ b/crates/shallothill-policy/src/admit/queue.rs
@@ -10,7 +10,7 @@
 pub(crate) struct WaitingRequest {
     pub(crate) ticket: Ticket,
     pub(crate) deadline: Millis,
-    /// When the node that took the request stops, if it is stopping.
+    /// When the node that took the request, or the node of the gate, stops, if one is stopping.
     pub(crate) reply_by: Option<Millis>,
     /// When the latency objective ends, if that is before the deadline.
     pub(crate) objective: Option<Millis>,
@@ -71,6 +71,12 @@
         self.callers.len() + self.internal.len()
     }
 
+    /// Returns the ticket and the kind of each waiting request.
+    pub(crate) fn kinds(&self) -> Vec<(Ticket, RequestKind)> {
+        let all = self.callers.iter().chain(&self.internal);
+        all.map(|w| (w.ticket, w.kind)).collect()
+    }
+
     /// Counts the requests other than that of `ticket`.
     pub(crate) fn len_without(&self, ticket: Ticket) -> usize {
         let all = self.callers.iter().chain(&self.internal);
--- a/crates/shallothill-policy/src/admit/request.rs
+++ b/crates/shallothill-policy/src/admit/request.rs
@@ -56,7 +56,7 @@
     QueueFull,
     /// The request can't be answered before its deadline.
     Deadline,
-    /// The request can't be answered before the node that took it stops.
+    /// The request can't be answered before the node that took it, or that of the gate, stops.
     Stopping,
     /// A request of a higher class or greater urgency displaced it from the queue.
     Shed,
--- a/crates/shallothill-policy/tests/stopping.rs
+++ b/crates/shallothill-policy/tests/stopping.rs
@@ -5,8 +5,8 @@
 use shallothill_core::class::Class;
 use shallothill_core::time::Millis;
 use shallothill_policy::admit::{
-    Admission, Gate, GateOptions, GateRequest, QueueDecision, Refusal, RequestKind, SlotOutcome,
-    Ticket,
+    Admission, Gate, GateOptions, GateRequest, QueueDecision, Refusal, RequestKind, STOP_RESERVE,
+    SlotOutcome, Ticket,
 };
 
 const WORK_MS: u64 = 1000;
@@ -114,3 +114,27 @@
     assert!(matches!(too_late, Admission::Refused { reason, .. } if reason == stopping));
     assert!(matches!(in_time, Admission::Queued(_)));
 }
+
+/// Guards against a gate that refuses all requests from the moment at which its own node is stopped,
+/// and against one that starts requests which are cut off at the end if they take longer than usual.
+#[test]
+fn the_gate_of_a_stopping_node_runs_what_can_be_answered() {
+    let (mut gate, tickets) = busy_gate();
+    let reserve_ms = u64::from(STOP_RESERVE - 1) * WORK_MS;
+
+    gate.stop_at(Millis(0), Millis(reserve_ms + 2 * WORK_MS + 100));
+    let decisions = poll_all(&mut gate, 0);
+    gate.finish(Millis(100), tickets[0], SlotOutcome::Failed);
+    let next = poll_all(&mut gate, 100);
+    gate.finish(Millis(200), tickets[1], SlotOutcome::Failed);
+    let in_time = gate.admit(Millis(200), request());
+    let too_late = gate.admit(Millis(WORK_MS + 200), request());
+
+    // The first one runs and the second one can still follow it.
+    let refused = |n: usize| QueueDecision::Refused(tickets[n], Refusal::Stopping);
+    assert_eq!(decisions, [refused(2), refused(3)]);
+    assert_eq!(next, [QueueDecision::Run(tickets[1])]);
+    assert!(matches!(in_time, Admission::Run(_)));
+    let stopping = Refusal::Stopping;
+    assert!(matches!(too_late, Admission::Refused { reason, .. } if reason == stopping));
+}
