node: a closed listener refuses connections

What callers saw: 504 with the reason "cancelled" for attempts sent to a node that had just closed its listener, and connections to a stopping node that hang until it ends.

Cause: each connection's task kept the listening socket alive, so the system accepted connections that nobody served, until the last connection had ended. An attempt on such a connection waited for the end of the process; the next process knew nothing of it, so it may have run.

Change: the accept loop owns the socket and closes it when it stops.

--- a/crates/shallothill-node/src/listener.rs
+++ b/crates/shallothill-node/src/listener.rs
@@ -70,8 +70,6 @@
 /// `Listener` accepts the connections of one address.
 #[derive(Debug)]
 pub struct Listener {
-    /// The bound socket.
-    pub socket: TcpListener,
     /// The largest number of open connections; further ones get a 503 response and are closed.
     pub connections: usize,
     /// The limits on headers, streams and idle time.
@@ -109,14 +107,14 @@
 }
 
 impl Listener {
-    /// `run` accepts connections until `stop` is cancelled and handles their requests with
-    /// `handler`.
-    pub async fn run<A: RequestHandler>(self, handler: Arc<A>) {
+    /// `run` accepts connections on `socket` until `stop` is cancelled and handles their requests
+    /// with `handler`. The socket is closed then, so that later connections are refused.
+    pub async fn run<A: RequestHandler>(self, socket: TcpListener, handler: Arc<A>) {
         let permits = Arc::new(Semaphore::new(self.connections));
         let this = Arc::new(self);
         loop {
             let accepted = tokio::select! {
-                accepted = this.socket.accept() => accepted,
+                accepted = socket.accept() => accepted,
                 () = this.stop.cancelled() => return,
             };
             let Ok((mut stream, _)) = accepted else {
--- a/crates/shallothill-node/src/node/mod.rs
+++ b/crates/shallothill-node/src/node/mod.rs
@@ -13,7 +13,6 @@
 use shallothill_core::time::Millis;
 use shallothill_runtime::timer::Timer;
 use shallothill_runtime::{admin, logs, metrics};
-use tokio::net::TcpListener;
 use tokio::sync::Notify;
 use tokio::time;
 use tokio::time::Instant;
@@ -148,16 +147,18 @@
         let announcements = AnnounceServer {
             gate: Arc::clone(&self.gate),
         };
-        let callers = self.listener(sockets.caller, b.caller_connections, &self.close_callers);
-        self.connections.spawn(callers.run(Arc::clone(&self.entry)));
-        let nodes = self.listener(sockets.peer, b.peer_connections, &self.leave);
-        self.connections.spawn(nodes.run(Arc::new(peers)));
+        let callers = self.listener(b.caller_connections, &self.close_callers);
+        let entry = Arc::clone(&self.entry);
+        self.connections.spawn(callers.run(sockets.caller, entry));
+        let nodes = self.listener(b.peer_connections, &self.leave);
+        self.connections
+            .spawn(nodes.run(sockets.peer, Arc::new(peers)));
         // Backend servers keep these connections open, so the stop does not wait for them.
         let announce = Listener {
             tasks: TaskTracker::new(),
-            ..self.listener(sockets.announce, b.announce_connections, &self.end_tasks)
+            ..self.listener(b.announce_connections, &self.end_tasks)
         };
-        tokio::spawn(announce.run(Arc::new(announcements)));
+        tokio::spawn(announce.run(sockets.announce, Arc::new(announcements)));
         tokio::spawn(admin::serve(
             sockets.admin,
             Arc::clone(self),
@@ -165,14 +166,8 @@
         ));
     }
 
-    fn listener(
-        &self,
-        socket: TcpListener,
-        connections: usize,
-        stop: &CancellationToken,
-    ) -> Listener {
+    fn listener(&self, connections: usize, stop: &CancellationToken) -> Listener {
         Listener {
-            socket,
             connections,
             bounds: self.settings.bounds.clone(),
             timer: self.timer.clone(),
