node: a test of calls on idle connections to keepers

A connection to a keeper that went silent while it was idle must not hold a call until its deadline.

--- a/crates/shallothill-node/tests/silent_keepers.rs
+++ b/crates/shallothill-node/tests/silent_keepers.rs
@@ -6,14 +6,23 @@
 
 use shallothill_core::version::ConfigVersion;
 use shallothill_testing::process;
-use shallothill_testing::relay::Relay;
+use shallothill_testing::relay::{Direction, Relay};
+use shallothill_wire::channel::RpcChannel;
+use shallothill_wire::control::KeeperControlClient;
 use support::cluster::RunningNode;
 use support::keepers::Keepers;
 use support::{MAX_WAIT, cluster};
+use tokio::time;
 
 /// The time after a failure by which every node acts on an accepted configuration.
 const IN_FORCE_AFTER: Duration = Duration::from_secs(3);
 
+/// Longer than a connection without replies is used.
+const IDLE: Duration = Duration::from_millis(3200);
+
+/// The deadline of a call that a keeper answers at once.
+const SHORT: Duration = Duration::from_millis(500);
+
 /// Starts a relay in front of each keeper; nodes know only the addresses of the relays.
 async fn start_relays(keepers: &Keepers) -> Vec<Relay> {
     let mut relays = Vec::new();
@@ -67,9 +76,26 @@
 
     // New connections are accepted, as by a suspended process, but nothing is answered.
     for relay in &relays[..2] {
-        relay.cut(shallothill_testing::relay::Direction::FromTarget);
+        relay.cut(Direction::FromTarget);
     }
     keepers.shared.set_config(2, cluster::config());
 
     wait_for_version(&node, 2, IN_FORCE_AFTER).await;
 }
+
+/// Guards against calls that wait until their deadline on a connection that went silent while it was
+/// idle.
+#[tokio::test]
+async fn a_call_after_an_idle_time_uses_a_new_connection() {
+    let keepers = Keepers::start(cluster::REGION, cluster::config()).await;
+    let relays = start_relays(&keepers).await;
+    let address = relays[0].address();
+    let channel: RpcChannel<KeeperControlClient> = RpcChannel::new(address);
+    let ask = || channel.call(SHORT, |c, cx| async move { c.isolated(cx).await });
+    assert!(ask().await.is_ok());
+
+    time::sleep(IDLE).await;
+    relays[0].sever();
+
+    assert!(ask().await.is_ok());
+}
