--- a/crates/shallothill-node/src/control/config_fetch.rs
+++ b/crates/shallothill-node/src/control/config_fetch.rs
@@ -81,7 +81,7 @@
                     let answered = fetched.is_some();
                     debug!(
                         answered,
-                        "config: peer {address} has no newer version for us"
+                        "config: peer {address} did not send a newer version"
                     );
                 }
                 tokio::select! {
--- a/crates/shallothill-node/src/node/mod.rs
+++ b/crates/shallothill-node/src/node/mod.rs
@@ -98,7 +98,7 @@
     stop: CancellationToken,
     /// Closes the listener for callers, the lame-duck time after `stop`.
     close_callers: CancellationToken,
-    /// Closes the listener for other nodes and reports that this one leaves, with the gate.
+    /// Closes the listener for other nodes and reports that this one leaves; cancelled with the gate.
     leave: CancellationToken,
     /// Ends the tasks that run until all requests are answered.
     end_tasks: CancellationToken,
--- a/crates/shallothill-policy/src/admit/gate.rs
+++ b/crates/shallothill-policy/src/admit/gate.rs
@@ -164,7 +164,8 @@
         }
     }
 
-    // Returns by when a request of `kind` must be answered as usual if the node stops.
+    // Returns the time by which a request of `kind` must be expected to end while the node stops: the
+    // end of the node less the reserve.
     fn latest_answer(&self, kind: RequestKind) -> Option<Millis> {
         let reserve = self.latencies.expected(kind) * (STOP_RESERVE - 1);
         let reserve_ms = u64::try_from(reserve.as_millis()).unwrap_or(u64::MAX);
