--- a/crates/shallothill-node/tests/silent_keepers.rs
+++ b/crates/shallothill-node/tests/silent_keepers.rs
@@ -46,6 +46,14 @@
     node
 }
 
+/// Starts a node whose keepers all stand behind relays.
+async fn start_behind_relays() -> (Keepers, Vec<Relay>, RunningNode) {
+    let keepers = Keepers::start(cluster::REGION, cluster::config()).await;
+    let relays = start_relays(&keepers).await;
+    let node = start_node(&relays).await;
+    (keepers, relays, node)
+}
+
 async fn wait_for_version(node: &RunningNode, version: u64, limit: Duration) {
     let in_force = || async { node.node.store().version() == ConfigVersion(version) };
     process::wait_until("the new version is in force", limit, in_force)
@@ -57,9 +65,7 @@
 /// keeper after the other.
 #[tokio::test]
 async fn a_new_version_is_in_force_soon_after_all_connections_went_silent() {
-    let keepers = Keepers::start(cluster::REGION, cluster::config()).await;
-    let relays = start_relays(&keepers).await;
-    let node = start_node(&relays).await;
+    let (keepers, relays, node) = start_behind_relays().await;
 
     relays.iter().for_each(Relay::sever);
     keepers.shared.set_config(2, cluster::config());
@@ -70,9 +76,7 @@
 /// Guards against a node that waits for keepers that are gone in turn, each for the whole timeout.
 #[tokio::test]
 async fn a_new_version_is_in_force_soon_after_two_keepers_fell_silent() {
-    let keepers = Keepers::start(cluster::REGION, cluster::config()).await;
-    let relays = start_relays(&keepers).await;
-    let node = start_node(&relays).await;
+    let (keepers, relays, node) = start_behind_relays().await;
 
     // New connections are accepted, as by a suspended process, but nothing is answered.
     for relay in &relays[..2] {
