runtime: the timer service counts suspensions of the host

Cause: all times came from the steady clock, which stands still while a host is suspended. A primary that is suspended for 5 s wakes with its lease of 0.45 s, while another one was elected after 0.7 to 1.4 s and accepts changes. It answers reads by the lease until it hears of the new view.

Evidence: in the simulated group, the first read at a primary that was suspended for 5 s misses a request accepted meanwhile if its clock does not count that time, and is not answered if it does (rules.rs, a_lease_ends_during_a_suspension).

Change: the time of the timer service is the steady time plus what the clock since boot has counted beyond it. Pauses between the two readings never count.

--- a/crates/shallothill-replica/tests/bus/host.rs
+++ b/crates/shallothill-replica/tests/bus/host.rs
@@ -49,6 +49,8 @@
     pub process_starts: u64,
     /// The time in ms until which the host handles no event.
     pub frozen_until: u64,
+    /// By how many ms the clock of the host is behind.
+    pub clock_behind: u64,
     pub applied: Op,
     /// The id of the request that was applied at each position.
     pub state_machine: BTreeMap<Op, RequestId>,
@@ -67,6 +69,7 @@
             replica: None,
             process_starts: 0,
             frozen_until: 0,
+            clock_behind: 0,
             applied: Op(0),
             state_machine: BTreeMap::new(),
             accepted_at_loss: Op(0),
--- a/crates/shallothill-replica/tests/bus/mod.rs
+++ b/crates/shallothill-replica/tests/bus/mod.rs
@@ -291,7 +291,8 @@
             return;
         };
         let before = replica.status().commit;
-        let actions = replica.step(Millis(now), event);
+        let host_now = Millis(now - host.clock_behind);
+        let actions = replica.step(host_now, event);
         if replica.status().commit < before {
             self.violations
                 .push(format!("{id}: the commit position decreased"));
--- a/crates/shallothill-replica/tests/rules.rs
+++ b/crates/shallothill-replica/tests/rules.rs
@@ -126,6 +126,39 @@
     }
 }
 
+/// Suspends the primary while another one accepts a request; returns whether the first read after
+/// the suspension misses that request.
+fn first_read_is_too_old(clock_counts_suspensions: bool) -> bool {
+    let mut bus = group(8);
+    bus.propose_until_accepted(1000).expect("accepted");
+    let old = bus.primary().expect("a primary");
+    let until = bus.now + 5000;
+    // Messages that are sent meanwhile arrive after the read.
+    isolate(&mut bus, old, false, false);
+    if let Some(host) = bus.hosts.get_mut(&old) {
+        host.frozen_until = until;
+    }
+    bus.propose_until_accepted(4000).expect("accepted");
+    let accepted = bus.accepted.values().map(|op| op.0).max().unwrap_or(0);
+    bus.run(until - bus.now);
+    if let Some(host) = bus.hosts.get_mut(&old)
+        && !clock_counts_suspensions
+    {
+        host.clock_behind = 5000;
+    }
+    let token = ReadToken(1);
+    bus.handle_event(old, Event::Read { token });
+    bus.ready_reads.get(&token).is_some_and(|a| *a < accepted)
+}
+
+/// Guards against a former primary that answers reads by a lease which has outlived a suspension of
+/// its host; the clock of a replica has to count that time.
+#[test]
+fn a_lease_ends_during_a_suspension() {
+    assert!(!first_read_is_too_old(true));
+    assert!(first_read_is_too_old(false));
+}
+
 /// Guards against reads that are not served without a lease although a majority answers a round.
 #[test]
 fn reads_without_a_lease_take_a_round() {
--- a/crates/shallothill-runtime/src/lib.rs
+++ b/crates/shallothill-runtime/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod metrics;
 pub mod settings;
 pub mod shutdown;
+pub mod suspensions;
 pub mod timer;
 
 pub use errors::{Error, Result};
--- a/crates/shallothill-runtime/src/timer.rs
+++ b/crates/shallothill-runtime/src/timer.rs
@@ -8,16 +8,43 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio::time;
 use tokio::time::Instant;
+use tracing::warn;
+
+use crate::suspensions::Suspensions;
+
+/// `MIN_LOGGED_SUSPENSION` is the shortest suspension of the host that is logged.
+const MIN_LOGGED_SUSPENSION: Duration = Duration::from_millis(100);
 
 /// `Timer` is a handle to the timer service; clones share the service and its time origin.
 ///
-/// The service ends when the last handle is dropped.
+/// Its time includes the time that the host was suspended. Subscriptions that became due meanwhile
+/// are served with the first one that becomes due afterwards. The service ends when the last handle
+/// is dropped.
 #[derive(Clone, Debug)]
 pub struct Timer {
-    start: Instant,
+    clock: Clock,
     tx: mpsc::UnboundedSender<Subscription>,
 }
 
+/// `Clock` is the time since the start of the service.
+#[derive(Clone, Debug)]
+struct Clock {
+    start: Instant,
+    suspensions: Suspensions,
+}
+
+impl Clock {
+    fn now(&self) -> Millis {
+        Millis(0) + (self.start.elapsed() + self.suspensions.total())
+    }
+
+    // Returns when `at` is reached, as far as the host is not suspended before.
+    fn instant_of(&self, at: Millis) -> Instant {
+        let d = Duration::from_millis(at.0).saturating_sub(self.suspensions.total());
+        self.start + d
+    }
+}
+
 #[derive(Debug)]
 enum Wake {
     Once(oneshot::Sender<Millis>),
@@ -61,15 +88,23 @@
 impl Timer {
     /// `start` spawns the service on the current tokio runtime; its time starts at 0.
     pub fn start() -> Self {
+        Self::start_with(Suspensions::start())
+    }
+
+    /// `start_with` is [`Self::start`] with another measurement of suspensions.
+    pub fn start_with(suspensions: Suspensions) -> Self {
         let (tx, rx) = mpsc::unbounded_channel();
-        let start = Instant::now();
-        tokio::spawn(run(start, rx));
-        Self { start, tx }
+        let clock = Clock {
+            start: Instant::now(),
+            suspensions,
+        };
+        tokio::spawn(run(clock.clone(), rx));
+        Self { clock, tx }
     }
 
     /// `now` returns the time since the service started.
     pub fn now(&self) -> Millis {
-        elapsed_since(self.start)
+        self.clock.now()
     }
 
     /// `after` returns a receiver that gets the time once, after `d`. Drop it to cancel.
@@ -95,23 +130,23 @@
     }
 }
 
-fn elapsed_since(start: Instant) -> Millis {
-    Millis(0) + start.elapsed()
-}
-
-async fn run(start: Instant, mut rx: mpsc::UnboundedReceiver<Subscription>) {
+async fn run(clock: Clock, mut rx: mpsc::UnboundedReceiver<Subscription>) {
     let mut pending: BinaryHeap<Reverse<Pending>> = BinaryHeap::new();
     let mut sequence = 0;
+    let mut suspended = Duration::ZERO;
     loop {
         let next = pending.peek().map(|Reverse(p)| p.at);
         let due = async {
             match next {
-                Some(at) => time::sleep_until(start + Duration::from_millis(at.0)).await,
+                Some(at) => time::sleep_until(clock.instant_of(at)).await,
                 None => std::future::pending().await,
             }
         };
         tokio::select! {
-            () = due => wake_due(start, &mut pending),
+            () = due => {
+                suspended = log_suspension(suspended, clock.suspensions.total());
+                wake_due(clock.now(), &mut pending);
+            }
             subscription = rx.recv() => {
                 let Some(Subscription { at, wake }) = subscription else { return };
                 sequence += 1;
@@ -121,8 +156,18 @@
     }
 }
 
-fn wake_due(start: Instant, pending: &mut BinaryHeap<Reverse<Pending>>) {
-    let now = elapsed_since(start);
+// Returns the total up to which suspensions are logged.
+fn log_suspension(logged: Duration, total: Duration) -> Duration {
+    let suspended = total.saturating_sub(logged);
+    if suspended < MIN_LOGGED_SUSPENSION {
+        return logged;
+    }
+    let suspended_ms = suspended.as_millis() as u64;
+    warn!(suspended_ms, "timer: the host was suspended");
+    total
+}
+
+fn wake_due(now: Millis, pending: &mut BinaryHeap<Reverse<Pending>>) {
     while pending.peek().is_some_and(|Reverse(p)| p.at <= now) {
         let Some(Reverse(Pending { sequence, wake, .. })) = pending.pop() else {
             return;
