wire, node: a long call ends when its connection goes silent

What callers may see: requests handled by an old configuration for up to 8 s at single nodes that have just moved to another keeper (CONFIG).

Cause: the first watch of a keeper, which carries the directory, and the fetch of sections were judged by the time that a large reply may take, 8 s. A small call goes before the first watch, so a keeper that is gone is found; a connection that goes silent between the two calls, or before the sections of a version that the watch announced, was not.

Evidence: the two new tests of silent_keepers.rs failed before: version 2 not in force 3 s after the connections went silent.

Change: connections to keepers count the bytes that they receive. A long call is given up once nothing has arrived for 1.5 s, and may take its full time while bytes arrive. A node whose keeper does not send the sections repeats the watch on a new connection and then looks for another keeper, as after a watch without an answer.

--- a/crates/shallothill-keeper/src/peer.rs
+++ b/crates/shallothill-keeper/src/peer.rs
@@ -10,6 +10,7 @@
 use shallothill_ledger::{RecoveryReply, RecoveryRequest};
 use shallothill_replica::Message;
 use shallothill_wire::crash::CrashNotice;
+use shallothill_wire::metered_stream::ReceivedBytes;
 use shallothill_wire::operator::{CurrentText, SubmitReply, SubmitRequest};
 use shallothill_wire::watch::{ConfigUpdate, SectionsReply, SectionsRequest};
 use shallothill_wire::{channel, transport};
@@ -126,8 +127,9 @@
 }
 
 impl channel::Connect for KeeperPeerClient {
-    async fn connect(address: SocketAddr) -> io::Result<Self> {
-        let transport = transport::connect(address).await?;
-        Ok(Self::new(client::Config::default(), transport).spawn())
+    async fn connect(address: SocketAddr) -> io::Result<(Self, ReceivedBytes)> {
+        let (transport, received) = transport::connect(address).await?;
+        let client = Self::new(client::Config::default(), transport).spawn();
+        Ok((client, received))
     }
 }
--- a/crates/shallothill-node/src/control/config_fetch.rs
+++ b/crates/shallothill-node/src/control/config_fetch.rs
@@ -93,14 +93,20 @@
     }
 
     /// `apply_from_keeper` applies an update of `keeper` and fetches the sections that it lacks.
-    /// Returns `MissingSections` if the keeper does not send all of them.
-    pub async fn apply_from_keeper(&self, keeper: &Keeper, update: &ConfigUpdate) -> ApplyResult {
+    /// Returns `MissingSections` if the keeper does not have all of them any more.
+    ///
+    /// Fails with `Connect` or `Call` if the keeper does not answer.
+    pub async fn apply_from_keeper(
+        &self,
+        keeper: &Keeper,
+        update: &ConfigUpdate,
+    ) -> shallothill_wire::Result<ApplyResult> {
         let missing = match self.store.apply(update, Vec::new()) {
             ApplyResult::MissingSections(missing) => missing,
-            applied => return applied,
+            applied => return Ok(applied),
         };
         let ConfigUpdate::Manifest { version, .. } = update else {
-            return ApplyResult::HashMismatch;
+            return Ok(ApplyResult::HashMismatch);
         };
         let mut fetched = Vec::new();
         for ids in missing.chunks(MAX_SECTIONS_PER_CALL) {
@@ -108,25 +114,29 @@
                 version: *version,
                 ids: ids.to_vec(),
             };
-            let call =
-                keeper.channel().call(
+            let call = keeper
+                .channel()
+                .call_while_receiving(
                     CALL_TIMEOUT,
                     |c, cx| async move { c.sections(cx, req).await },
                 );
-            match call.await {
-                Ok(SectionsReply {
-                    sections: Some(sections),
-                    ..
-                }) => fetched.extend(sections),
-                Ok(_) | Err(_) => return ApplyResult::MissingSections(missing),
-            }
+            let Some(sections) = call.await?.sections else {
+                return Ok(ApplyResult::MissingSections(missing));
+            };
+            fetched.extend(sections);
         }
-        self.store.apply(update, fetched)
+        Ok(self.store.apply(update, fetched))
     }
 
     /// `fetch_from_keeper` fetches the manifest of `keeper` and all sections that differ from it,
     /// and applies them. Logs a warning if the version cannot be applied.
-    pub async fn fetch_from_keeper(&self, keeper: &Keeper, node: &NodeName) {
+    ///
+    /// Fails with `Connect` or `Call` if the keeper does not answer.
+    pub async fn fetch_from_keeper(
+        &self,
+        keeper: &Keeper,
+        node: &NodeName,
+    ) -> shallothill_wire::Result<()> {
         let req = WatchRequest {
             node: node.clone(),
             config_version: ConfigVersion(0),
@@ -137,16 +147,16 @@
         };
         let call = keeper
             .channel()
-            .call(CALL_TIMEOUT, |c, cx| async move { c.watch(cx, req).await });
-        if let Ok(reply) = call.await
-            && let Some(update) = reply.config
-            && self.apply_from_keeper(keeper, &update).await != ApplyResult::InForce
+            .call_while_receiving(CALL_TIMEOUT, |c, cx| async move { c.watch(cx, req).await });
+        if let Some(update) = call.await?.config
+            && self.apply_from_keeper(keeper, &update).await? != ApplyResult::InForce
         {
             warn!(
                 "config: keeper {} sent a version that cannot be applied",
                 keeper.id()
             );
         }
+        Ok(())
     }
 
     async fn fetch_from_peer(&self, address: SocketAddr) -> Option<ApplyResult> {
--- a/crates/shallothill-node/src/control/watch.rs
+++ b/crates/shallothill-node/src/control/watch.rs
@@ -7,6 +7,7 @@
 use shallothill_core::time::Millis;
 use shallothill_directory::Cursor;
 use shallothill_runtime::timer::Timer;
+use shallothill_wire::control::KeeperControlClient;
 use shallothill_wire::watch::{WatchReply, WatchRequest};
 use tokio_util::sync::CancellationToken;
 use tracing::{info, warn};
@@ -174,10 +175,13 @@
             isolated: self.switch.isolated_keeper().is_some(),
             wait_ms: hold.as_millis() as u32,
         };
-        let call = keeper
-            .channel()
-            .call(timeout, |c, cx| async move { c.watch(cx, req).await });
-        let Ok(reply) = call.await else { return false };
+        let watch = |c: KeeperControlClient, cx| async move { c.watch(cx, req).await };
+        let reply = if first {
+            keeper.channel().call_while_receiving(timeout, watch).await
+        } else {
+            keeper.channel().call(timeout, watch).await
+        };
+        let Ok(reply) = reply else { return false };
         self.switch.set_followed_version(Some(reply.config_version));
         if first {
             info!("watch: following keeper {}", keeper.id());
@@ -196,17 +200,20 @@
             );
             self.switch.set_isolated_keeper(isolated);
         }
-        self.apply(keeper, state, reply, now).await;
-        true
+        let version = reply.config_version;
+        let applied = self.apply(keeper, state, reply, now).await;
+        self.store.record_version(version);
+        applied.is_ok()
     }
 
+    // Fails if the keeper does not send the rest of a configuration.
     async fn apply(
         &self,
         keeper: &Arc<Keeper>,
         state: &mut WatchState,
         reply: WatchReply,
         now: Millis,
-    ) {
+    ) -> shallothill_wire::Result<()> {
         for notice in &reply.crashes {
             self.crashes.record_crash(now, notice);
         }
@@ -216,16 +223,16 @@
             self.view.apply(delta);
         }
         if let Some(update) = reply.config {
-            let applied = self.fetch.apply_from_keeper(keeper, &update).await;
+            let applied = self.fetch.apply_from_keeper(keeper, &update).await?;
             if applied == ApplyResult::InForce {
                 self.gate.apply_config();
                 info!("config: version {} is in force", self.store.version());
             } else if applied == ApplyResult::HashMismatch {
                 warn!("config: the hash of an update does not match; fetching what differs");
-                self.fetch.fetch_from_keeper(keeper, &self.node).await;
+                self.fetch.fetch_from_keeper(keeper, &self.node).await?;
                 self.gate.apply_config();
             }
         }
-        self.store.record_version(reply.config_version);
+        Ok(())
     }
 }
--- a/crates/shallothill-node/tests/silent_keepers.rs
+++ b/crates/shallothill-node/tests/silent_keepers.rs
@@ -2,6 +2,7 @@
 
 mod support;
 
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use shallothill_core::version::ConfigVersion;
@@ -17,6 +18,9 @@
 /// The time after a failure by which every node acts on an accepted configuration.
 const IN_FORCE_AFTER: Duration = Duration::from_secs(3);
 
+/// Longer than the steps of a test take between a call and its reply.
+const LONG_REPLY_DELAY: Duration = Duration::from_millis(300);
+
 /// Longer than a connection without replies is used.
 const IDLE: Duration = Duration::from_millis(3200);
 
@@ -87,6 +91,54 @@
     wait_for_version(&node, 2, IN_FORCE_AFTER).await;
 }
 
+/// Delays long replies, so that the connections can go silent before them.
+fn delay_long_replies(keepers: &Keepers) {
+    let ms = LONG_REPLY_DELAY.as_millis() as u64;
+    let delay = &keepers.shared.long_reply_delay_ms;
+    delay.store(ms, Ordering::Relaxed);
+}
+
+async fn wait_for_call(calls: &AtomicUsize, before: usize) {
+    let called = || async { calls.load(Ordering::Relaxed) > before };
+    process::wait_until("a keeper is called", MAX_WAIT, called)
+        .await
+        .unwrap();
+}
+
+/// Guards against a node that acts on an old version while it waits for the rest of the new one on a
+/// connection that has just gone silent.
+#[tokio::test]
+async fn a_new_version_is_in_force_soon_after_connections_went_silent_before_its_sections() {
+    let (keepers, relays, node) = start_behind_relays().await;
+    let calls = &keepers.shared.section_calls;
+    let before = calls.load(Ordering::Relaxed);
+    delay_long_replies(&keepers);
+
+    keepers
+        .shared
+        .set_config(2, cluster::config_with_deadline(9));
+    wait_for_call(calls, before).await;
+    relays.iter().for_each(Relay::sever);
+
+    wait_for_version(&node, 2, IN_FORCE_AFTER).await;
+}
+
+/// Guards against a node that acts on an old version while it waits for the directory of the keeper
+/// that it has moved to, on a connection that has just gone silent.
+#[tokio::test]
+async fn a_new_version_is_in_force_soon_after_connections_went_silent_before_the_directory() {
+    let (mut keepers, relays, node) = start_behind_relays().await;
+    delay_long_replies(&keepers);
+
+    keepers.kill(0);
+    let calls = &keepers.shared.initial_watches;
+    wait_for_call(calls, calls.load(Ordering::Relaxed)).await;
+    relays.iter().for_each(Relay::sever);
+    keepers.shared.set_config(2, cluster::config());
+
+    wait_for_version(&node, 2, IN_FORCE_AFTER).await;
+}
+
 /// Guards against calls that wait until their deadline on a connection that went silent while it was
 /// idle.
 #[tokio::test]
--- a/crates/shallothill-node/tests/support/cluster.rs
+++ b/crates/shallothill-node/tests/support/cluster.rs
@@ -100,6 +100,15 @@
     }
 }
 
+/// [`config`] with another deadline of the routes, in seconds, so that a section differs.
+pub fn config_with_deadline(seconds: u64) -> Config {
+    let mut cfg = config();
+    for route in cfg.routes.values_mut() {
+        route.deadline = Duration::from_secs(seconds);
+    }
+    cfg
+}
+
 pub fn any_local_port() -> SocketAddr {
     SocketAddr::from(([127, 0, 0, 1], 0))
 }
--- a/crates/shallothill-node/tests/support/keepers.rs
+++ b/crates/shallothill-node/tests/support/keepers.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -51,6 +51,10 @@
     pub without_peers: Mutex<BTreeSet<KeeperId>>,
     /// The number of watches that requested the complete directory.
     pub initial_watches: AtomicUsize,
+    /// The number of calls for sections.
+    pub section_calls: AtomicUsize,
+    /// The delay of replies to initial watches and to calls for sections, in ms.
+    pub long_reply_delay_ms: AtomicU64,
     infos: Mutex<Vec<KeeperInfo>>,
     directory: Mutex<Directory>,
     crashes: Mutex<Vec<CrashNotice>>,
@@ -99,6 +103,8 @@
             isolated: Mutex::default(),
             without_peers: Mutex::default(),
             initial_watches: AtomicUsize::new(0),
+            section_calls: AtomicUsize::new(0),
+            long_reply_delay_ms: AtomicU64::new(0),
             infos: Mutex::default(),
             directory: Mutex::new(Directory::new(
                 KeeperId(1),
@@ -188,6 +194,11 @@
         }
     }
 
+    async fn delay_long_reply(&self) {
+        let ms = self.shared.long_reply_delay_ms.load(Ordering::Relaxed);
+        time::sleep(Duration::from_millis(ms)).await;
+    }
+
     fn is_isolated(&self) -> bool {
         self.shared.isolated.lock().unwrap().contains(&self.id)
     }
@@ -247,6 +258,7 @@
         let until = Instant::now() + Duration::from_millis(u64::from(req.wait_ms));
         if req.cursor.is_none() {
             self.shared.initial_watches.fetch_add(1, Ordering::Relaxed);
+            self.delay_long_reply().await;
         }
         loop {
             let isolated = self.is_isolated();
@@ -270,6 +282,8 @@
     }
 
     async fn sections(self, _: Context, req: SectionsRequest) -> SectionsReply {
+        self.shared.section_calls.fetch_add(1, Ordering::Relaxed);
+        self.delay_long_reply().await;
         let (version, cfg) = self.shared.config_of(self.id);
         let mut all = sections::split(&cfg);
         all.retain(|s| req.ids.contains(&s.id()));
--- a/crates/shallothill-wire/src/channel.rs
+++ b/crates/shallothill-wire/src/channel.rs
@@ -11,13 +11,18 @@
 use snafu::ResultExt;
 use tarpc::client::RpcError;
 use tarpc::context;
+use tokio::time;
 
 use crate::errors;
+use crate::metered_stream::ReceivedBytes;
 
 /// `Connect` is implemented by the generated RPC clients, so that [`RpcChannel`] can open them.
 pub trait Connect: Clone + Send + Sync + Sized + 'static {
     /// `connect` opens a connection to `address` and spawns the task that runs the client's I/O.
-    fn connect(address: SocketAddr) -> impl Future<Output = io::Result<Self>> + Send;
+    /// It also returns the count of the bytes that the connection receives.
+    fn connect(
+        address: SocketAddr,
+    ) -> impl Future<Output = io::Result<(Self, ReceivedBytes)>> + Send;
 }
 
 /// `MAX_IDLE_TIME` is the time without a reply after which a connection is not used again. A link
@@ -25,6 +30,13 @@
 /// deadline.
 const MAX_IDLE_TIME: Duration = Duration::from_secs(3);
 
+/// `MAX_SILENCE` is the time without a received byte after which a long call is given up. It leaves
+/// room for links on which packets wait.
+const MAX_SILENCE: Duration = Duration::from_millis(1500);
+
+/// `SILENCE_CHECK_PERIOD` is the time between two looks at the received bytes.
+const SILENCE_CHECK_PERIOD: Duration = Duration::from_millis(100);
+
 /// `RpcChannel` sends RPC calls to one process. It connects at the first call, and again at the
 /// next call after a failure or an idle time.
 #[derive(Debug)]
@@ -38,6 +50,7 @@
 #[derive(Debug)]
 struct Connection<C> {
     client: C,
+    received: ReceivedBytes,
     /// Milliseconds since the start of the channel.
     last_reply_ms: AtomicU64,
 }
@@ -68,13 +81,40 @@
         Fut: Future<Output = std::result::Result<T, RpcError>>,
     {
         let connection = self.connection().await?;
-        let mut cx = context::current();
-        cx.deadline = Instant::now() + deadline;
-        let result = f(connection.client.clone(), cx).await;
+        let result = f(connection.client.clone(), context_until(deadline)).await;
+        self.finish(&connection, result)
+    }
+
+    /// `call_while_receiving` is [`Self::call`] for a call whose reply may be large. It is given up
+    /// before the deadline when nothing arrives on the connection for 1.5 s, because the connection
+    /// is silent then or the process is gone.
+    pub async fn call_while_receiving<T, F, Fut>(
+        &self,
+        deadline: Duration,
+        f: F,
+    ) -> errors::Result<T>
+    where
+        F: FnOnce(C, context::Context) -> Fut,
+        Fut: Future<Output = std::result::Result<T, RpcError>>,
+    {
+        let connection = self.connection().await?;
+        let call = f(connection.client.clone(), context_until(deadline));
+        let result = tokio::select! {
+            result = call => result,
+            () = silence(&connection.received) => Err(RpcError::DeadlineExceeded),
+        };
+        self.finish(&connection, result)
+    }
+
+    fn finish<T>(
+        &self,
+        connection: &Arc<Connection<C>>,
+        result: std::result::Result<T, RpcError>,
+    ) -> errors::Result<T> {
         if matches!(&result, Err(e) if !matches!(e, RpcError::Server(_))) {
             // A call without a reply may mean that the link fails in one direction, so the next
             // call uses a new connection.
-            self.discard(&connection);
+            self.discard(connection);
         } else {
             let now = self.now_ms();
             connection.last_reply_ms.store(now, Ordering::Relaxed);
@@ -95,9 +135,10 @@
         }
         let address = self.address;
         let client = C::connect(address).await;
-        let client = client.context(errors::ConnectSnafu { address })?;
+        let (client, received) = client.context(errors::ConnectSnafu { address })?;
         let opened = Arc::new(Connection {
             client,
+            received,
             last_reply_ms: AtomicU64::new(self.now_ms()),
         });
         self.connection.store(Some(Arc::clone(&opened)));
@@ -116,3 +157,23 @@
         self.started.elapsed().as_millis() as u64
     }
 }
+
+fn context_until(deadline: Duration) -> context::Context {
+    let mut cx = context::current();
+    cx.deadline = Instant::now() + deadline;
+    cx
+}
+
+// Returns once nothing has been received for `MAX_SILENCE`.
+async fn silence(received: &ReceivedBytes) {
+    let mut count = received.count();
+    let mut last_change = time::Instant::now();
+    while last_change.elapsed() < MAX_SILENCE {
+        time::sleep(SILENCE_CHECK_PERIOD).await;
+        let now = received.count();
+        if now != count {
+            count = now;
+            last_change = time::Instant::now();
+        }
+    }
+}
--- a/crates/shallothill-wire/src/control.rs
+++ b/crates/shallothill-wire/src/control.rs
@@ -13,6 +13,7 @@
 use crate::channel;
 use crate::departures::{DeparturesReply, RecordDeparturesReply, RecordDeparturesRequest};
 use crate::keeper_info::KeeperInfo;
+use crate::metered_stream::ReceivedBytes;
 use crate::report::{ReportReply, ReportRequest};
 use crate::transport;
 use crate::watch::{SectionsReply, SectionsRequest, WatchReply, WatchRequest};
@@ -53,8 +54,9 @@
 }
 
 impl channel::Connect for KeeperControlClient {
-    async fn connect(address: SocketAddr) -> io::Result<Self> {
-        let transport = transport::connect(address).await?;
-        Ok(Self::new(client::Config::default(), transport).spawn())
+    async fn connect(address: SocketAddr) -> io::Result<(Self, ReceivedBytes)> {
+        let (transport, received) = transport::connect(address).await?;
+        let client = Self::new(client::Config::default(), transport).spawn();
+        Ok((client, received))
     }
 }
--- a/crates/shallothill-wire/src/lib.rs
+++ b/crates/shallothill-wire/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod departures;
 pub mod errors;
 pub mod keeper_info;
+pub mod metered_stream;
 pub mod operator;
 pub mod report;
 pub mod transport;
--- a/crates/shallothill-wire/src/transport.rs
+++ b/crates/shallothill-wire/src/transport.rs
@@ -17,6 +17,8 @@
 use tokio_util::codec::LengthDelimitedCodec;
 use tokio_util::sync::CancellationToken;
 
+use crate::metered_stream::{MeteredStream, ReceivedBytes};
+
 /// `FRAME_MAX_BYTES` bounds one message in either direction.
 pub const FRAME_MAX_BYTES: usize = 8 * 1024 * 1024;
 
@@ -31,16 +33,19 @@
 
 /// `ClientTransport` carries the calls and replies of one client connection.
 pub type ClientTransport<Req, Resp> = serde_transport::Transport<
-    TcpStream,
+    MeteredStream,
     tarpc::Response<Resp>,
     tarpc::ClientMessage<Req>,
     MessagePack<tarpc::Response<Resp>, tarpc::ClientMessage<Req>>,
 >;
 
-/// `connect` opens a client connection to `address`.
+/// `connect` opens a client connection to `address`, and returns it with the number of bytes that
+/// it receives.
 ///
 /// Fails with `TimedOut` after [`CONNECT_TIMEOUT`].
-pub async fn connect<Req, Resp>(address: SocketAddr) -> io::Result<ClientTransport<Req, Resp>>
+pub async fn connect<Req, Resp>(
+    address: SocketAddr,
+) -> io::Result<(ClientTransport<Req, Resp>, ReceivedBytes)>
 where
     Req: Serialize,
     Resp: DeserializeOwned,
@@ -48,8 +53,11 @@
     let connected = time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
     let stream = connected.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
     stream.set_nodelay(true)?;
+    let stream = MeteredStream::new(stream);
+    let received = stream.received();
     let framed = codec().new_framed(stream);
-    Ok(serde_transport::new(framed, MessagePack::default()))
+    let transport = serde_transport::new(framed, MessagePack::default());
+    Ok((transport, received))
 }
 
 /// `ServerChannel` receives the calls of one connection to a server.
