policy, node: an idle server without recent requests asks for a trial

Cause: the estimate of gray failure of a server that gets no requests relaxes to the expected share, 30%. From 15% on requests that run once are refused, and only above 40% does a gate ask for a trial. In between a server is neither trusted nor tried: where most requests run once it stays unused, 3 s after its last request or after a restart of its node, and the few idempotent requests go as trials to servers that fail.

Change: a gate reports an idle server that lacks evidence as unproven, and entry nodes of the region send it an idempotent request, as they do for a suspected one. It stays usable otherwise.

--- a/crates/shallothill-core/src/health.rs
+++ b/crates/shallothill-core/src/health.rs
@@ -16,6 +16,9 @@
     Ejected,
     /// The backend server is shutting down and takes no new requests.
     Draining,
+    /// The backend server is idle and has run too little lately to be trusted: it takes idempotent
+    /// requests, and one of them should be sent to it as a trial.
+    Unproven,
 }
 
 impl ServingState {
@@ -33,6 +36,7 @@
             Self::Demoted => "demoted",
             Self::Ejected => "ejected",
             Self::Draining => "draining",
+            Self::Unproven => "unproven",
         }
     }
 }
--- a/crates/shallothill-node/src/attempt.rs
+++ b/crates/shallothill-node/src/attempt.rs
@@ -101,6 +101,7 @@
         "demoted" => ServingState::Demoted,
         "ejected" => ServingState::Ejected,
         "draining" => ServingState::Draining,
+        "unproven" => ServingState::Unproven,
         _ => return None,
     };
     Some(ReportedLoad {
--- a/crates/shallothill-node/src/gate/attempt_limits.rs
+++ b/crates/shallothill-node/src/gate/attempt_limits.rs
@@ -71,10 +71,11 @@
         (self.lock().gray.probability(now) * 100.0) as u8
     }
 
-    /// `suspected_state` returns the state to report to other nodes while a gray failure is
-    /// suspected or the backend server is unhealthy without an ejection lease: `Ejected` when a
-    /// trial request is due, else `Demoted`. Returns `None` when there is no suspicion.
-    pub(crate) fn suspected_state(&self) -> Option<ServingState> {
+    /// `doubted_state` returns the state to report to other nodes while a gray failure is suspected
+    /// or the backend server is unhealthy without an ejection lease: `Ejected` when a trial request
+    /// is due, else `Demoted`. It is `Unproven` for an idle server that has run nothing lately, and
+    /// `None` when there is no doubt.
+    pub(crate) fn doubted_state(&self) -> Option<ServingState> {
         let now = self.now();
         let inner = self.lock();
         let wants_trial = if inner.gray.is_suspect(now) {
@@ -82,7 +83,7 @@
         } else if inner.health.is_demoted(now) {
             inner.health.needs_trial(now)
         } else {
-            return None;
+            return inner.lacks_evidence(now).then_some(ServingState::Unproven);
         };
         Some(if wants_trial {
             ServingState::Ejected
--- a/crates/shallothill-node/src/gate/endpoint.rs
+++ b/crates/shallothill-node/src/gate/endpoint.rs
@@ -308,6 +308,16 @@
 }
 
 impl Inner {
+    /// `lacks_evidence` tells whether a trial should be sent to the backend server, because nothing
+    /// runs there that would show how it serves.
+    pub(crate) fn lacks_evidence(&self, now: Millis) -> bool {
+        let takes_requests = matches!(self.gate.state(), ServingState::Ready | ServingState::Cold);
+        takes_requests
+            && !self.gate.is_stopping()
+            && self.gate.is_idle()
+            && self.gray.lacks_evidence(now)
+    }
+
     /// `apply_health` sets the state and the trial slots of the admission gate from the health.
     pub(crate) fn apply_health(&mut self, now: Millis) {
         let state = self.health.state(now);
--- a/crates/shallothill-node/src/gate/mod.rs
+++ b/crates/shallothill-node/src/gate/mod.rs
@@ -251,7 +251,7 @@
 
 fn reported_load(endpoint: &Endpoint) -> ReportedLoad {
     let mut load = endpoint.reported_load();
-    if let Some(state) = endpoint.suspected_state() {
+    if let Some(state) = endpoint.doubted_state() {
         load.state = state;
     }
     if !endpoint.is_up() {
--- a/crates/shallothill-policy/src/admit/gate.rs
+++ b/crates/shallothill-policy/src/admit/gate.rs
@@ -264,6 +264,11 @@
         self.latencies.mean()
     }
 
+    /// `is_stopping` returns whether the node of the gate stops.
+    pub fn is_stopping(&self) -> bool {
+        self.stops_at.is_some()
+    }
+
     /// `is_idle` returns whether no request runs or waits.
     pub fn is_idle(&self) -> bool {
         self.running.is_empty() && self.queue.len() == 0
--- a/crates/shallothill-policy/src/gray/estimate.rs
+++ b/crates/shallothill-policy/src/gray/estimate.rs
@@ -128,6 +128,16 @@
         now >= self.next_trial || self.probability(now) <= self.options.trial_above
     }
 
+    /// `lacks_evidence` returns whether a trial should be sent to an idle backend server: too little
+    /// has run there lately for it to be trusted, so requests that must run at most once are
+    /// refused, although it is not suspected.
+    pub fn lacks_evidence(&self, now: Millis) -> bool {
+        let probability = self.probability(now);
+        probability > self.options.trust_below
+            && probability <= self.options.refuse_above
+            && now >= self.next_trial
+    }
+
     /// `is_suspect` returns whether requests that must run at most once are refused.
     pub fn is_suspect(&self, now: Millis) -> bool {
         self.probability(now) > self.options.refuse_above
--- a/crates/shallothill-policy/src/pick/service_table.rs
+++ b/crates/shallothill-policy/src/pick/service_table.rs
@@ -99,7 +99,9 @@
             ServingState::Ejected => self.ejected.push(i),
             ServingState::Demoted => self.fallback[tier as usize].push(i),
             _ if !endpoint.info.reporting => self.fallback[tier as usize].push(i),
-            ServingState::Ready | ServingState::Cold => self.preferred[tier as usize].push(i),
+            ServingState::Ready | ServingState::Cold | ServingState::Unproven => {
+                self.preferred[tier as usize].push(i);
+            }
         }
         self.tiers.push(tier);
         self.by_key.insert(endpoint.key, i);
@@ -189,7 +191,8 @@
             .then(|| self.picked(i, true))
     }
 
-    // Finds a suspected endpoint of the region whose gate wants a trial now.
+    // Finds an endpoint of the region whose gate wants a trial now, because it is suspected or has
+    // run nothing lately.
     fn endpoint_wanting_trial(&self, now: Millis, rng: &mut impl Rng) -> Option<u32> {
         for list in self.preferred[..2].iter().chain(&self.fallback[..2]) {
             if list.is_empty() {
@@ -200,7 +203,9 @@
             for i in drawn {
                 let stats = &self.endpoints[i as usize].stats;
                 let reported = stats.recent_load(now, self.options.load_max_age);
-                let wants = reported.is_some_and(|l| l.state == ServingState::Ejected);
+                let wants = reported.is_some_and(|l| {
+                    matches!(l.state, ServingState::Ejected | ServingState::Unproven)
+                });
                 if wants && stats.claim_trial(now, self.options.trial_interval) {
                     return Some(i);
                 }
--- a/crates/shallothill-policy/src/pick/stats.rs
+++ b/crates/shallothill-policy/src/pick/stats.rs
@@ -32,12 +32,13 @@
     next_trial: AtomicU64,
 }
 
-const STATES: [ServingState; 5] = [
+const STATES: [ServingState; 6] = [
     ServingState::Ready,
     ServingState::Cold,
     ServingState::Demoted,
     ServingState::Ejected,
     ServingState::Draining,
+    ServingState::Unproven,
 ];
 
 impl EndpointStats {
--- a/crates/shallothill-policy/tests/gray.rs
+++ b/crates/shallothill-policy/tests/gray.rs
@@ -76,6 +76,32 @@
     assert!(estimate.admits(Millis(1_400), Caution::Trust));
 }
 
+/// Guards against a backend server that gets no request for some seconds and then none for good: it
+/// is no longer trusted and not yet suspected.
+#[test]
+fn a_server_without_recent_requests_asks_for_a_trial() {
+    let mut estimate = EpisodeEstimator::new(options());
+    observe_served(&mut estimate, 0, 20);
+    assert!(!estimate.lacks_evidence(Millis(2_000)), "trusted");
+
+    let idle = Millis(7_000);
+    assert!(!estimate.admits(idle, Caution::Trust));
+    assert!(estimate.lacks_evidence(idle));
+
+    estimate.observe(idle, Observation::Served(USUAL_LATENCY), USUAL_LATENCY);
+    assert!(!estimate.lacks_evidence(idle), "a trial has succeeded");
+    estimate.observe(idle, Observation::Failed(FAST), USUAL_LATENCY);
+    assert!(!estimate.lacks_evidence(idle), "suspected");
+}
+
+/// Guards against trials where no episodes are expected.
+#[test]
+fn without_an_expected_share_no_trial_is_asked_for() {
+    let estimate = EpisodeEstimator::new(GrayOptions::default());
+
+    assert!(!estimate.lacks_evidence(Millis(60_000)));
+}
+
 /// Guards against a service without repeatable requests, and so without trials, losing its servers
 /// for good.
 #[test]
