node, policy: attempts go only to processes that have answered

Cause: a connection to a suspended process opens, as its host accepts it, and attempts were sent on it at once. Each was noticed after 0.9 s and then asked about for 5 s; the answer was "unknown", because the entry node did not know which process it had been sent to. The path was penalised only when all that was over. So frozen nodes drew 34 to 108 attempts a second to their thaw.

The new tests failed before: 504 "peer-lost" in silent_links.rs; ten requests that fail together were ten failures and a penalty of 8 s.

Change: a new connection between nodes is used once the process at its other end has said which one it is, within the connect timeout; else the attempt counts as not sent and goes elsewhere. A link that breaks counts against the path at once, before the peer is asked, and requests that were under way at a counted failure don't count again.

--- a/crates/shallothill-bench/src/sim/fleet_request.rs
+++ b/crates/shallothill-bench/src/sim/fleet_request.rs
@@ -301,7 +301,8 @@
         }
         let node = &self.hosts[server].id.node;
         if let Some(path) = self.entries[dc].tables.path(node) {
-            path.record_failure(millis(self.events.now()));
+            let now = millis(self.events.now());
+            path.record_failure(now, now);
         }
         self.cancel(req);
         self.attempt_ended(req, Outcome::Unknown);
--- a/crates/shallothill-node/src/entry/send.rs
+++ b/crates/shallothill-node/src/entry/send.rs
@@ -48,6 +48,7 @@
         }
         let deadline = attempt.head.deadline;
         let idempotent = attempt.head.idempotent;
+        let sent_at = self.deps.timer.now();
         let id = self.deps.links.next_attempt_id();
         let told_reply_by = attempt.reply_by.get().is_some();
         let req = peer::write_attempt(attempt, id, self.deps.store.version());
@@ -58,6 +59,8 @@
             let Err(LinkError::Failed { sent_to, .. }) = &sent else {
                 return sent;
             };
+            // The peer may be silent for seconds, in which other requests avoid it.
+            path.record_failure(self.deps.timer.now(), sent_at);
             let question = Question {
                 id,
                 sent_to: *sent_to,
@@ -91,7 +94,7 @@
             }
             Err(_) => PEER_SILENT,
         };
-        path.record_failure(now);
+        path.record_failure(now, sent_at);
         refusal.reply_without_gate()
     }
 
@@ -160,6 +163,7 @@
         deadline: Instant,
         path: &PathStats,
     ) -> Result<Response<Incoming>, LinkError> {
+        let sent_at = self.deps.timer.now();
         let now = Instant::now();
         let silent_at = now + deadline.saturating_duration_since(now) / SILENCE_DIVISOR;
         let responses_before = link.responses();
@@ -168,15 +172,13 @@
         if let Ok(sent) = time::timeout_at(silent_at, send.as_mut()).await {
             return sent;
         }
-        let now = self.deps.timer.now();
-        // A response to any other request shows that only the backend server is slow. One silence
-        // counts as one failure, however many requests wait.
-        if link.responses() == responses_before && !path.is_penalised(now) {
+        // A response to any other request shows that only the backend server is slow.
+        if link.responses() == responses_before {
             tracing::debug!(
                 "entry: peer {} sent no response; its path is picked less",
                 link.address()
             );
-            path.record_failure(now);
+            path.record_failure(self.deps.timer.now(), sent_at);
         }
         send.await
     }
--- a/crates/shallothill-node/src/peer/link.rs
+++ b/crates/shallothill-node/src/peer/link.rs
@@ -47,10 +47,19 @@
 #[derive(Clone, Debug)]
 struct LinkConnection {
     sender: http2::SendRequest<Body>,
-    /// Set by the first reply.
+    /// Set by the first reply of a process that tells it.
     process: Arc<OnceLock<ProcessId>>,
 }
 
+impl LinkConnection {
+    fn note_process(&self, response: &Response<Incoming>) {
+        if let Some(process) = question::read_process(response.headers()) {
+            // The process at the other end of a connection stays the same.
+            let _ = self.process.set(process);
+        }
+    }
+}
+
 #[derive(Debug)]
 struct LinkState {
     connection: Option<LinkConnection>,
@@ -127,9 +136,7 @@
             let sent_to = connection.process.get().copied();
             LinkError::Failed { source, sent_to }
         })?;
-        if let Some(process) = question::read_process(response.headers()) {
-            let _ = connection.process.set(process);
-        }
+        connection.note_process(&response);
         self.responses.fetch_add(1, Ordering::Relaxed);
         Ok(response)
     }
@@ -164,7 +171,11 @@
         {
             return Err(io::Error::from(io::ErrorKind::NotConnected));
         }
-        let result = self.connect_once().await;
+        // A host whose processes are suspended still accepts connections.
+        let connecting = time::timeout(self.connect_timeout, self.connect_once());
+        let result = connecting
+            .await
+            .unwrap_or_else(|_| Err(io::Error::from(io::ErrorKind::TimedOut)));
         let mut state = self.lock();
         match &result {
             Ok(connection) => state.connection = Some(connection.clone()),
@@ -173,11 +184,10 @@
         result
     }
 
+    // Opens a connection and waits until the process at its other end has answered, so that no attempt
+    // is sent to one that is suspended.
     async fn connect_once(&self) -> io::Result<LinkConnection> {
-        let connecting = TcpStream::connect(self.address);
-        let stream = time::timeout(self.connect_timeout, connecting)
-            .await
-            .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
+        let stream = TcpStream::connect(self.address).await?;
         stream.set_nodelay(true)?;
         sockets::limit_unacknowledged(&stream)?;
         let (sender, connection) = http2::Builder::new(TokioExecutor::new())
@@ -194,10 +204,16 @@
         tokio::spawn(async move {
             let _ = connection.await;
         });
-        Ok(LinkConnection {
+        let mut connection = LinkConnection {
             sender,
             process: Arc::default(),
-        })
+        };
+        let sent = connection
+            .sender
+            .send_request(question::write_process_question());
+        let response = sent.await.map_err(io::Error::other)?;
+        connection.note_process(&response);
+        Ok(connection)
     }
 
     fn lock(&self) -> MutexGuard<'_, LinkState> {
--- a/crates/shallothill-node/src/peer/question.rs
+++ b/crates/shallothill-node/src/peer/question.rs
@@ -1,4 +1,4 @@
-//! Encodes messages about attempts that were sent before.
+//! Encodes messages about a peer's process and about attempts that were sent to it before.
 
 use std::time::Duration;
 
@@ -11,6 +11,9 @@
 use crate::header_filter;
 use crate::peer::{AttemptId, ProcessId};
 
+/// `PROCESS_PATH` is the path of questions which process answers.
+pub(super) const PROCESS_PATH: &str = "/peer/process";
+
 /// `QUESTION_PATH` is the path of questions about attempts.
 pub(super) const QUESTION_PATH: &str = "/peer/attempt";
 
@@ -26,6 +29,11 @@
     pub sent_to: Option<ProcessId>,
 }
 
+/// `write_process_question` builds the request that asks a peer which process it is.
+pub(super) fn write_process_question() -> Request<Body> {
+    request_to(PROCESS_PATH)
+}
+
 /// `write_question` builds the request that asks a gate about an attempt.
 pub fn write_question(question: &Question) -> Request<Body> {
     let mut req = request_about(QUESTION_PATH, question.id);
@@ -71,6 +79,12 @@
 }
 
 fn request_about(path: &str, id: AttemptId) -> Request<Body> {
+    let mut req = request_to(path);
+    write_id(req.headers_mut(), id);
+    req
+}
+
+fn request_to(path: &str) -> Request<Body> {
     let mut req = Request::new(Body::empty());
     *req.version_mut() = Version::HTTP_2;
     let uri = Uri::builder()
@@ -79,7 +93,6 @@
         .path_and_query(path)
         .build();
     *req.uri_mut() = uri.unwrap_or_default();
-    write_id(req.headers_mut(), id);
     req
 }
 
--- a/crates/shallothill-node/src/peer/server.rs
+++ b/crates/shallothill-node/src/peer/server.rs
@@ -54,6 +54,11 @@
 
 impl RequestHandler for PeerServer {
     async fn handle(&self, req: Request<UnreadBody>) -> Response<Body> {
+        if req.uri().path() == question::PROCESS_PATH {
+            let mut response = Response::new(Body::empty());
+            question::write_process(response.headers_mut(), self.attempts.process());
+            return response;
+        }
         if req.uri().path() == question::QUESTION_PATH
             && let Some(question) = peer::read_question(req.headers())
         {
--- a/crates/shallothill-node/tests/silent_links.rs
+++ b/crates/shallothill-node/tests/silent_links.rs
@@ -4,9 +4,10 @@
 
 use std::time::Duration;
 
+use futures::future;
 use shallothill_testing::behaviour::Behaviour;
 use shallothill_testing::http::Client;
-use shallothill_testing::relay::Relay;
+use shallothill_testing::relay::{Direction, Relay};
 use tokio::time;
 use tokio::time::Instant;
 
@@ -75,6 +76,33 @@
     assert_eq!(runs_of_bookings(&nodes), 1);
 }
 
+/// Guards against requests that are sent to a suspended process, where they wait for seconds and count
+/// as possibly run. Its host goes on to accept connections.
+#[tokio::test]
+async fn requests_are_not_sent_to_a_suspended_process() {
+    let (nodes, relay) = two_nodes_with_relay(Behaviour::default()).await;
+    let _second = cluster::start_standin(&nodes.entry, "e2", Behaviour::default()).await;
+    nodes.entry.wait_ready(2).await;
+    let client = Client::default();
+    let at = nodes.entry.caller_address();
+    assert_eq!(get(&client, at, "/stock", "before").await.status, 200);
+    relay.cut(Direction::FromTarget);
+    // The open connection is noticed by requests that can be sent again.
+    let reads = (0..10).map(|_| get(&client, at, "/stock", "during"));
+    future::join_all(reads).await;
+
+    let started = Instant::now();
+    let keys: Vec<String> = (0..10).map(|_| new_key()).collect();
+    let bookings = keys.iter().map(|key| send_booking(&client, at, key, "a"));
+    let replies = future::join_all(bookings).await;
+
+    for reply in replies {
+        let reply = reply.unwrap();
+        assert_eq!(outcome(&reply), "answered", "{reply:?}");
+    }
+    assert!(started.elapsed() < SOON, "{:?}", started.elapsed());
+}
+
 /// Guards against work that goes on after its caller has left.
 #[tokio::test]
 async fn work_ends_when_the_caller_leaves() {
--- a/crates/shallothill-policy/src/pick/path_stats.rs
+++ b/crates/shallothill-policy/src/pick/path_stats.rs
@@ -16,13 +16,21 @@
 #[derive(Debug, Default)]
 pub struct PathStats {
     failures: AtomicU32,
+    /// When the last failure was counted, plus 1.
+    counted_at_plus_one: AtomicU64,
     penalised_until: AtomicU64,
 }
 
 impl PathStats {
     /// `record_failure` records a connect error, a broken connection or a gate that did not reply
-    /// in time.
-    pub fn record_failure(&self, now: Millis) {
+    /// in time, for a request that was sent at `sent_at`. Requests that were under way at a failure
+    /// fail for the same reason and don't count again.
+    pub fn record_failure(&self, now: Millis, sent_at: Millis) {
+        let counted = self.counted_at_plus_one.load(Ordering::Relaxed);
+        if sent_at.0 < counted {
+            return;
+        }
+        self.counted_at_plus_one.store(now.0 + 1, Ordering::Relaxed);
         let before = self.failures.fetch_add(1, Ordering::Relaxed);
         let penalty = FIRST_PENALTY * 2u32.pow(before.min(MAX_DOUBLINGS));
         self.penalised_until
--- a/crates/shallothill-policy/tests/pick.rs
+++ b/crates/shallothill-policy/tests/pick.rs
@@ -11,8 +11,8 @@
 };
 use shallothill_core::time::Millis;
 use shallothill_policy::pick::{
-    ByteBudget, EndpointInfo, EndpointKey, PickOptions, PickRequest, ReportedLoad, ServiceTable,
-    ServiceTables, Tier,
+    ByteBudget, EndpointInfo, EndpointKey, PathStats, PickOptions, PickRequest, ReportedLoad,
+    ServiceTable, ServiceTables, Tier,
 };
 
 const NOW: Millis = Millis(1000);
@@ -156,7 +156,7 @@
 fn a_failed_path_is_avoided_and_probed() {
     let t = tables(infos());
     let table = t.service(&service()).unwrap();
-    table.endpoints()[0].path.record_failure(NOW);
+    table.endpoints()[0].path.record_failure(NOW, NOW);
     let (nodes, _) = count_picks(table, &request(&[]));
     assert!(!nodes.contains_key("n0"));
 
@@ -211,13 +211,32 @@
     assert_eq!(nodes, BTreeMap::from([("n1".to_owned(), 1000)]));
 }
 
+/// Guards against a path that is avoided for long after one short failure, because many requests were
+/// under way on it.
+#[test]
+fn requests_that_fail_together_count_once() {
+    let path = PathStats::default();
+    let sent_at = NOW;
+    let failed_at = NOW + Duration::from_millis(900);
+
+    for _ in 0..10 {
+        path.record_failure(failed_at, sent_at);
+    }
+    let first_penalty = failed_at + Duration::from_millis(250);
+    assert!(path.is_penalised(failed_at));
+    assert!(!path.is_penalised(first_penalty));
+
+    path.record_failure(first_penalty, first_penalty);
+    assert!(path.is_penalised(first_penalty + Duration::from_millis(499)));
+}
+
 /// Guards against path failures that are recorded nowhere, or lost when the directory changes.
 #[test]
 fn paths_are_found_by_node_and_survive_a_new_snapshot() {
     let me = zone("r1", "d0");
     let first = tables(infos());
     let node = NodeName::try_new("n0").unwrap();
-    first.path(&node).unwrap().record_failure(NOW);
+    first.path(&node).unwrap().record_failure(NOW, NOW);
 
     let next = first.with_endpoints(&me, vec![(service(), infos())], &PickOptions::default());
     let table = next.service(&service()).unwrap();
