node: a stop answers requests that were passed on before their turn

Cause: the closing header and hyper's graceful shutdown end the connection after the current response, though requests behind it may have been passed on already.

Change: a response with such a request behind it keeps the connection open, and the listener begins to close a connection when the turn of the last one has come.

--- a/crates/shallothill-node/src/listener.rs
+++ b/crates/shallothill-node/src/listener.rs
@@ -172,7 +172,7 @@
         let pipeline = Arc::new(Pipeline::new(handler));
         let socket = SharedStream::new(stream);
         let stream = PipelinedStream::new(socket.clone(), Arc::clone(&pipeline));
-        let abandoned = Arc::clone(&pipeline);
+        let waiting = Arc::clone(&pipeline);
         let service = service::service_fn(move |req: Request<Incoming>| {
             let (pipeline, request_activity, timer) = (
                 Arc::clone(&pipeline),
@@ -192,11 +192,11 @@
         tokio::pin!(idle);
         let result = tokio::select! {
             result = connection.as_mut() => result,
-            () = abandoned.abandoned(&socket) => {
+            () = waiting.abandoned(&socket) => {
                 debug!("listener: a caller left with requests waiting");
                 return;
             }
-            () = self.stop.cancelled() => {
+            () = self.stopped(&waiting) => {
                 connection.as_mut().graceful_shutdown();
                 connection.await
             }
@@ -213,6 +213,13 @@
         }
     }
 
+    // Returns once the connection is to be closed after its current request. Requests that were
+    // passed on before their turn come first, as their responses would be lost.
+    async fn stopped<A: RequestHandler>(&self, pipeline: &Pipeline<A>) {
+        self.stop.cancelled().await;
+        pipeline.no_early_requests().await;
+    }
+
     // Returns once no request has run for the idle timeout, so that the connection is closed. This
     // also covers connections that never send a request.
     async fn wait_idle(&self, activity: &ConnectionActivity) {
--- a/crates/shallothill-node/src/pipeline.rs
+++ b/crates/shallothill-node/src/pipeline.rs
@@ -12,6 +12,7 @@
 use std::time::Duration;
 use std::{io, mem};
 
+use hyper::header;
 use hyper::http::request;
 use hyper::{Request, Response};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
@@ -57,6 +58,8 @@
     /// Notified when a request was read behind another one.
     waiting: Notify,
     early: Mutex<HashMap<u64, EarlyRequest>>,
+    /// Notified when the turn of an early request has come.
+    turn: Notify,
 }
 
 impl<A: RequestHandler> Pipeline<A> {
@@ -69,6 +72,7 @@
             read: AtomicU64::new(0),
             waiting: Notify::new(),
             early: Mutex::default(),
+            turn: Notify::new(),
         }
     }
 
@@ -77,19 +81,42 @@
     pub async fn handle(&self, req: Request<UnreadBody>) -> Response<Body> {
         let index = self.begun.fetch_add(1, Ordering::Relaxed);
         let early = self.lock().remove(&index);
+        if early.is_some() {
+            self.turn.notify_waiters();
+        }
         let response = match early {
             Some(mut early) => (&mut early.response).await.ok(),
             None => None,
         };
         // An early request ends without a response only when its task has failed. It may run twice.
-        let response = match response {
+        let mut response = match response {
             Some(response) => response,
             None => self.handler.handle(req).await,
         };
+        // The connection closes after the last request that was passed on.
+        if self.has_early() {
+            response.headers_mut().remove(header::CONNECTION);
+        }
         self.answered.fetch_add(1, Ordering::Relaxed);
         response
     }
 
+    /// `no_early_requests` returns once no request runs ahead of its turn. The last of them may still
+    /// wait for its response then.
+    pub async fn no_early_requests(&self) {
+        loop {
+            let turn = self.turn.notified();
+            if !self.has_early() {
+                return;
+            }
+            turn.await;
+        }
+    }
+
+    fn has_early(&self) -> bool {
+        !self.lock().is_empty()
+    }
+
     /// `abandoned` returns once the caller has closed `stream` while requests wait on it. hyper does
     /// not notice that before it has read them.
     pub async fn abandoned(&self, stream: &SharedStream) {
--- a/crates/shallothill-node/tests/pipelining.rs
+++ b/crates/shallothill-node/tests/pipelining.rs
@@ -3,6 +3,7 @@
 mod support;
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 use std::time::Duration;
 
 use shallothill_testing::behaviour::Behaviour;
@@ -153,3 +154,26 @@
         .await
         .unwrap();
 }
+
+/// Guards against a planned stop that closes the connection after the first response while a backend
+/// server works on the request behind it.
+#[tokio::test]
+async fn a_stop_waits_for_requests_that_run_before_their_turn() {
+    let nodes = nodes_with_slow_path().await;
+    let requests = ["/stock/slow", "/stock/slow/2"].map(get);
+    let mut stream = send(&nodes, &requests).await;
+    let both = || async { ran(&nodes, "/stock/slow") && ran(&nodes, "/stock/slow/2") };
+    process::wait_until("both run", MAX_WAIT, both)
+        .await
+        .unwrap();
+
+    let node = Arc::clone(&nodes.entry.node);
+    nodes.entry.stop.cancel();
+    tokio::spawn(async move { node.run_until_stopped().await });
+    let mut responses = String::new();
+    let read = stream.read_to_string(&mut responses);
+    time::timeout(MAX_WAIT, read).await.unwrap().unwrap();
+
+    assert_eq!(responses.matches("HTTP/1.1 200").count(), 2, "{responses}");
+    assert_eq!(responses.matches("connection: close").count(), 1);
+}
