node, policy: a silent peer is probed in the background

What callers saw: requests that wait half a second for each frozen node that their node tries, up to three or four times in turn.

Cause: the end of a path's penalty is found out by a request. With 100 entry nodes and few requests at each, most attempts to a frozen node were such tries, and each new connection waits for the connect timeout.

Change: after a failure a path gets no requests until its peer has answered a question which process it is, asked after 250 ms and then every 0.5 to 1 s, for a minute at most.

--- a/crates/shallothill-node/src/entry/send.rs
+++ b/crates/shallothill-node/src/entry/send.rs
@@ -29,6 +29,10 @@
 /// `QUESTION_PAUSE` is the time between two messages to a peer about an attempt.
 const QUESTION_PAUSE: Duration = Duration::from_millis(100);
 
+/// `MAX_PROBING_TIME` is the time for which a peer that does not answer is probed in the background.
+/// Requests try it after that.
+const MAX_PROBING_TIME: Duration = Duration::from_secs(60);
+
 /// `SILENCE_DIVISOR` divides the time left for a request. A peer that sends no response at all for
 /// that fraction is picked less. The fraction is shorter than the delay of a hedge, so that the
 /// hedge avoids the path.
@@ -61,6 +65,7 @@
             };
             // The peer may be silent for seconds, in which other requests avoid it.
             path.record_failure(self.deps.timer.now(), sent_at);
+            self.probe_path(&link, &path);
             let question = Question {
                 id,
                 sent_to: *sent_to,
@@ -95,9 +100,34 @@
             Err(_) => PEER_SILENT,
         };
         path.record_failure(now, sent_at);
+        self.probe_path(&link, &path);
         refusal.reply_without_gate()
     }
 
+    // Finds out when a peer answers again, so that no request has to.
+    fn probe_path(&self, link: &Arc<PeerLink>, path: &Arc<PathStats>) {
+        if !path.start_probing() {
+            return;
+        }
+        let (link, path) = (Arc::clone(link), Arc::clone(path));
+        let timer = self.deps.timer.clone();
+        tokio::spawn(async move {
+            let give_up_at = timer.now() + MAX_PROBING_TIME;
+            // Without another holder of the path, the peer has no backend server any more.
+            while timer.now() < give_up_at && Arc::strong_count(&path) > 1 {
+                // The timer fails only when the process ends.
+                let _ = timer.after(path.probe_pause()).await;
+                let asked_at = timer.now();
+                if link.answers().await {
+                    path.record_success();
+                    return;
+                }
+                path.record_failure(timer.now(), asked_at);
+            }
+            path.stop_probing();
+        });
+    }
+
     // Waits for `sent`. If this node begins to stop meanwhile, the gate learns by when it needs the
     // reply, so that the attempt does not wait for a slot beyond that.
     async fn send_reply_limit_meanwhile<T>(
--- a/crates/shallothill-node/src/peer/link.rs
+++ b/crates/shallothill-node/src/peer/link.rs
@@ -141,6 +141,13 @@
         Ok(response)
     }
 
+    /// `answers` asks the process of the peer for a sign of life, on a new connection if none is
+    /// open, and returns whether it answered within the connect timeout.
+    pub async fn answers(&self) -> bool {
+        let asked = self.send(question::write_process_question());
+        matches!(time::timeout(self.connect_timeout, asked).await, Ok(Ok(_)))
+    }
+
     fn open_connection(&self) -> Option<LinkConnection> {
         let mut state = self.lock();
         state.last_used = Instant::now();
--- a/crates/shallothill-node/tests/silent_links.rs
+++ b/crates/shallothill-node/tests/silent_links.rs
@@ -7,11 +7,12 @@
 use futures::future;
 use shallothill_testing::behaviour::Behaviour;
 use shallothill_testing::http::Client;
+use shallothill_testing::process;
 use shallothill_testing::relay::{Direction, Relay};
 use tokio::time;
 use tokio::time::Instant;
 
-use support::{cluster, get, new_key, outcome, send_booking};
+use support::{MAX_WAIT, cluster, get, new_key, outcome, send_booking};
 
 /// The time of the backend server's work, longer than the connection stays open once it is silent.
 const WORK: Duration = Duration::from_millis(1500);
@@ -101,6 +102,17 @@
         assert_eq!(outcome(&reply), "answered", "{reply:?}");
     }
     assert!(started.elapsed() < SOON, "{:?}", started.elapsed());
+
+    let before = nodes.standin.record().len();
+    relay.heal(Direction::FromTarget);
+    let used_again = || async {
+        let reply = get(&client, at, "/stock", "after").await;
+        assert_eq!(outcome(&reply), "answered", "{reply:?}");
+        nodes.standin.record().len() > before
+    };
+    process::wait_until("the process gets requests again", MAX_WAIT, used_again)
+        .await
+        .unwrap();
 }
 
 /// Guards against work that goes on after its caller has left.
@@ -119,7 +131,7 @@
     assert!(left.is_err());
     let endpoints = nodes.gate.node.gate().endpoints();
     let idle = || async { endpoints.values().all(|e| e.reported_load().in_flight == 0) };
-    shallothill_testing::process::wait_until("the slot is free", support::MAX_WAIT, idle)
+    process::wait_until("the slot is free", MAX_WAIT, idle)
         .await
         .unwrap();
 }
--- a/crates/shallothill-policy/src/pick/path_stats.rs
+++ b/crates/shallothill-policy/src/pick/path_stats.rs
@@ -1,6 +1,6 @@
 //! An entry node's record of failures on the path to another node.
 
-use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::time::Duration;
 
 use shallothill_core::time::Millis;
@@ -10,6 +10,9 @@
 const FIRST_PENALTY: Duration = Duration::from_millis(250);
 const MAX_DOUBLINGS: u32 = 5;
 
+// Probes in the background cost no request, so they stay more frequent.
+const MAX_PROBE_DOUBLINGS: u32 = 2;
+
 /// `PathStats` penalises a path on which requests fail without a reply of the gate.
 ///
 /// It only affects what this entry node picks; the health of the backend server is unaffected.
@@ -19,6 +22,8 @@
     /// When the last failure was counted, plus 1.
     counted_at_plus_one: AtomicU64,
     penalised_until: AtomicU64,
+    /// Whether the path is avoided until a background probe has an answer.
+    probing: AtomicBool,
 }
 
 impl PathStats {
@@ -37,8 +42,28 @@
             .fetch_max((now + penalty).0, Ordering::Relaxed);
     }
 
+    /// `start_probing` avoids the path until [`Self::stop_probing`] or a success, so that no request
+    /// has to find out whether it works again. It returns `false` if that has been started already.
+    pub fn start_probing(&self) -> bool {
+        !self.probing.swap(true, Ordering::Relaxed)
+    }
+
+    /// `stop_probing` lets requests use the path again, subject to its penalty.
+    pub fn stop_probing(&self) {
+        self.probing.store(false, Ordering::Relaxed);
+    }
+
+    /// `probe_pause` returns the time to wait before the next background probe.
+    pub fn probe_pause(&self) -> Duration {
+        let failures = self.failures.load(Ordering::Relaxed);
+        FIRST_PENALTY * 2u32.pow(failures.saturating_sub(1).min(MAX_PROBE_DOUBLINGS))
+    }
+
     /// `record_success` clears the penalty; any reply of the gate counts, including a refusal.
     pub fn record_success(&self) {
+        if self.probing.load(Ordering::Relaxed) {
+            self.stop_probing();
+        }
         if self.failures.load(Ordering::Relaxed) != 0 {
             self.failures.store(0, Ordering::Relaxed);
             self.penalised_until.store(0, Ordering::Relaxed);
@@ -47,7 +72,7 @@
 
     /// `is_penalised` returns whether the path is to be avoided at `now`.
     pub fn is_penalised(&self, now: Millis) -> bool {
-        now.0 < self.penalised_until.load(Ordering::Relaxed)
+        self.probing.load(Ordering::Relaxed) || now.0 < self.penalised_until.load(Ordering::Relaxed)
     }
 
     /// `claim_probe` returns whether a request may use the path: always if it has no failures,
--- a/crates/shallothill-policy/tests/pick.rs
+++ b/crates/shallothill-policy/tests/pick.rs
@@ -230,6 +230,29 @@
     assert!(path.is_penalised(first_penalty + Duration::from_millis(499)));
 }
 
+/// Guards against requests that are sent to a silent peer only to find out whether it answers again,
+/// and against a path that stays unused once it does.
+#[test]
+fn a_path_that_is_probed_gets_no_requests_until_it_answers() {
+    let t = tables(infos());
+    let table = t.service(&service()).unwrap();
+    let path = &table.endpoints()[0].path;
+    let mut rng = SmallRng::seed_from_u64(1);
+    path.record_failure(NOW, NOW);
+    assert!(path.start_probing());
+    assert!(!path.start_probing(), "one probe at a time");
+
+    let later = NOW + Duration::from_secs(20);
+    for _ in 0..1000 {
+        let picked = table.pick(later, &mut rng, &request(&[])).unwrap();
+        assert_ne!(picked.endpoint.info.id.node.as_str(), "n0");
+    }
+
+    path.record_success();
+    let (nodes, _) = count_picks(table, &request(&[]));
+    assert!(nodes.contains_key("n0"));
+}
+
 /// Guards against path failures that are recorded nowhere, or lost when the directory changes.
 #[test]
 fn paths_are_found_by_node_and_survive_a_new_snapshot() {
