core, node: the fingerprint of a request covers all that identifies it

Cause: the fingerprint covered the method, the path and the first 1,024 bytes of the body. Requests that differ later shared it, and each answer to one cleared the crashes of all.

Change: it covers the method, the host of the route, the path, the caller, the service where the request began and the whole body, or the start and the length of a body that is streamed. The host is that of the route, as callers of a route without one may send a request again to another node (the quarantine's own test does; with the requested host it failed).

--- a/crates/shallothill-node/src/entry/mod.rs
+++ b/crates/shallothill-node/src/entry/mod.rs
@@ -2,6 +2,7 @@
 
 mod attempts;
 mod ended_attempt;
+mod fingerprint;
 mod handler;
 mod in_flight;
 mod open_requests;
--- a/crates/shallothill-node/src/entry/prepare.rs
+++ b/crates/shallothill-node/src/entry/prepare.rs
@@ -27,16 +27,12 @@
 use crate::body::Body;
 use crate::buffers::BufferReservation;
 use crate::config::{ConfigSnapshot, NamedRoute, RouteLookup};
-use crate::entry::Entry;
+use crate::entry::{Entry, fingerprint};
 use crate::gate::{BODY_INCOMPLETE, BODY_TOO_LARGE, BODY_TOO_SLOW};
 use crate::header_filter;
 use crate::refusal::Refusal;
 use crate::unread_body::UnreadBody;
 
-/// `FINGERPRINT_BODY_BYTES` is the length of the body prefix that enters the fingerprint of a
-/// request without a key.
-const FINGERPRINT_BODY_BYTES: usize = 1024;
-
 /// `Payload` is the body of a request, either buffered or streamed.
 #[derive(Debug)]
 pub(crate) enum Payload {
@@ -190,7 +186,7 @@
         let bound = if reserved.is_some() {
             bound
         } else {
-            FINGERPRINT_BODY_BYTES as u64
+            fingerprint::STREAMED_BODY_BYTES as u64
         };
         let mut buffered = BytesMut::new();
         let complete = loop {
@@ -215,7 +211,15 @@
             }
         };
         let buffered = buffered.freeze();
-        let fingerprint = fingerprint(parts, key, &buffered);
+        let cx = fingerprint::Context {
+            route_host: route.host.as_deref(),
+            origin: self.deps.origin_service.as_ref(),
+        };
+        let fingerprint = match key {
+            Some(key) => Fingerprint(hash::hash64(key.to_string().as_bytes())),
+            None if complete => fingerprint::of_buffered(parts, cx, &buffered),
+            None => fingerprint::of_streamed(parts, cx, &buffered, hint.exact()),
+        };
         let payload = if complete {
             Payload::Buffered(buffered, reserved)
         } else {
@@ -227,15 +231,6 @@
     }
 }
 
-fn fingerprint(parts: &request::Parts, key: &Option<IdempotencyKey>, body: &Bytes) -> Fingerprint {
-    if let Some(key) = key {
-        return Fingerprint(hash::hash64(key.to_string().as_bytes()));
-    }
-    let path = parts.uri.path_and_query().map_or("/", PathAndQuery::as_str);
-    let prefix = body.get(..FINGERPRINT_BODY_BYTES).unwrap_or(body);
-    hash::fingerprint(parts.method.as_str(), path, prefix)
-}
-
 pub(super) fn requested_host(parts: &request::Parts) -> Option<HeaderValue> {
     let authority = || parts.uri.authority().and_then(|a| a.as_str().parse().ok());
     parts.headers.get(header::HOST).cloned().or_else(authority)
