wire: a library's reader counts the bytes of a connection

The stream that was written for this repeated the forwarding of writes a second time; tokio-util has a reader that shows what it reads.

--- a/crates/shallothill-wire/src/channel.rs
+++ b/crates/shallothill-wire/src/channel.rs
@@ -14,7 +14,7 @@
 use tokio::time;
 
 use crate::errors;
-use crate::metered_stream::ReceivedBytes;
+use crate::received_bytes::ReceivedBytes;
 
 /// `Connect` is implemented by the generated RPC clients, so that [`RpcChannel`] can open them.
 pub trait Connect: Clone + Send + Sync + Sized + 'static {
--- a/crates/shallothill-wire/src/control.rs
+++ b/crates/shallothill-wire/src/control.rs
@@ -13,7 +13,7 @@
 use crate::channel;
 use crate::departures::{DeparturesReply, RecordDeparturesReply, RecordDeparturesRequest};
 use crate::keeper_info::KeeperInfo;
-use crate::metered_stream::ReceivedBytes;
+use crate::received_bytes::ReceivedBytes;
 use crate::report::{ReportReply, ReportRequest};
 use crate::transport;
 use crate::watch::{SectionsReply, SectionsRequest, WatchReply, WatchRequest};
--- a/crates/shallothill-wire/src/transport.rs
+++ b/crates/shallothill-wire/src/transport.rs
@@ -15,9 +15,10 @@
 use tokio::time;
 use tokio_serde::formats::MessagePack;
 use tokio_util::codec::LengthDelimitedCodec;
+use tokio_util::io::InspectReader;
 use tokio_util::sync::CancellationToken;
 
-use crate::metered_stream::{MeteredStream, ReceivedBytes};
+use crate::received_bytes::ReceivedBytes;
 
 /// `FRAME_MAX_BYTES` bounds one message in either direction.
 pub const FRAME_MAX_BYTES: usize = 8 * 1024 * 1024;
@@ -31,9 +32,10 @@
 /// `CONNECT_TIMEOUT` bounds the time to open a connection.
 pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// `ClientTransport` carries the calls and replies of one client connection.
-pub type ClientTransport<Req, Resp> = serde_transport::Transport<
-    MeteredStream,
+/// `ClientTransport` carries the calls and replies of one client connection; `F` sees the bytes that
+/// it receives.
+pub type ClientTransport<F, Req, Resp> = serde_transport::Transport<
+    InspectReader<TcpStream, F>,
     tarpc::Response<Resp>,
     tarpc::ClientMessage<Req>,
     MessagePack<tarpc::Response<Resp>, tarpc::ClientMessage<Req>>,
@@ -45,7 +47,10 @@
 /// Fails with `TimedOut` after [`CONNECT_TIMEOUT`].
 pub async fn connect<Req, Resp>(
     address: SocketAddr,
-) -> io::Result<(ClientTransport<Req, Resp>, ReceivedBytes)>
+) -> io::Result<(
+    ClientTransport<impl FnMut(&[u8]) + Send + Unpin + 'static, Req, Resp>,
+    ReceivedBytes,
+)>
 where
     Req: Serialize,
     Resp: DeserializeOwned,
@@ -53,8 +58,9 @@
     let connected = time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
     let stream = connected.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
     stream.set_nodelay(true)?;
-    let stream = MeteredStream::new(stream);
-    let received = stream.received();
+    let received = ReceivedBytes::default();
+    let count = received.clone();
+    let stream = InspectReader::new(stream, move |bytes: &[u8]| count.add(bytes.len()));
     let framed = codec().new_framed(stream);
     let transport = serde_transport::new(framed, MessagePack::default());
     Ok((transport, received))
