--- a/crates/shallothill-replica/tests/bus/mod.rs
+++ b/crates/shallothill-replica/tests/bus/mod.rs
@@ -155,6 +155,18 @@
         }
     }
 
+    /// Cuts the links of a host to all others in the directions that are false.
+    pub fn isolate(&mut self, id: KeeperId, receives: bool, sends: bool) {
+        for other in self.hosts.keys().copied().collect::<Vec<_>>() {
+            if !receives {
+                self.cut_links.insert((other, id));
+            }
+            if !sends {
+                self.cut_links.insert((id, other));
+            }
+        }
+    }
+
     pub fn cut(&mut self, from: u32, to: u32) {
         self.cut_links.insert((KeeperId(from), KeeperId(to)));
     }
--- a/crates/shallothill-replica/tests/rules.rs
+++ b/crates/shallothill-replica/tests/rules.rs
@@ -11,7 +11,7 @@
 use shallothill_core::time::Millis;
 use shallothill_replica::{
     DurableState, EntryId, Event, HardState, MemberState, Message, Op, ProposeResult,
-    ProtocolFaults, ReadToken, Replica, ReplicaOptions, Role, SyncToken, View,
+    ProtocolFaults, Replica, ReplicaOptions, Role, SyncToken, View,
 };
 
 fn k(id: u32) -> KeeperId {
@@ -22,17 +22,6 @@
     Bus::with_primary(seed, 3, ProtocolFaults::default())
 }
 
-fn isolate(bus: &mut Bus, id: KeeperId, receives: bool, sends: bool) {
-    for other in bus.hosts.keys().copied().collect::<Vec<_>>() {
-        if !receives {
-            bus.cut_links.insert((other, id));
-        }
-        if !sends {
-            bus.cut_links.insert((id, other));
-        }
-    }
-}
-
 /// Returns the number of view changes that an isolated replica causes when its links are restored
 /// after `ms`.
 fn view_changes_after_isolation(protocol_faults: ProtocolFaults, ms: u64) -> u64 {
@@ -40,7 +29,7 @@
     let primary = bus.primary().expect("a primary");
     let isolated = if primary == k(1) { k(2) } else { k(1) };
     let before = bus.view();
-    isolate(&mut bus, isolated, false, false);
+    bus.isolate(isolated, false, false);
     bus.run(ms);
     bus.cut_links.clear();
     bus.run(5000);
@@ -68,7 +57,7 @@
 fn primary_is_replaced(protocol_faults: ProtocolFaults, receives: bool, sends: bool) -> bool {
     let mut bus = Bus::with_primary(6, 3, protocol_faults);
     let old = bus.primary().expect("a primary");
-    isolate(&mut bus, old, receives, sends);
+    bus.isolate(old, receives, sends);
     bus.run(10_000);
     let roles = |id: &KeeperId| bus.hosts[id].replica.as_ref().map(|r| r.status().role);
     let stepped_down = roles(&old) != Some(Role::Primary);
@@ -94,98 +83,6 @@
     assert!(primary_is_replaced(ProtocolFaults::default(), false, false));
 }
 
-/// Guards against reads that miss an entry that was accepted before, in particular at a former
-/// primary.
-#[test]
-fn holds_reads_see_what_was_accepted() {
-    for seed in SEEDS {
-        let mut bus = group(seed);
-        bus.propose_until_accepted(1000).expect("accepted");
-        let old = bus.primary().expect("a primary");
-        isolate(&mut bus, old, seed % 3 == 1, seed % 3 == 2);
-        for i in 0..300 {
-            bus.run(10);
-            let accepted = bus.accepted.values().map(|op| op.0).max().unwrap_or(0);
-            let (token, current) = (ReadToken(i * 2), ReadToken(i * 2 + 1));
-            bus.handle_event(old, Event::Read { token });
-            let primary = bus.primary().unwrap_or(old);
-            bus.handle_event(primary, Event::Read { token: current });
-            bus.propose(primary);
-            bus.run(5);
-            for token in [token, current] {
-                let applied = bus.ready_reads.get(&token);
-                assert!(applied.is_none_or(|a| *a >= accepted), "seed {seed}");
-            }
-        }
-        assert!(
-            bus.ready_reads.len() > 50,
-            "seed {seed}: {}",
-            bus.ready_reads.len()
-        );
-        assert!(!bus.refused_reads.is_empty(), "seed {seed}");
-    }
-}
-
-/// Suspends the primary while another one accepts a request; returns whether the first read after
-/// the suspension misses that request.
-fn first_read_is_too_old(clock_counts_suspensions: bool) -> bool {
-    let mut bus = group(8);
-    bus.propose_until_accepted(1000).expect("accepted");
-    let old = bus.primary().expect("a primary");
-    let until = bus.now + 5000;
-    // Messages that are sent meanwhile arrive after the read.
-    isolate(&mut bus, old, false, false);
-    if let Some(host) = bus.hosts.get_mut(&old) {
-        host.frozen_until = until;
-    }
-    bus.propose_until_accepted(4000).expect("accepted");
-    let accepted = bus.accepted.values().map(|op| op.0).max().unwrap_or(0);
-    bus.run(until - bus.now);
-    if let Some(host) = bus.hosts.get_mut(&old)
-        && !clock_counts_suspensions
-    {
-        host.clock_behind = 5000;
-    }
-    let token = ReadToken(1);
-    bus.handle_event(old, Event::Read { token });
-    bus.ready_reads.get(&token).is_some_and(|a| *a < accepted)
-}
-
-/// Guards against a former primary that answers reads by a lease which has outlived a suspension of
-/// its host; the clock of a replica has to count that time.
-#[test]
-fn a_lease_ends_during_a_suspension() {
-    assert!(!first_read_is_too_old(true));
-    assert!(first_read_is_too_old(false));
-}
-
-/// Guards against reads that are not served without a lease although a majority answers a round.
-#[test]
-fn reads_without_a_lease_take_a_round() {
-    let mut bus = group(5);
-    bus.options.lease = std::time::Duration::ZERO;
-    for host in bus.hosts.values_mut() {
-        host.options.lease = std::time::Duration::ZERO;
-    }
-    for id in 1..=3 {
-        bus.crash(k(id));
-        bus.restart(k(id));
-    }
-    bus.propose_until_accepted(5000).expect("accepted");
-    let primary = bus.primary().expect("a primary");
-
-    bus.handle_event(
-        primary,
-        Event::Read {
-            token: ReadToken(1),
-        },
-    );
-    let served_at_once = bus.ready_reads.contains_key(&ReadToken(1));
-    bus.run(100);
-
-    assert!(!served_at_once && bus.ready_reads.contains_key(&ReadToken(1)));
-}
-
 /// Guards against accepted entries that are lost when a second disk is lost right after the
 /// recovery of a first one.
 #[test]
