--- a/crates/shallothill-replica/tests/bus/mod.rs
+++ b/crates/shallothill-replica/tests/bus/mod.rs
@@ -2,11 +2,13 @@
 //! invariants of the log while it runs.
 #![allow(dead_code)] // Each test file uses only a part.
 
+mod fault_rates;
 pub mod host;
 pub mod schedule;
 
 use std::collections::{BTreeMap, BTreeSet};
 
+pub use fault_rates::FaultRates;
 use host::Host;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -25,15 +27,6 @@
     Synced(KeeperId, u64, SyncToken, Op),
 }
 
-/// The rates of random faults, per thousand messages or events.
-#[derive(Clone, Copy, Default)]
-pub struct FaultRates {
-    pub message_drop: u32,
-    pub message_duplicate: u32,
-    pub crash: u32,
-    pub message_delay: u32,
-}
-
 pub struct Bus {
     /// The virtual time in ms.
     pub now: u64,
