--- a/crates/shallothill-bench/src/scenarios/scale.rs
+++ b/crates/shallothill-bench/src/scenarios/scale.rs
@@ -187,6 +187,7 @@
         attempts: None,
         max_body_bytes: 65_536,
         body: BodyMode::Buffered,
+        public: false,
     })
 }
 
@@ -195,6 +196,9 @@
         class: Class::Shop,
         requests_per_s: Some(50),
         concurrent: None,
+        keys: Vec::new(),
+        rank: None,
+        quota: None,
     }
 }
 
--- a/crates/shallothill-config/src/checks.rs
+++ b/crates/shallothill-config/src/checks.rs
@@ -1,16 +1,17 @@
 //! Checks references and conflicts between the items of a configuration.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
-use shallothill_core::config::{Config, Floor, Target};
-use shallothill_core::ids::{RouteName, ServiceName};
+use shallothill_core::config::{ApiKey, Config, Floor, Target};
+use shallothill_core::ids::{CallerName, RouteName, ServiceName};
 
 use crate::cycles;
 use crate::faults::Faults;
 use crate::fields::{Fields, join};
 use crate::node::{Entry, Position, Value};
 
-/// `check` reports unknown services and regions, dependency cycles and duplicate routes.
+/// `check` reports unknown services and regions, dependency cycles, duplicate routes and keys that
+/// two callers share.
 ///
 /// Items with faults of their own are missing from `cfg`, so references are checked against the
 /// names in the text; a reference to a faulty item is not a second fault.
@@ -55,6 +56,7 @@
         }
     }
     report_duplicate_routes(routes, cfg, faults);
+    report_shared_keys(entries(fields, "callers"), cfg, faults);
 }
 
 /// `ANY_METHOD` is the duplicate check's entry for a route that accepts every method.
@@ -114,6 +116,27 @@
     }
 }
 
+// Names both callers and never the key.
+fn report_shared_keys(callers: &[Entry], cfg: &Config, faults: &mut Faults) {
+    let mut owners: HashMap<&ApiKey, &CallerName> = HashMap::new();
+    for entry in callers {
+        // Callers are visited in the order of the text, so the fault is at the later one.
+        let name = CallerName::try_new(&entry.key).ok();
+        let found = name.and_then(|n| cfg.callers.get_key_value(&n));
+        let Some((name, caller)) = found else {
+            continue;
+        };
+        for key in &caller.keys {
+            let Some(owner) = owners.insert(key, name) else {
+                continue;
+            };
+            let message = format!("the caller `{owner}` has the same key; give each its own");
+            let field = join(&join("callers", name.as_str()), "keys");
+            faults.push(entry.at, field, message);
+        }
+    }
+}
+
 fn entries<'a>(fields: &Fields<'a>, name: &str) -> &'a [Entry] {
     match fields.get(name).map(|e| &e.node.value) {
         Some(Value::Mapping(entries)) => entries,
--- a/crates/shallothill-config/src/diff.rs
+++ b/crates/shallothill-config/src/diff.rs
@@ -5,7 +5,10 @@
 use std::fmt::Display;
 use std::time::Duration;
 
-use shallothill_core::config::{BodyMode, Caller, Config, Floor, Route, Service, Target};
+use shallothill_core::config::{
+    ApiKey, BodyMode, Caller, Config, Floor, Quota, Route, Service, Target,
+};
+use shallothill_core::hash;
 
 /// `Change` describes one field or item that differs between two configurations.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -49,6 +52,13 @@
         limits(old),
         limits(new),
     );
+    let require_keys = |cfg: &Config| Some(cfg.require_keys.to_string());
+    push_if_changed(
+        &mut changes,
+        String::from("require_keys"),
+        require_keys(old),
+        require_keys(new),
+    );
     diff_items(
         &mut changes,
         "services",
@@ -165,6 +175,7 @@
             "body",
             (r.body == BodyMode::Streamed).then(|| String::from("streamed")),
         ),
+        ("public", r.public.then(|| String::from("true"))),
     ]
 }
 
@@ -196,9 +207,29 @@
         ("class", Some(c.class.to_string())),
         ("requests_per_s", c.requests_per_s.map(|n| n.to_string())),
         ("concurrent", c.concurrent.map(|n| n.to_string())),
+        ("keys", keys(&c.keys)),
+        ("rank", c.rank.map(|n| n.to_string())),
+        ("quota", c.quota.as_ref().map(quota)),
     ]
 }
 
+// Keys are secrets, and differences are shown and logged. A short hash tells which of them changed.
+fn keys(keys: &[ApiKey]) -> Option<String> {
+    let hashes = keys.iter().map(|k| {
+        let secret = k.expose_secret().as_bytes();
+        format!("#{:08x}", hash::hash64(secret) >> 32)
+    });
+    let hashes: Vec<String> = hashes.collect();
+    (!hashes.is_empty()).then(|| format!("[{}]", hashes.join(", ")))
+}
+
+fn quota(q: &Quota) -> String {
+    let field = |n: Option<String>| n.unwrap_or_else(|| String::from("none"));
+    let rate = field(q.requests_per_s.map(|r| r.to_string()));
+    let burst = field(q.burst.map(|n| n.to_string()));
+    format!("{{requests_per_s: {rate}, burst: {burst}}}")
+}
+
 fn floor(floor: &Floor) -> String {
     match floor {
         Floor::Total(n) => n.to_string(),
--- a/crates/shallothill-config/src/limits.rs
+++ b/crates/shallothill-config/src/limits.rs
@@ -11,6 +11,8 @@
 pub const ROUTES_MAX: usize = 10_000;
 /// `CALLERS_MAX` bounds the callers; the system is sized for 61,000.
 pub const CALLERS_MAX: usize = 100_000;
+/// `KEYS_MAX` bounds the keys of one caller; rotating a key needs two at a time.
+pub const KEYS_MAX: usize = 64;
 /// `ENDPOINTS_MAX` bounds the floor of a service; the system is sized for 24,000 endpoints.
 pub const ENDPOINTS_MAX: u32 = 24_000;
 /// `ATTEMPTS_MAX` bounds the attempts of one request, because each one adds load to another backend
--- a/crates/shallothill-config/src/parse.rs
+++ b/crates/shallothill-config/src/parse.rs
@@ -15,7 +15,14 @@
 use crate::scalars;
 use crate::{caller, caller_limits, route, service};
 
-const FIELDS: [&str; 5] = ["regions", "limits", "services", "routes", "callers"];
+const FIELDS: [&str; 6] = [
+    "regions",
+    "limits",
+    "require_keys",
+    "services",
+    "routes",
+    "callers",
+];
 
 /// `parse` returns the configuration that `text` describes.
 ///
@@ -65,6 +72,7 @@
     let cfg = Config {
         regions: regions.clone().unwrap_or_default(),
         limits: caller_limits::parse(fields, faults),
+        require_keys: require_keys(fields, faults),
         services: services.parse_all(fields, faults),
         routes: routes.parse_all(fields, faults),
         callers: callers.parse_all(fields, faults),
@@ -73,6 +81,11 @@
     regions.map(|_| cfg)
 }
 
+fn require_keys(fields: &Fields<'_>, faults: &mut Faults) -> bool {
+    let parsed = fields.optional("require_keys", faults, scalars::boolean);
+    parsed.flatten().unwrap_or(false)
+}
+
 fn regions(fields: &Fields<'_>, faults: &mut Faults) -> Option<Vec<Region>> {
     let entry = fields.required_entry("regions", faults)?;
     let items = fields::list(&entry.node, "regions", faults)?;
--- a/crates/shallothill-config/src/route.rs
+++ b/crates/shallothill-config/src/route.rs
@@ -12,7 +12,7 @@
 use crate::node::{Entry, Node, Value};
 use crate::scalars;
 
-const FIELDS: [&str; 15] = [
+const FIELDS: [&str; 16] = [
     "service",
     "split",
     "host",
@@ -28,6 +28,7 @@
     "attempts",
     "max_body_bytes",
     "body",
+    "public",
 ];
 /// `ANY_METHOD` is written in place of the list of methods to accept every method.
 const ANY_METHOD: &str = "any";
@@ -61,6 +62,7 @@
     let max_body_bytes = fields.optional("max_body_bytes", faults, body_limit);
     let body = fields.optional("body", faults, scalars::body_mode);
     check_body(&fields, body, idempotent, faults);
+    let public = fields.optional("public", faults, scalars::boolean);
     Some(Route {
         target: target?,
         host: host?,
@@ -76,6 +78,7 @@
         attempts: attempts?,
         max_body_bytes: max_body_bytes?.unwrap_or(BODY_DEFAULT_BYTES),
         body: body?.unwrap_or_default(),
+        public: public?.unwrap_or(false),
     })
 }
 
--- a/crates/shallothill-config/src/scalars.rs
+++ b/crates/shallothill-config/src/scalars.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use shallothill_core::class::Class;
-use shallothill_core::config::{BodyMode, Disposition, OncePer};
+use shallothill_core::config::{BodyMode, Disposition, OncePer, RequestRate};
 
 use crate::limits;
 use crate::node::Value;
@@ -142,6 +142,17 @@
     ))
 }
 
+/// `request_rate` parses requests per second, with up to three decimals.
+pub(crate) fn request_rate(value: &Value) -> Result<RequestRate, String> {
+    const FORM: &str = "write requests per second, such as `50` or `0.5`, up to 4 million";
+    let rate = match value {
+        Value::Integer(n) => *n as f64,
+        Value::Float(x) => *x,
+        other => return Err(format!("expected a number, found {}; {FORM}", other.kind())),
+    };
+    RequestRate::from_per_second(rate).ok_or_else(|| format!("{rate} is out of range; {FORM}"))
+}
+
 /// `name` parses a name with `try_new`, the checked constructor of its type.
 pub(crate) fn name<T>(
     try_new: impl Fn(&str) -> shallothill_core::Result<T>,
--- a/crates/shallothill-config/src/to_text.rs
+++ b/crates/shallothill-config/src/to_text.rs
@@ -4,7 +4,7 @@
 
 use serde_json::{Map, Value, json};
 use shallothill_core::config::{
-    BodyMode, Caller, Config, Floor, Limits, OncePer, Route, Service, Target,
+    BodyMode, Caller, Config, Floor, Limits, OncePer, Quota, Route, Service, Target,
 };
 
 use crate::diff;
@@ -18,6 +18,9 @@
     if let Some(limits) = &cfg.limits {
         document.insert("limits".to_owned(), caller_limits(limits));
     }
+    if cfg.require_keys {
+        document.insert("require_keys".to_owned(), json!(true));
+    }
     let services = cfg.services.iter().map(|(n, s)| (n.as_str(), service(s)));
     document.insert("services".to_owned(), mapping(services));
     let routes = cfg.routes.iter().map(|(n, r)| (n.as_str(), route(r)));
@@ -113,6 +116,7 @@
         "attempts": r.attempts,
         "max_body_bytes": r.max_body_bytes,
         "body": (r.body == BodyMode::Streamed).then_some(r.body),
+        "public": r.public.then_some(true),
     }))
 }
 
@@ -121,5 +125,18 @@
         "class": c.class,
         "requests_per_s": c.requests_per_s,
         "concurrent": c.concurrent,
+        "keys": (!c.keys.is_empty()).then_some(&c.keys),
+        "rank": c.rank,
+        "quota": c.quota.map(quota),
+    }))
+}
+
+fn quota(q: Quota) -> Value {
+    without_nulls(json!({
+        "requests_per_s": q.requests_per_s.map(|r| match r.thousandths() {
+            n if n % 1000 == 0 => json!(n / 1000),
+            _ => json!(r.per_second()),
+        }),
+        "burst": q.burst,
     }))
 }
--- a/crates/shallothill-core/src/config/mod.rs
+++ b/crates/shallothill-core/src/config/mod.rs
@@ -1,5 +1,6 @@
 //! The data model of a validated configuration.
 
+mod api_key;
 mod body_mode;
 mod caller;
 mod disposition;
@@ -7,6 +8,7 @@
 mod floor;
 mod limits;
 mod once_per;
+mod quota;
 mod route;
 mod service;
 mod target;
@@ -17,6 +19,7 @@
 
 use crate::ids::{CallerName, Region, RouteName, ServiceName};
 
+pub use api_key::ApiKey;
 pub use body_mode::BodyMode;
 pub use caller::Caller;
 pub use disposition::Disposition;
@@ -24,6 +27,7 @@
 pub use floor::Floor;
 pub use limits::Limits;
 pub use once_per::OncePer;
+pub use quota::{Quota, RequestRate};
 pub use route::Route;
 pub use service::Service;
 pub use target::{Share, Target};
@@ -35,6 +39,8 @@
     pub regions: Vec<Region>,
     /// The limits for all callers, if the configuration text sets them.
     pub limits: Option<Limits>,
+    /// Whether requests need the key of a caller, except on public routes.
+    pub require_keys: bool,
     /// The services by name.
     pub services: BTreeMap<ServiceName, Service>,
     /// The routes by name.
--- a/crates/shallothill-core/src/config/route.rs
+++ b/crates/shallothill-core/src/config/route.rs
@@ -41,4 +41,7 @@
     /// Whether request bodies are large and may be passed on as they arrive.
     #[serde(default)]
     pub body: BodyMode,
+    /// Whether requests need no key where the configuration requires keys.
+    #[serde(default)]
+    pub public: bool,
 }
--- a/crates/shallothill-core/src/errors.rs
+++ b/crates/shallothill-core/src/errors.rs
@@ -24,6 +24,9 @@
         /// The rejected text.
         key: String,
     },
+    /// A key of a caller does not have the required form; the message does not show it.
+    #[snafu(display("the key is not valid; use 1 to 256 visible ASCII characters"))]
+    InvalidApiKey,
     /// An idempotency key starts with a region that is not configured.
     #[snafu(display(
         "the idempotency key names the unknown region `{region}`; use one of: {known}"
--- a/crates/shallothill-core/src/headers.rs
+++ b/crates/shallothill-core/src/headers.rs
@@ -1,7 +1,10 @@
 //! Names of the HTTP headers that shallothill reads and sets, in lower case.
 
-/// `CALLER` carries the name of the caller in the configuration; set by the caller.
+/// `CALLER` carries the name of the caller in the configuration; set by the caller, or by the node
+/// if the configuration requires keys.
 pub const CALLER: &str = "x-shallothill-caller";
+/// `KEY` carries the key that identifies a caller; set by the caller.
+pub const KEY: &str = "x-shallothill-key";
 /// `OUTCOME` carries the outcome of the request; see [`crate::outcome::Outcome::as_str`].
 pub const OUTCOME: &str = "x-shallothill-outcome";
 /// `DEADLINE_MS` carries the time left until the deadline of the request, in milliseconds.
--- a/crates/shallothill-core/src/sections.rs
+++ b/crates/shallothill-core/src/sections.rs
@@ -21,6 +21,8 @@
     Routes(u8),
     /// One bucket of callers, by its number.
     Callers(u8),
+    /// The rules for the access of callers. Absent if no key is required.
+    Access,
 }
 
 /// `Section` is the content of a section.
@@ -34,6 +36,8 @@
     Routes(u8, BTreeMap<RouteName, Route>),
     /// The number of a bucket and the callers in it.
     Callers(u8, BTreeMap<CallerName, Caller>),
+    /// Whether requests need the key of a caller, except on public routes.
+    Access(bool),
 }
 
 impl Section {
@@ -44,6 +48,7 @@
             Self::Service(name, _) => SectionId::Service(name.clone()),
             Self::Routes(bucket, _) => SectionId::Routes(*bucket),
             Self::Callers(bucket, _) => SectionId::Callers(*bucket),
+            Self::Access(_) => SectionId::Access,
         }
     }
 
@@ -76,6 +81,9 @@
         bucket.insert(name.clone(), caller.clone());
     }
     let mut sections = vec![Section::Fleet(cfg.regions.clone(), cfg.limits)];
+    if cfg.require_keys {
+        sections.push(Section::Access(true));
+    }
     let services = cfg.services.iter();
     sections.extend(services.map(|(n, s)| Section::Service(n.clone(), Box::new(s.clone()))));
     sections.extend(
@@ -119,6 +127,7 @@
                 cfg.callers
                     .extend(items.iter().map(|(n, c)| (n.clone(), c.clone())));
             }
+            Section::Access(require_keys) => cfg.require_keys = *require_keys,
         }
     }
     cfg
--- a/crates/shallothill-core/tests/values.rs
+++ b/crates/shallothill-core/tests/values.rs
@@ -61,11 +61,15 @@
         attempts: None,
         max_body_bytes: 65_536,
         body: BodyMode::Buffered,
+        public: false,
     };
     let caller = Caller {
         class: Class::Shop,
         requests_per_s: Some(50),
         concurrent: None,
+        keys: Vec::new(),
+        rank: None,
+        quota: None,
     };
     let callers = (0..callers)
         .map(|n| {
@@ -78,6 +82,7 @@
     Config {
         regions: regions(),
         limits: None,
+        require_keys: false,
         services: BTreeMap::from([(name, service())]),
         routes: BTreeMap::from([(RouteName::try_new("book").unwrap(), route)]),
         callers,
--- a/crates/shallothill-node/src/attempt.rs
+++ b/crates/shallothill-node/src/attempt.rs
@@ -11,7 +11,7 @@
 use shallothill_core::headers;
 use shallothill_core::health::ServingState;
 use shallothill_core::idempotency::IdempotencyKey;
-use shallothill_core::ids::{EndpointId, RouteName, ServiceName};
+use shallothill_core::ids::{CallerName, EndpointId, RouteName, ServiceName};
 use shallothill_core::outcome::Outcome;
 use shallothill_policy::gray::Caution;
 use shallothill_policy::pick::ReportedLoad;
@@ -36,6 +36,8 @@
     pub service: ServiceName,
     /// The name of the matching route.
     pub route: RouteName,
+    /// The caller that a key identified.
+    pub caller: Option<CallerName>,
     /// The priority class.
     pub class: Class,
     /// Whether the request may be run more than once.
--- a/crates/shallothill-node/src/config/snapshot.rs
+++ b/crates/shallothill-node/src/config/snapshot.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 
-use shallothill_core::config::{Caller, Route, Service};
+use shallothill_core::config::{ApiKey, Caller, Route, Service};
 use shallothill_core::hash::ContentHash;
 use shallothill_core::ids::{CallerName, Region, RouteName, ServiceName};
 use shallothill_core::sections;
@@ -17,7 +17,8 @@
 
 /// `ConfigSnapshot` holds one configuration version with indexes of its services and routes.
 ///
-/// Callers have no index, because one of 61,000 callers would double their memory.
+/// Callers have no index by name, because one of 61,000 callers would double their memory; the index
+/// of their keys shares the texts of keys and names with the sections.
 #[derive(Debug, Default)]
 pub struct ConfigSnapshot {
     version: ConfigVersion,
@@ -27,23 +28,29 @@
     services: HashMap<ServiceName, Arc<Service>>,
     routes: Arc<RouteTable>,
     regions: Vec<Region>,
+    require_keys: bool,
+    keys: Arc<HashMap<ApiKey, CallerName>>,
 }
 
 impl ConfigSnapshot {
-    /// `new` builds the snapshot of `version` and shares unchanged routes and services with
-    /// `previous`.
+    /// `new` builds the snapshot of `version` and shares unchanged routes, services and the index of
+    /// keys with `previous`.
     pub fn new(
         version: ConfigVersion,
         sections: Sections,
         manifest: Manifest,
         previous: &Self,
     ) -> Self {
-        let is_route = |id: &SectionId| matches!(id, SectionId::Routes(_));
-        let routes_unchanged = manifest
-            .iter()
-            .filter(|(id, _)| is_route(id))
-            .eq(previous.manifest.iter().filter(|(id, _)| is_route(id)));
-        let routes = if routes_unchanged {
+        let unchanged = |kind: fn(&SectionId) -> bool| {
+            let new = manifest.iter().filter(|(id, _)| kind(id));
+            new.eq(previous.manifest.iter().filter(|(id, _)| kind(id)))
+        };
+        let keys = if unchanged(|id| matches!(id, SectionId::Callers(_))) {
+            Arc::clone(&previous.keys)
+        } else {
+            Arc::new(index_keys(&sections))
+        };
+        let routes = if unchanged(|id| matches!(id, SectionId::Routes(_))) {
             Arc::clone(&previous.routes)
         } else {
             let items = sections.values().filter_map(|s| match s.as_ref() {
@@ -54,6 +61,7 @@
         };
         let mut services = HashMap::new();
         let mut regions = Vec::new();
+        let mut require_keys = false;
         for section in sections.values() {
             match section.as_ref() {
                 Section::Service(name, service) => {
@@ -65,6 +73,7 @@
                     services.insert(name.clone(), service);
                 }
                 Section::Fleet(list, _) => regions.clone_from(list),
+                Section::Access(required) => require_keys = *required,
                 Section::Routes(..) | Section::Callers(..) => {}
             }
         }
@@ -77,6 +86,8 @@
             services,
             routes,
             regions,
+            require_keys,
+            keys,
         }
     }
 
@@ -129,6 +140,17 @@
         &self.regions
     }
 
+    /// `require_keys` tells whether requests need the key of a caller, except on public routes.
+    pub fn require_keys(&self) -> bool {
+        self.require_keys
+    }
+
+    /// `caller_of_key` returns the caller that `key` identifies, if the configuration has the key.
+    pub fn caller_of_key(&self, key: &str) -> Option<(&CallerName, &Caller)> {
+        let name = self.keys.get(key)?;
+        Some((name, self.caller(name)?))
+    }
+
     /// `caller` returns the settings of a caller, if it is configured.
     pub fn caller(&self, name: &CallerName) -> Option<&Caller> {
         let id = SectionId::Callers(sections::bucket(name.as_str()));
@@ -138,3 +160,14 @@
         }
     }
 }
+
+fn index_keys(sections: &Sections) -> HashMap<ApiKey, CallerName> {
+    let callers = sections.values().filter_map(|s| match s.as_ref() {
+        Section::Callers(_, items) => Some(items),
+        _ => None,
+    });
+    callers
+        .flatten()
+        .flat_map(|(name, c)| c.keys.iter().map(|key| (key.clone(), name.clone())))
+        .collect()
+}
--- a/crates/shallothill-node/src/entry/handler.rs
+++ b/crates/shallothill-node/src/entry/handler.rs
@@ -66,6 +66,9 @@
             request = id,
             route = head.as_ref().map(|h| h.route.as_str()),
             service = head.as_ref().map(|h| h.service.as_str()),
+            caller = head
+                .as_ref()
+                .and_then(|h| h.caller.as_ref()?.as_str().into()),
             rank = head.as_ref().map(|h| h.rank),
             outcome = decision.outcome,
             status = response.status().as_u16(),
--- a/crates/shallothill-node/src/entry/mod.rs
+++ b/crates/shallothill-node/src/entry/mod.rs
@@ -1,6 +1,7 @@
 //! The entry role: takes callers' requests and sends them to gates.
 
 mod attempts;
+mod caller;
 mod ended_attempt;
 mod fingerprint;
 mod handler;
--- a/crates/shallothill-node/src/entry/prepare.rs
+++ b/crates/shallothill-node/src/entry/prepare.rs
@@ -26,7 +26,7 @@
 use crate::attempt::RequestHead;
 use crate::body::Body;
 use crate::buffers::BufferReservation;
-use crate::config::{ConfigSnapshot, NamedRoute, RouteLookup};
+use crate::config::{NamedRoute, RouteLookup};
 use crate::entry::{Entry, fingerprint};
 use crate::gate::{BODY_INCOMPLETE, BODY_TOO_LARGE, BODY_TOO_SLOW};
 use crate::header_filter;
@@ -93,20 +93,15 @@
         let deadline = arrived + self.request_timeout(&parts.headers, route)?;
         let objective = route.objective.map(|o| arrived + o);
         let key = read_key(&parts.headers, route)?;
-        let caller = find_caller(&parts.headers, &cfg);
-        let class = request_class(&parts.headers, route, caller.as_ref().map(|(_, c)| *c));
+        let caller = self.identify_caller(&parts.headers, &cfg, route)?;
+        self.strip_caller_headers(&mut parts.headers, &cfg);
+        let class = request_class(&parts.headers, route, caller.settings);
+        let rank = caller.settings.and_then(|c| c.rank).unwrap_or(route.rank);
         let service = choose_service(&route.target).ok_or(UNKNOWN_ROUTE)?;
         if incoming.size_hint().lower() > route.max_body_bytes {
             return Err(BODY_TOO_LARGE.into());
         }
-        let permit = caller
-            .map(|(name, caller)| {
-                self.deps
-                    .limits
-                    .try_start(self.deps.timer.now(), &name, caller)
-            })
-            .transpose()
-            .map_err(|r| over_limit(r.retry_after))?;
+        let permit = self.start_within_limits(&caller)?;
         let (payload, fingerprint) = self
             .read_body(&parts, incoming, route, &key, deadline)
             .await?;
@@ -114,7 +109,9 @@
         let fields = HeadFields {
             host,
             service,
+            caller: caller.keyed_name(),
             class,
+            rank,
             key,
             deadline,
             objective,
@@ -250,7 +247,9 @@
 struct HeadFields {
     host: Option<HeaderValue>,
     service: ServiceName,
+    caller: Option<CallerName>,
     class: Class,
+    rank: u8,
     key: Option<IdempotencyKey>,
     deadline: Instant,
     objective: Option<Instant>,
@@ -274,10 +273,11 @@
         headers: map,
         service: fields.service,
         route: named.name.clone(),
+        caller: fields.caller,
         class: fields.class,
         idempotent: named.route.idempotent,
         once_per: named.route.once_per,
-        rank: named.route.rank,
+        rank: fields.rank,
         max_attempts: named.route.attempts,
         key: fields.key,
         deadline: fields.deadline,
@@ -298,14 +298,6 @@
         .map_err(|_| BAD_KEY)
 }
 
-// Returns the caller if the configuration lists it. Other callers are served without a limit of
-// their own, because the configuration of a new caller may not have arrived yet.
-fn find_caller<'a>(map: &HeaderMap, cfg: &'a ConfigSnapshot) -> Option<(CallerName, &'a Caller)> {
-    let name = CallerName::try_new(header_filter::single_value(map, headers::CALLER)?).ok()?;
-    let caller = cfg.caller(&name)?;
-    Some((name, caller))
-}
-
 // Only internal callers may pass on the class of the request that they work for; other callers
 // cannot raise their own class.
 fn request_class(map: &HeaderMap, route: &Route, caller: Option<&Caller>) -> Class {
@@ -318,13 +310,6 @@
         .unwrap_or(own)
 }
 
-fn over_limit(retry_after: Duration) -> Refusal {
-    Refusal {
-        retry_after: Some(retry_after),
-        ..OVER_LIMIT
-    }
-}
-
 /// `NOT_READY` refuses requests until the node serves with a current configuration.
 pub(crate) const NOT_READY: Refusal = Refusal::not_run(
     "no-config",
@@ -360,8 +345,3 @@
     "bad-key",
     "the route is not idempotent; send one Idempotency-Key header with a UUIDv7",
 );
-const OVER_LIMIT: Refusal = Refusal::invalid(
-    429,
-    "over-limit",
-    "the caller is over its limit; send the request later",
-);
--- a/crates/shallothill-node/src/gate/exchange.rs
+++ b/crates/shallothill-node/src/gate/exchange.rs
@@ -236,6 +236,11 @@
             HeaderValue::from_static(head.class.as_str()),
         );
     }
+    if let Some(caller) = &head.caller
+        && let Ok(value) = HeaderValue::from_str(caller.as_str())
+    {
+        map.insert(interface.caller_name.clone(), value);
+    }
     if let Some(name) = &interface.expected_endpoint
         && let Ok(value) = HeaderValue::from_str(endpoint.id.name.as_str())
     {
--- a/crates/shallothill-node/src/interface.rs
+++ b/crates/shallothill-node/src/interface.rs
@@ -25,6 +25,10 @@
     /// The request header with the service of the host that the request comes from, for backend
     /// servers.
     pub origin_service: Option<HeaderName>,
+    /// The request header with the key of a caller.
+    pub api_key: HeaderName,
+    /// The request header with the name of the caller that a key identifies, for backend servers.
+    pub caller_name: HeaderName,
     /// Whether callers and backend servers are sent the `x-shallothill-` headers.
     pub send_shallothill_headers: bool,
     /// Whether `Retry-After` is written with fractions of a second.
@@ -55,6 +59,8 @@
             not_run: None,
             signature: None,
             origin_service: None,
+            api_key: HeaderName::from_static(headers::KEY),
+            caller_name: HeaderName::from_static(headers::CALLER),
             send_shallothill_headers: true,
             fractional_retry_after: false,
             max_buffered_response_bytes: None,
--- a/crates/shallothill-node/src/peer/codec.rs
+++ b/crates/shallothill-node/src/peer/codec.rs
@@ -13,7 +13,9 @@
 use shallothill_core::hash::Fingerprint;
 use shallothill_core::headers;
 use shallothill_core::idempotency::IdempotencyKey;
-use shallothill_core::ids::{EndpointId, EndpointName, NodeName, RouteName, ServiceName};
+use shallothill_core::ids::{
+    CallerName, EndpointId, EndpointName, NodeName, RouteName, ServiceName,
+};
 use shallothill_core::outcome::Outcome;
 use shallothill_core::version::ConfigVersion;
 use shallothill_policy::gray::Caution;
@@ -71,6 +73,9 @@
     set_header(map, headers::CLASS, head.class.as_str());
     set_header(map, headers::SERVICE, head.service.as_str());
     set_header(map, headers::ROUTE, head.route.as_str());
+    if let Some(caller) = &head.caller {
+        set_header(map, headers::CALLER, caller.as_str());
+    }
     set_header(map, headers::ENDPOINT, attempt.endpoint.name.as_str());
     set_header(map, headers::ATTEMPT, &attempt.number.to_string());
     set_header(map, headers::CONFIG_VERSION, &version.to_string());
@@ -122,6 +127,7 @@
     let service = ServiceName::try_new(text(headers::SERVICE)?).ok()?;
     let route = RouteName::try_new(text(headers::ROUTE)?).ok()?;
     let name = EndpointName::try_new(text(headers::ENDPOINT)?).ok()?;
+    let caller = text(headers::CALLER).and_then(|c| CallerName::try_new(c).ok());
     let class: Class = text(headers::CLASS)?.parse().ok()?;
     let left = Duration::from_millis(number(headers::DEADLINE_MS)?);
     let attempt_number = u8::try_from(number(headers::ATTEMPT)?).ok()?;
@@ -155,6 +161,7 @@
         headers: forwarded,
         service: service.clone(),
         route,
+        caller,
         class,
         idempotent,
         once_per,
--- a/crates/shallothill-node/tests/routes.rs
+++ b/crates/shallothill-node/tests/routes.rs
@@ -23,6 +23,7 @@
         attempts: None,
         max_body_bytes: 1024,
         body: BodyMode::Buffered,
+        public: false,
     }
 }
 
--- a/crates/shallothill-node/tests/support/cluster.rs
+++ b/crates/shallothill-node/tests/support/cluster.rs
@@ -70,6 +70,7 @@
         attempts: None,
         max_body_bytes: 1024 * 1024,
         body: BodyMode::Buffered,
+        public: false,
     }
 }
 
@@ -87,10 +88,14 @@
         class: Class::Shop,
         requests_per_s: Some(1),
         concurrent: None,
+        keys: Vec::new(),
+        rank: None,
+        quota: None,
     };
     Config {
         regions: vec![Region::try_new(REGION).unwrap()],
         limits: None,
+        require_keys: false,
         services: BTreeMap::from([(ServiceName::try_new("courier").unwrap(), service())]),
         routes: routes
             .into_iter()
--- a/crates/shallothill-policy/tests/quarantine.rs
+++ b/crates/shallothill-policy/tests/quarantine.rs
@@ -25,6 +25,9 @@
         class: Class::Shop,
         requests_per_s: rate,
         concurrent,
+        keys: Vec::new(),
+        rank: None,
+        quota: None,
     }
 }
 
