node: only final statuses of backend servers reach callers

Cause: the status 101, and statuses from 600 to 999, of a backend server in trouble were passed on as its answer. A status 000 was not: the HTTP library refuses statuses below 100, and the caller gets 502. A stored answer of the ledger whose status cannot be read was replayed as 200. Change: the gate takes a status outside 200 to 599 for a malformed response, and an unreadable stored status is replayed as 502. Evidence: only_final_statuses_are_passed_on failed at 101 before (000, 007 and 099 passed), and passes now.

--- a/crates/shallothill-node/src/gate/claimed_request.rs
+++ b/crates/shallothill-node/src/gate/claimed_request.rs
@@ -213,7 +213,7 @@
 
 fn replay_response(status: u16, fields: &[(String, String)], body: Vec<u8>) -> AttemptReply {
     let mut response = Response::new(Body::full(Bytes::from(body)));
-    *response.status_mut() = StatusCode::from_u16(status).unwrap_or(StatusCode::OK);
+    *response.status_mut() = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
     for (name, value) in fields {
         if let (Ok(name), Ok(value)) = (name.parse::<HeaderName>(), HeaderValue::from_str(value)) {
             response.headers_mut().append(name, value);
--- a/crates/shallothill-node/src/gate/exchange.rs
+++ b/crates/shallothill-node/src/gate/exchange.rs
@@ -9,7 +9,7 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::header::{self, HeaderName, HeaderValue};
-use hyper::{Request, Response, Uri, Version};
+use hyper::{Request, Response, StatusCode, Uri, Version};
 use shallothill_core::headers;
 use shallothill_core::outcome::Outcome;
 use tokio::time;
@@ -80,6 +80,10 @@
             }
             slot.start(head.fingerprint, objective);
             match time::timeout_at(response_deadline, connection.send(req)).await {
+                Ok(Ok(response)) if !is_final(response.status()) => {
+                    slot.record_broken();
+                    return Err(MALFORMED_RESPONSE);
+                }
                 Ok(Ok(response)) => {
                     self.record_response(slot, head, &response);
                     connection.update_keep_alive(response.headers());
@@ -175,6 +179,12 @@
     }
 }
 
+// The HTTP library rejects statuses below 100 but passes 101 on as the switch to another protocol,
+// which no request asks for, and 600 to 999, which HTTP does not define.
+fn is_final(status: StatusCode) -> bool {
+    (200..=599).contains(&status.as_u16())
+}
+
 /// `outcome_of_status` returns the outcome for the status code of a response; 503 means that the
 /// backend server received the request and shed it.
 pub(crate) fn outcome_of_status(status: u16) -> Outcome {
