policy: lease on the currency of the configuration

Cause: a node that is cut off from the keepers goes on with its last configuration, so a revoked key works there for as long as the cut lasts.

--- a/crates/shallothill-policy/src/lib.rs
+++ b/crates/shallothill-policy/src/lib.rs
@@ -1,8 +1,9 @@
 //! Decisions of the request path as pure state machines: endpoint selection, admission, failure
-//! detection, ejection, retries, limits and quarantine. Callers pass the time in; nothing here does
-//! I/O.
+//! detection, ejection, retries, limits, quarantine and the currency of the configuration. Callers pass
+//! the time in; nothing here does I/O.
 
 pub mod admit;
+pub mod currency;
 pub mod detect;
 pub mod eject;
 pub mod gray;
