wire, keeper, node: requests with keys need a confirmed configuration

Cause: a node that is cut off runs requests with a key that was revoked long ago.

Change: with `bounds.max_config_age_ms` a node asks for confirmations with its watches (`confirm`, `confirmed`; both absent on the wire when unset). The entry admits a request with a key on a route that is not public only under the lease, checks lease and key again before each attempt, and otherwise answers 503 `stale-config` at once.

Ruled out: a suspended keeper or primary that confirms an old version.

--- a/crates/shallothill-bench/src/scenarios/control.rs
+++ b/crates/shallothill-bench/src/scenarios/control.rs
@@ -59,6 +59,7 @@
         complete: true,
         isolated: false,
         wait_ms: 2000,
+        confirm: false,
     })
 }
 
@@ -77,6 +78,7 @@
         directory: None,
         crashes: Vec::new(),
         isolated: false,
+        confirmed: None,
     }
 }
 
--- a/crates/shallothill-keeper/src/control.rs
+++ b/crates/shallothill-keeper/src/control.rs
@@ -54,9 +54,40 @@
             directory,
             crashes,
             isolated,
+            confirmed: None,
         })
     }
 
+    // Returns at the first urgent change, or after `wait`.
+    async fn wait_for_changes(&self, req: &WatchRequest, wait: Duration) -> WatchReply {
+        let mut end = self.0.timer.after(wait);
+        let mut batch_end = self.0.timer.after(DIRECTORY_BATCH_DELAY);
+        let mut batching = wait > DIRECTORY_BATCH_DELAY;
+        let mut updates = self.0.subscribe_changes();
+        loop {
+            updates.mark_unchanged();
+            if let Some(reply) = self.watch_reply(req)
+                && (!batching || reply.is_urgent() || reply.isolated != req.isolated)
+            {
+                return reply;
+            }
+            tokio::select! {
+                _ = updates.changed() => {}
+                _ = &mut batch_end, if batching => batching = false,
+                _ = &mut end => {
+                    return WatchReply {
+                        config: None,
+                        config_version: self.0.published.load().version(),
+                        directory: None,
+                        crashes: Vec::new(),
+                        isolated: self.is_isolated(),
+                        confirmed: None,
+                    };
+                }
+            }
+        }
+    }
+
     fn group(&self) -> KeeperGroup {
         let replica = self.0.log.status().replica;
         let members = replica.map_or(0, |r| r.members.len());
@@ -141,32 +172,17 @@
     }
 
     async fn watch(self, _: Context, req: WatchRequest) -> WatchReply {
+        let arrived = self.0.timer.now();
         self.0.observe_version(req.config_version);
         let wait = Duration::from_millis(u64::from(req.wait_ms)).min(LONG_POLL_MAX);
-        let mut end = self.0.timer.after(wait);
-        let mut batch_end = self.0.timer.after(DIRECTORY_BATCH_DELAY);
-        let mut batching = wait > DIRECTORY_BATCH_DELAY;
-        let mut updates = self.0.subscribe_changes();
-        loop {
-            updates.mark_unchanged();
-            if let Some(reply) = self.watch_reply(&req)
-                && (!batching || reply.is_urgent() || reply.isolated != req.isolated)
-            {
-                return reply;
-            }
-            tokio::select! {
-                _ = updates.changed() => {}
-                _ = &mut batch_end, if batching => batching = false,
-                _ = &mut end => {
-                    return WatchReply {
-                        config: None,
-                        config_version: self.0.published.load().version(),
-                        directory: None,
-                        crashes: Vec::new(),
-                        isolated: self.is_isolated(),
-                    };
-                }
-            }
+        if !req.confirm {
+            return self.wait_for_changes(&req, wait).await;
+        }
+        self.0.confirmations.want_until(arrived + wait);
+        let reply = self.wait_for_changes(&req, wait).await;
+        WatchReply {
+            confirmed: self.0.confirmations.latest(arrived),
+            ..reply
         }
     }
 
--- a/crates/shallothill-keeper/src/keeper.rs
+++ b/crates/shallothill-keeper/src/keeper.rs
@@ -19,6 +19,7 @@
 
 use crate::change_log;
 use crate::config_state::{ConfigState, SectionHistory};
+use crate::confirmations::Confirmations;
 use crate::endpoint_departures::EndpointDepartures;
 use crate::isolation::Isolation;
 use crate::ledger::LedgerHandle;
@@ -96,6 +97,8 @@
     /// The configuration that was checked last and the hash of its text, so that it is not parsed
     /// again when it is published.
     pub checked_config: Mutex<Option<(ContentHash, Arc<Config>)>>,
+    /// The confirmed version that is sent to nodes.
+    pub confirmations: Confirmations,
     isolation: Mutex<Isolation>,
     changes: watch::Sender<()>,
     highest_version: watch::Sender<ConfigVersion>,
@@ -124,6 +127,7 @@
             peers,
             departures,
             membership_planner: Mutex::new(MembershipPlanner::new(options)),
+            confirmations: Confirmations::default(),
             isolation: Mutex::default(),
             node_registry: Mutex::new(NodeRegistry::new(settings.id, incarnation)),
             leases: Mutex::new(LeaseTable::new(
--- a/crates/shallothill-keeper/src/lib.rs
+++ b/crates/shallothill-keeper/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod change_log;
 pub mod config_state;
+pub mod confirmations;
 pub mod control;
 pub mod crashes;
 pub mod data;
--- a/crates/shallothill-keeper/tests/nodes.rs
+++ b/crates/shallothill-keeper/tests/nodes.rs
@@ -35,6 +35,7 @@
         complete: last.is_some(),
         isolated: false,
         wait_ms: 20_000,
+        confirm: false,
     };
     let call = control.call(
         common::DEADLINE,
--- a/crates/shallothill-node/src/control/config_fetch.rs
+++ b/crates/shallothill-node/src/control/config_fetch.rs
@@ -144,6 +144,7 @@
             complete: false,
             isolated: false,
             wait_ms: 0,
+            confirm: false,
         };
         let call = keeper
             .channel()
--- a/crates/shallothill-node/src/control/watch.rs
+++ b/crates/shallothill-node/src/control/watch.rs
@@ -16,6 +16,7 @@
 use crate::control::search::Found;
 use crate::control::{ConfigFetcher, Keeper, KeeperSwitch, Keepers, search};
 use crate::crashes::CrashTracker;
+use crate::currency::ConfigCurrency;
 use crate::gate::Gate;
 use crate::view::DirectoryView;
 
@@ -61,6 +62,8 @@
     pub fetch: Arc<ConfigFetcher>,
     /// Requests to follow another keeper.
     pub switch: Arc<KeeperSwitch>,
+    /// The lease that replies renew, if the settings have a bound.
+    pub currency: Option<Arc<ConfigCurrency>>,
     /// The timer for pauses.
     pub timer: Timer,
 }
@@ -174,7 +177,9 @@
             complete: state.complete && !first,
             isolated: self.switch.isolated_keeper().is_some(),
             wait_ms: hold.as_millis() as u32,
+            confirm: self.currency.is_some(),
         };
+        let sent = self.currency.as_ref().map(|c| c.start_question());
         let watch = |c: KeeperControlClient, cx| async move { c.watch(cx, req).await };
         let reply = if first {
             keeper.channel().call_while_receiving(timeout, watch).await
@@ -201,8 +206,13 @@
             self.switch.set_isolated_keeper(isolated);
         }
         let version = reply.config_version;
+        let confirmed = reply.confirmed;
         let applied = self.apply(keeper, state, reply, now).await;
         self.store.record_version(version);
+        // After the configuration of the same reply, which may be the confirmed version.
+        if let (Some(currency), Some(sent), Some(confirmed)) = (&self.currency, sent, confirmed) {
+            currency.record(sent, confirmed.version, confirmed.relative_ms);
+        }
         applied.is_ok()
     }
 
--- a/crates/shallothill-node/src/counters.rs
+++ b/crates/shallothill-node/src/counters.rs
@@ -11,6 +11,8 @@
     responses: [AtomicU64; 6],
     peer_attempts: AtomicU64,
     malformed: AtomicU64,
+    lost_leases: AtomicU64,
+    stale_refusals: AtomicU64,
 }
 
 /// `Gauges` contains current values that are sent with the counters.
@@ -43,6 +45,16 @@
         self.malformed.fetch_add(1, Ordering::Relaxed);
     }
 
+    /// `count_lost_lease` counts a loss of the lease on the currency of the configuration.
+    pub fn count_lost_lease(&self) {
+        self.lost_leases.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// `count_stale_refusal` counts a request with a key that was not admitted without the lease.
+    pub fn count_stale_refusal(&self) {
+        self.stale_refusals.fetch_add(1, Ordering::Relaxed);
+    }
+
     /// `dump` returns the totals for the state dump.
     pub fn dump(&self) -> Value {
         let n = |i: usize| self.responses[i].load(Ordering::Relaxed);
@@ -50,12 +62,14 @@
             "responses": {"2xx": n(2), "3xx": n(3), "4xx": n(4), "5xx": n(5)},
             "attempts_of_peers": self.peer_attempts.load(Ordering::Relaxed),
             "malformed": self.malformed.load(Ordering::Relaxed),
+            "lost_leases": self.lost_leases.load(Ordering::Relaxed),
+            "stale_refusals": self.stale_refusals.load(Ordering::Relaxed),
         })
     }
 
     /// `send` sends the increase of each total since `last_sent`, which it updates, and the gauges.
-    pub fn send(&self, client: &StatsdClient, last_sent: &mut [u64; 8], gauges: Gauges) {
-        const NAMES: [&str; 8] = [
+    pub fn send(&self, client: &StatsdClient, last_sent: &mut [u64; 10], gauges: Gauges) {
+        const NAMES: [&str; 10] = [
             "responses.other",
             "responses.1xx",
             "responses.2xx",
@@ -64,13 +78,22 @@
             "responses.5xx",
             "attempts_of_peers",
             "malformed",
+            "lost_leases",
+            "stale_refusals",
         ];
-        let totals = self
-            .responses
-            .iter()
-            .chain([&self.peer_attempts, &self.malformed]);
+        // Not sent by nodes without a bound on the age of their configuration.
+        const OPTIONAL: [&str; 2] = ["lost_leases", "stale_refusals"];
+        let totals = self.responses.iter().chain([
+            &self.peer_attempts,
+            &self.malformed,
+            &self.lost_leases,
+            &self.stale_refusals,
+        ]);
         for ((name, total), last_total) in NAMES.iter().zip(totals).zip(last_sent) {
             let total = total.load(Ordering::Relaxed);
+            if total == 0 && OPTIONAL.contains(name) {
+                continue;
+            }
             // Metrics are best effort; a failed send is not repeated.
             let _ = client.count(name, total - *last_total);
             *last_total = total;
--- a/crates/shallothill-node/src/dump.rs
+++ b/crates/shallothill-node/src/dump.rs
@@ -22,6 +22,7 @@
             "serving": self.entry().serving(),
             "stopping": self.stopping(),
             "config": self.dump_config(),
+            "currency": self.currency().map(|c| c.dump()),
             "keepers": self.dump_keepers(),
             "gate": self.dump_gate(),
             "ledger": self.dump_ledger(),
--- a/crates/shallothill-node/src/entry/attempts.rs
+++ b/crates/shallothill-node/src/entry/attempts.rs
@@ -33,6 +33,7 @@
             head,
             payload,
             permit,
+            checked_key,
         } = prepared;
         let Some(service) = self.deps.store.load().service(&head.service).cloned() else {
             return (NO_SERVICE.reply_without_gate(), InFlight::new(permit, None));
@@ -48,6 +49,7 @@
             budget: self.retry_budget(&head.service),
             head,
             payload: Some(payload),
+            checked_key,
             service,
             options,
             sent_at: now,
@@ -161,6 +163,7 @@
         r: &mut RunState,
     ) -> Result<impl Future<Output = EndedAttempt> + Send + use<'a>, Refusal> {
         self.check_time_left()?;
+        self.check_key(r.checked_key.as_ref())?;
         let now = self.deps.timer.now();
         let quarantine_permit = self
             .deps
--- a/crates/shallothill-node/src/entry/caller.rs
+++ b/crates/shallothill-node/src/entry/caller.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use hyper::header::HeaderMap;
-use shallothill_core::config::{Caller, Route};
+use shallothill_core::config::{ApiKey, Caller, Route};
 use shallothill_core::headers;
 use shallothill_core::ids::CallerName;
 use shallothill_policy::limits::Permit;
@@ -20,6 +20,8 @@
     name: Option<(CallerName, Proof)>,
     /// The settings of the caller.
     pub(super) settings: Option<&'a Caller>,
+    /// The key, where the request may run only while it is certain that the key is not revoked.
+    pub(super) checked_key: Option<ApiKey>,
 }
 
 /// `Proof` tells how a caller was identified.
@@ -42,8 +44,9 @@
 impl Entry {
     /// `identify_caller` finds the caller of a request on `route`.
     ///
-    /// Fails if the configuration requires keys and the request has none or an unknown one, except
-    /// on public routes.
+    /// Fails if the configuration requires keys and the request has none or an unknown one, or if
+    /// the node cannot tell whether the key was revoked, except on public routes. There a key counts
+    /// only while the node can tell.
     pub(super) fn identify_caller<'a>(
         &self,
         map: &HeaderMap,
@@ -54,15 +57,23 @@
             return Ok(stated_caller(map, cfg));
         }
         let key = header_filter::single_value(map, self.deps.interface.api_key.as_str());
-        if let Some((name, caller)) = key.and_then(|k| cfg.caller_of_key(k)) {
+        let current = key.is_none() || self.admits_keys(cfg);
+        if let Some(key) = key.filter(|_| current)
+            && let Some((name, caller)) = cfg.caller_of_key(key)
+        {
+            let checked = self.deps.currency.is_some() && !route.public;
             return Ok(IdentifiedCaller {
                 name: Some((name.clone(), Proof::Key)),
                 settings: Some(caller),
+                checked_key: ApiKey::try_new(key).ok().filter(|_| checked),
             });
         }
         if route.public {
             return Ok(IdentifiedCaller::default());
         }
+        if !current {
+            return Err(STALE_CONFIG);
+        }
         // The key may be one that the newer version adds.
         if self.deps.store.highest_known_version() > cfg.version() {
             return Err(KEY_MAY_BE_NEW);
@@ -70,6 +81,25 @@
         Err(UNKNOWN_KEY)
     }
 
+    /// `check_key` fails if `key` was revoked since the request came, or if the node can no longer
+    /// tell. A body may take seconds to arrive, and an attempt may follow seconds after another one.
+    pub(super) fn check_key(&self, key: Option<&ApiKey>) -> Result<(), Refusal> {
+        let Some(key) = key else { return Ok(()) };
+        let cfg = self.deps.store.load();
+        if !self.admits_keys(&cfg) {
+            return Err(STALE_CONFIG);
+        }
+        match cfg.caller_of_key(key.expose_secret()) {
+            Some(_) => Ok(()),
+            None => Err(UNKNOWN_KEY),
+        }
+    }
+
+    fn admits_keys(&self, cfg: &ConfigSnapshot) -> bool {
+        let currency = self.deps.currency.as_ref();
+        currency.is_none_or(|c| c.admits(cfg.version()))
+    }
+
     /// `strip_caller_headers` removes the key, which must not leave this node, and a name that the
     /// caller gave itself.
     pub(super) fn strip_caller_headers(&self, map: &mut HeaderMap, cfg: &ConfigSnapshot) {
@@ -106,6 +136,7 @@
     IdentifiedCaller {
         name: Some((name, Proof::Statement)),
         settings: Some(settings),
+        checked_key: None,
     }
 }
 
@@ -125,6 +156,11 @@
     "key-may-be-new",
     "the node does not have the newest configuration, which may know the key; send it again",
 );
+const STALE_CONFIG: Refusal = Refusal::not_run(
+    "stale-config",
+    "the node cannot tell whether the key is still valid, because no keeper confirms its \
+     configuration; send the request again",
+);
 const OVER_LIMIT: Refusal = Refusal::invalid(
     429,
     "over-limit",
--- a/crates/shallothill-node/src/entry/mod.rs
+++ b/crates/shallothill-node/src/entry/mod.rs
@@ -27,6 +27,7 @@
 use crate::config::ConfigStore;
 use crate::counters::Counters;
 use crate::crashes::CrashTracker;
+use crate::currency::ConfigCurrency;
 use crate::gate::Gate;
 use crate::interface::HttpInterface;
 use crate::peer::PeerLinks;
@@ -53,6 +54,8 @@
     pub timer: Timer,
     /// The configuration in force.
     pub store: Arc<ConfigStore>,
+    /// The lease that requests with keys need, if the settings have a bound.
+    pub currency: Option<Arc<ConfigCurrency>>,
     /// The endpoints of all nodes and their pick tables.
     pub view: Arc<DirectoryView>,
     /// The connections to the gates of other nodes.
@@ -92,6 +95,11 @@
         }
     }
 
+    /// `dependencies` returns the components that the entry was built from.
+    pub(crate) fn dependencies(&self) -> &EntryDependencies {
+        &self.deps
+    }
+
     /// `start_serving` starts serving; call it once the configuration in force is at or above the
     /// highest known version.
     pub fn start_serving(&self) {
--- a/crates/shallothill-node/src/entry/prepare.rs
+++ b/crates/shallothill-node/src/entry/prepare.rs
@@ -12,7 +12,7 @@
 use hyper::http::uri::PathAndQuery;
 use rand::Rng;
 use shallothill_core::class::Class;
-use shallothill_core::config::{Caller, OncePer, Route, Target};
+use shallothill_core::config::{ApiKey, Caller, OncePer, Route, Target};
 use shallothill_core::hash;
 use shallothill_core::hash::Fingerprint;
 use shallothill_core::headers;
@@ -48,6 +48,8 @@
     pub(crate) head: Arc<RequestHead>,
     pub(crate) payload: Payload,
     pub(crate) permit: Option<Permit>,
+    /// The key to check again before each attempt.
+    pub(crate) checked_key: Option<ApiKey>,
 }
 
 /// `Rejection` is a refusal. `allow` lists the accepted methods if the status is 405.
@@ -122,6 +124,7 @@
             head: Arc::new(head),
             payload,
             permit,
+            checked_key: caller.checked_key,
         })
     }
 
--- a/crates/shallothill-node/src/entry/run_state.rs
+++ b/crates/shallothill-node/src/entry/run_state.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use shallothill_core::config::Service;
+use shallothill_core::config::{ApiKey, Service};
 use shallothill_core::headers;
 use shallothill_core::ids::EndpointId;
 use shallothill_core::time::Millis;
@@ -39,6 +39,7 @@
 pub(super) struct RunState {
     pub(super) head: Arc<RequestHead>,
     pub(super) payload: Option<Payload>,
+    pub(super) checked_key: Option<ApiKey>,
     pub(super) service: Arc<Service>,
     pub(super) options: RetryOptions,
     pub(super) budget: Arc<RetryBudget>,
--- a/crates/shallothill-node/src/lib.rs
+++ b/crates/shallothill-node/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod control;
 pub mod counters;
 pub mod crashes;
+pub mod currency;
 mod dump;
 pub mod entry;
 pub mod errors;
--- a/crates/shallothill-node/src/node/build.rs
+++ b/crates/shallothill-node/src/node/build.rs
@@ -19,6 +19,7 @@
 use crate::control::Keepers;
 use crate::counters::Counters;
 use crate::crashes::CrashTracker;
+use crate::currency::ConfigCurrency;
 use crate::entry::{Entry, EntryDependencies};
 use crate::gate::{Gate, GateDependencies, LedgerClient};
 use crate::interface::HttpInterface;
@@ -116,6 +117,15 @@
     origin: Option<&ServiceName>,
 ) -> Entry {
     let deps = gate.dependencies();
+    let currency = deps.bounds.max_config_age().map(|max_age| {
+        let (store, counters) = (Arc::clone(&deps.store), Arc::clone(counters));
+        Arc::new(ConfigCurrency::new(
+            max_age,
+            store,
+            deps.timer.clone(),
+            counters,
+        ))
+    });
     Entry::new(EntryDependencies {
         node: deps.node.clone(),
         interface: Arc::clone(&deps.interface),
@@ -124,6 +134,7 @@
         bounds: deps.bounds.clone(),
         timer: deps.timer.clone(),
         store: Arc::clone(&deps.store),
+        currency,
         view: Arc::clone(view),
         links: Arc::clone(links),
         gate: Arc::clone(gate),
--- a/crates/shallothill-node/src/node/mod.rs
+++ b/crates/shallothill-node/src/node/mod.rs
@@ -2,6 +2,7 @@
 
 mod access;
 mod build;
+mod lease;
 mod sockets;
 
 use std::net::SocketAddr;
@@ -200,6 +201,7 @@
             gate: Arc::clone(&self.gate),
             fetch: Arc::clone(&fetch),
             switch: Arc::clone(&switch),
+            currency: self.currency().cloned(),
             timer: self.timer.clone(),
         };
         let reporter = Reporter {
@@ -216,6 +218,7 @@
             timer: self.timer.clone(),
         };
         tokio::spawn(watcher.run(self.end_tasks.clone()));
+        self.start_lease_renewal();
         if self.keepers.uses_discovery() {
             // Discovered keepers report that they are isolated, so no probe is needed.
             let discovery = Discovery {
@@ -257,7 +260,7 @@
         let mut refresh = self.timer.every(REFRESH_PERIOD);
         let mut close_idle = self.timer.every(IDLE_LINK_PERIOD);
         let mut metrics_due = self.timer.every(self.settings.process.metrics_period());
-        let mut totals_sent = [0; 8];
+        let mut totals_sent = [0; 10];
         loop {
             tokio::select! {
                 () = self.end_tasks.cancelled() => return,
--- a/crates/shallothill-node/src/settings.rs
+++ b/crates/shallothill-node/src/settings.rs
@@ -96,6 +96,9 @@
     pub lame_duck_ms: u64,
     /// Milliseconds for which a stopping node waits for requests in flight.
     pub stop_timeout_ms: u64,
+    /// Milliseconds after the acknowledgement of a version from which requests with keys must not
+    /// run on an older one; `None` for no bound.
+    pub max_config_age_ms: Option<u64>,
 }
 
 impl Default for Bounds {
@@ -115,6 +118,7 @@
             announce_lease_ms: 10_000,
             lame_duck_ms: 0,
             stop_timeout_ms: 30_000,
+            max_config_age_ms: None,
         }
     }
 }
@@ -154,6 +158,12 @@
     pub fn stop_timeout(&self) -> Duration {
         Duration::from_millis(self.stop_timeout_ms)
     }
+
+    /// `max_config_age` returns the time after an acknowledgement from which requests with keys must
+    /// not run on an older version, if there is a bound.
+    pub fn max_config_age(&self) -> Option<Duration> {
+        self.max_config_age_ms.map(Duration::from_millis)
+    }
 }
 
 impl Settings {
@@ -186,6 +196,9 @@
         if self.keepers.is_empty() && self.seeds.is_empty() {
             return fail("`keepers` is empty; list all keepers, or some as `seeds`".to_owned());
         }
+        if self.bounds.max_config_age_ms == Some(0) {
+            return fail("`max_config_age_ms` is 0; remove it for no bound".to_owned());
+        }
         let mut ids = BTreeSet::new();
         for keeper in &self.keepers {
             if !ids.insert(keeper.id) {
--- a/crates/shallothill-node/tests/support/keepers.rs
+++ b/crates/shallothill-node/tests/support/keepers.rs
@@ -30,7 +30,7 @@
 use shallothill_wire::keeper_info::KeeperInfo;
 use shallothill_wire::report::{ReportReply, ReportRequest};
 use shallothill_wire::watch::{
-    ConfigUpdate, SectionsReply, SectionsRequest, WatchReply, WatchRequest,
+    ConfigUpdate, Confirmed, SectionsReply, SectionsRequest, WatchReply, WatchRequest,
 };
 use shallothill_wire::{answer_calls, transport};
 use tarpc::context::Context;
@@ -275,6 +275,10 @@
                     directory: Some(delta),
                     crashes: self.shared.crashes.lock().unwrap().clone(),
                     isolated,
+                    confirmed: (req.confirm && !isolated).then_some(Confirmed {
+                        version,
+                        relative_ms: 0,
+                    }),
                 };
             }
             time::sleep(Duration::from_millis(10)).await;
@@ -298,6 +302,9 @@
             version: ConfigVersion(0),
             ids: Vec::new(),
         };
+        if self.is_isolated() {
+            return None;
+        }
         Some(self.sections(cx, req).await.config_version)
     }
 
--- a/crates/shallothill-wire/src/watch.rs
+++ b/crates/shallothill-wire/src/watch.rs
@@ -26,6 +26,10 @@
     pub isolated: bool,
     /// How long the keeper may wait for a change before it replies, in milliseconds.
     pub wait_ms: u32,
+    /// Whether the reply should contain a confirmation. Absent on the wire if false, as in earlier
+    /// releases.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub confirm: bool,
 }
 
 /// `WatchReply` holds the changes since the state that the request describes.
@@ -42,6 +46,19 @@
     /// Whether the keeper has received nothing from a primary of the config log for a while. It may
     /// then lack accepted versions, so the node should watch another keeper.
     pub isolated: bool,
+    /// The last confirmed version, if the request asked for it and there is one.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub confirmed: Option<Confirmed>,
+}
+
+/// `Confirmed` states that no version above `version` was acknowledged before a time.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Confirmed {
+    /// The highest version that can have been acknowledged.
+    pub version: ConfigVersion,
+    /// When the keeper sent its question to the primary, in milliseconds after the arrival of the
+    /// watch request; negative for a question before the arrival.
+    pub relative_ms: i64,
 }
 
 impl WatchReply {
