policy, testing: tokens for quotas over all nodes

Cause: nothing enforced a caller's quota beyond one node.

Change: policy::quota has the issuer (a token bucket for each active caller, in which the tokens saved up and those outstanding never exceed the capacity together), the holder of a node and the relay of a keeper, which is a holder that lends its tokens. Tokens granted to requests that wait count as used at once; others when their use is reported, or 1.5 s after their expiry. A new issuer saves up a fifth of the tolerated excess until the tokens of the former one have expired, and has full buckets one window later. testing::credit plays a fleet of nodes and keepers under virtual time with lost messages, restarts, cuts and elections.

Ruled out: to count the tokens of waiting requests as used only when that is reported.

--- a/crates/shallothill-policy/src/lib.rs
+++ b/crates/shallothill-policy/src/lib.rs
@@ -1,5 +1,5 @@
 //! Decisions of the request path as pure state machines: endpoint selection, admission, failure
-//! detection, ejection, retries, limits and quarantine. Callers pass the time in; nothing here does
+//! detection, ejection, retries, limits, quotas and quarantine. Callers pass the time in; nothing here does
 //! I/O.
 
 pub mod admit;
@@ -9,4 +9,5 @@
 pub mod limits;
 pub mod pick;
 pub mod quarantine;
+pub mod quota;
 pub mod retry;
--- a/crates/shallothill-testing/src/lib.rs
+++ b/crates/shallothill-testing/src/lib.rs
@@ -4,6 +4,7 @@
 mod announcer;
 pub mod behaviour;
 pub mod builders;
+pub mod credit;
 pub mod errors;
 pub mod http;
 pub mod options;
