keeper, node, wire, platform: quotas are enforced over all nodes

Cause: Caller::quota was read and enforced nowhere.

Change: KeeperControl::credit and KeeperPeer::credit carry the requests for tokens. The primary of the config log issues them while its read lease, which the driver now returns with its view and end, is valid at the moment of the grant. A request that a key identified as of a caller with a limited quota takes a token before its body is read; without one it waits at most 1.5 s and a quarter of its time, and gets 429 over-quota or 503 no-credit. A request that did not run puts its token back.

--- a/crates/shallothill-keeper/src/control.rs
+++ b/crates/shallothill-keeper/src/control.rs
@@ -10,6 +10,7 @@
 use shallothill_ledger::{
     ClaimAnswer, ClaimRefusal, ClaimReply, ClaimRequest, CompleteRequest, WithdrawRequest,
 };
+use shallothill_policy::quota::{CreditReply, CreditRequest};
 use shallothill_wire::control::KeeperControl;
 use shallothill_wire::crash::CrashNotice;
 use shallothill_wire::departures::{
@@ -21,7 +22,7 @@
 use tarpc::context::Context;
 
 use crate::keeper::{Keeper, lock};
-use crate::submit;
+use crate::{credit, submit};
 
 /// `LONG_POLL_MAX` bounds a long poll, so that the calls of lost nodes end.
 const LONG_POLL_MAX: Duration = Duration::from_secs(60);
@@ -216,6 +217,10 @@
         self.0.request_lease(&req)
     }
 
+    async fn credit(self, _: Context, req: CreditRequest) -> Option<CreditReply> {
+        credit::serve_node(&self.0, req).await
+    }
+
     async fn release(self, _: Context, req: ReleaseRequest) {
         lock(&self.0.leases).handle_release(&req);
     }
--- a/crates/shallothill-keeper/src/keeper.rs
+++ b/crates/shallothill-keeper/src/keeper.rs
@@ -19,6 +19,7 @@
 
 use crate::change_log;
 use crate::config_state::{ConfigState, SectionHistory};
+use crate::credit::CreditService;
 use crate::endpoint_departures::EndpointDepartures;
 use crate::isolation::Isolation;
 use crate::ledger::LedgerHandle;
@@ -91,6 +92,8 @@
     pub peers: Arc<Peers>,
     /// The departures of backend servers.
     pub departures: Arc<EndpointDepartures>,
+    /// Tokens of callers with quotas.
+    pub credit: CreditService,
     /// Plans changes of the group; used only where keepers discover each other.
     pub membership_planner: Mutex<MembershipPlanner>,
     /// The configuration that was checked last and the hash of its text, so that it is not parsed
@@ -123,6 +126,7 @@
         Self {
             peers,
             departures,
+            credit: CreditService::new(settings.quotas.options()),
             membership_planner: Mutex::new(MembershipPlanner::new(options)),
             isolation: Mutex::default(),
             node_registry: Mutex::new(NodeRegistry::new(settings.id, incarnation)),
--- a/crates/shallothill-keeper/src/lib.rs
+++ b/crates/shallothill-keeper/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod config_state;
 pub mod control;
 pub mod crashes;
+pub mod credit;
 pub mod data;
 pub mod departure;
 pub mod endpoint_departures;
--- a/crates/shallothill-keeper/src/log/driver.rs
+++ b/crates/shallothill-keeper/src/log/driver.rs
@@ -17,7 +17,7 @@
 use tracing::{error, info};
 
 use super::disk::{DiskCommand, DiskReport, LogDisk, build_snapshot};
-use super::handle::{LogCallError, LogCommand, LogStatus};
+use super::handle::{LogCallError, LogCommand, LogStatus, ReadLease};
 use super::links::PeerLinks;
 use crate::config_state::{Change, ConfigState, Outcome, SectionHistory};
 use crate::errors;
@@ -151,7 +151,10 @@
             let event = tokio::select! {
                 _ = ticks.recv() => Event::Tick,
                 Some((from, msg)) = self.messages.recv() => Event::Message { from, msg },
-                Some(command) = self.commands.recv() => self.start_command(command),
+                Some(command) = self.commands.recv() => match self.start_command(command) {
+                    Some(event) => event,
+                    None => continue,
+                },
                 report = self.disk_reports.recv() => match report {
                     Some(DiskReport::Synced(upto)) => Event::Synced { upto },
                     Some(DiskReport::SnapshotTaken(snapshot)) => Event::SnapshotTaken { snapshot },
@@ -168,8 +171,9 @@
         }
     }
 
-    fn start_command(&mut self, command: LogCommand) -> Event {
-        match command {
+    // Returns `None` for a command that is answered at once.
+    fn start_command(&mut self, command: LogCommand) -> Option<Event> {
+        let event = match command {
             LogCommand::Propose(change, tx) => {
                 let id = RequestId(rand::random());
                 let payload = rmp_serde::to_vec(&change).unwrap_or_default().into();
@@ -188,7 +192,20 @@
                 self.pending_reads.insert(token, tx);
                 Event::Read { token }
             }
-        }
+            LogCommand::Lease(tx) => {
+                // A caller that no longer waits needs no answer.
+                let _ = tx.send(self.read_lease());
+                return None;
+            }
+        };
+        Some(event)
+    }
+
+    fn read_lease(&self) -> Result<ReadLease, LogCallError> {
+        let primary = self.replica.status().primary;
+        let lease = self.replica.read_lease();
+        let lease = lease.map(|(view, until)| ReadLease { view, until });
+        lease.ok_or_else(|| not_primary(self.me, primary))
     }
 
     // Returns `None` when the disk's thread has ended.
--- a/crates/shallothill-keeper/src/log/handle.rs
+++ b/crates/shallothill-keeper/src/log/handle.rs
@@ -4,7 +4,8 @@
 
 use serde::Serialize;
 use shallothill_core::ids::KeeperId;
-use shallothill_replica::ReplicaStatus;
+use shallothill_core::time::Millis;
+use shallothill_replica::{ReplicaStatus, View};
 use tokio::sync::{mpsc, oneshot, watch};
 
 use crate::config_state::{Change, Outcome};
@@ -29,10 +30,21 @@
     Propose(Change, oneshot::Sender<Result<Outcome, LogCallError>>),
     /// Replaces the members by a list that differs by one; answered once that is committed.
     ChangeMembers(Vec<KeeperId>, oneshot::Sender<Result<(), LogCallError>>),
+    /// Answered with the read lease, once the applied state holds everything committed before it.
+    Lease(oneshot::Sender<Result<ReadLease, LogCallError>>),
     /// Answered once the applied state holds everything committed before the call.
     Read(oneshot::Sender<Result<(), LogCallError>>),
 }
 
+/// `ReadLease` is the time in which this keeper is the only primary of the config log.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct ReadLease {
+    /// The view of the primary. Another keeper may have been the primary before the view.
+    pub view: View,
+    /// The end of the lease.
+    pub until: Millis,
+}
+
 /// `LogStatus` describes the replica after its last step.
 #[derive(Clone, Debug, Serialize)]
 pub struct LogStatus {
@@ -86,6 +98,14 @@
         self.call(LogCommand::Read).await
     }
 
+    /// `read_lease` returns the lease, which may have ended. The configuration is applied up to all
+    /// changes that were acknowledged before the call.
+    ///
+    /// Fails with a [`LogCallError`] on keepers other than the primary.
+    pub async fn read_lease(&self) -> Result<ReadLease, LogCallError> {
+        self.call(LogCommand::Lease).await
+    }
+
     /// `change_members` adds or removes one member.
     ///
     /// Fails with a [`LogCallError`] on keepers other than the primary, while another change is in
--- a/crates/shallothill-keeper/src/log/mod.rs
+++ b/crates/shallothill-keeper/src/log/mod.rs
@@ -7,5 +7,5 @@
 
 pub use disk::{LOG_NAME, LogDisk};
 pub use driver::{Driver, DriverParts};
-pub use handle::{LogCallError, LogCommand, LogHandle, LogStatus};
+pub use handle::{LogCallError, LogCommand, LogHandle, LogStatus, ReadLease};
 pub use links::PeerLinks;
--- a/crates/shallothill-keeper/src/metrics.rs
+++ b/crates/shallothill-keeper/src/metrics.rs
@@ -23,6 +23,7 @@
 fn gauges(keeper: &Keeper) -> Vec<(&'static str, u64)> {
     let log = keeper.log.status();
     let ledger = keeper.ledger.state();
+    let credit = keeper.credit.status();
     let node_registry = lock(&keeper.node_registry);
     vec![
         ("config.version", keeper.published.load().version().0),
@@ -43,6 +44,8 @@
             node_registry.directory.nodes().count() as u64,
         ),
         ("crashes", node_registry.crashes.len() as u64),
+        ("credit.relayed_callers", credit.relayed_callers as u64),
+        ("credit.issued_callers", credit.issued_callers as u64),
         ("keepers.heard", keeper.responsive_keepers().len() as u64),
     ]
 }
--- a/crates/shallothill-keeper/src/peer.rs
+++ b/crates/shallothill-keeper/src/peer.rs
@@ -8,6 +8,7 @@
 use shallothill_core::version::ConfigVersion;
 use shallothill_directory::{Cursor, Delta};
 use shallothill_ledger::{RecoveryReply, RecoveryRequest};
+use shallothill_policy::quota::{CreditReply, CreditRequest};
 use shallothill_replica::Message;
 use shallothill_wire::crash::CrashNotice;
 use shallothill_wire::operator::{CurrentText, SubmitReply, SubmitRequest};
@@ -114,6 +115,9 @@
     /// `confirmed_version` returns the accepted version at the primary of the config log, at least
     /// that of every change acknowledged before the call; `None` when no quorum confirms that.
     async fn confirmed_version() -> Option<ConfigVersion>;
+    /// `credit` reports and requests tokens at the primary of the config log; `None` when it may not
+    /// issue or the request was superseded.
+    async fn credit(req: CreditRequest) -> Option<CreditReply>;
     /// `meet` introduces a keeper; the primary adds it as a member.
     async fn meet(req: MeetRequest) -> MeetReply;
     /// `replica` delivers a message of the config log; the called keeper may drop it.
--- a/crates/shallothill-keeper/src/peer_server.rs
+++ b/crates/shallothill-keeper/src/peer_server.rs
@@ -6,6 +6,7 @@
 use shallothill_core::ids::KeeperId;
 use shallothill_core::version::ConfigVersion;
 use shallothill_ledger::{RecoveryReply, RecoveryRequest};
+use shallothill_policy::quota::{CreditReply, CreditRequest};
 use shallothill_replica::Message;
 use shallothill_wire::operator::{CurrentText, SubmitReply, SubmitRequest};
 use shallothill_wire::watch::{ConfigUpdate, SectionsReply, SectionsRequest};
@@ -14,7 +15,7 @@
 
 use crate::keeper::{Keeper, lock};
 use crate::peer::{KeeperPeer, MeetReply, MeetRequest, PeerStatus, SyncReply, SyncRequest};
-use crate::{departure, status, submit};
+use crate::{credit, departure, status, submit};
 
 /// `LONG_POLL_MAX` bounds a long poll of another keeper.
 const LONG_POLL_MAX: Duration = Duration::from_secs(10);
@@ -108,6 +109,10 @@
             .ok()
     }
 
+    async fn credit(self, _: Context, req: CreditRequest) -> Option<CreditReply> {
+        credit::issue(&self.keeper, &req).await.ok().flatten()
+    }
+
     async fn meet(self, _: Context, req: MeetRequest) -> MeetReply {
         let keeper = &self.keeper;
         keeper.peers.record_zone(req.from, &req.zone);
--- a/crates/shallothill-keeper/src/process.rs
+++ b/crates/shallothill-keeper/src/process.rs
@@ -36,7 +36,7 @@
 use crate::peer_server::PeerServer;
 use crate::peers::Peers;
 use crate::settings::Settings;
-use crate::{departure, housekeeping, ledger, metrics, publisher, sync};
+use crate::{credit, departure, housekeeping, ledger, metrics, publisher, sync};
 
 /// `MESSAGE_QUEUE_MAX` bounds the messages of other keepers that wait for the driver of the config
 /// log.
@@ -225,6 +225,7 @@
                 tasks.spawn(sync::poll_peer(keeper(), *id, stop()));
             }
         }
+        tasks.spawn(until_stopped(credit::run(keeper()), stop()));
         tasks.spawn(until_stopped(housekeeping::run(keeper()), stop()));
         tasks.spawn(until_stopped(
             housekeeping::run_isolation_checks(keeper()),
--- a/crates/shallothill-keeper/src/settings.rs
+++ b/crates/shallothill-keeper/src/settings.rs
@@ -7,6 +7,7 @@
 
 use serde::Deserialize;
 use shallothill_core::ids::{DataCentre, KeeperId, Region, Zone};
+use shallothill_policy::quota::CreditOptions;
 use shallothill_replica::ReplicaOptions;
 use shallothill_runtime::settings::Common;
 
@@ -63,6 +64,39 @@
     }
 }
 
+/// `QuotaTolerance` states by how much the requests of a caller over all nodes may exceed its quota.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq)]
+#[serde(default, deny_unknown_fields)]
+pub struct QuotaTolerance {
+    /// Milliseconds of the sliding window in which requests are counted.
+    pub window_ms: u64,
+    /// Percent of the requests that the quota allows in a window, which may be exceeded by them.
+    pub overage_percent: u32,
+    /// Requests by which a window may exceed the quota further.
+    pub slack: u32,
+}
+
+impl Default for QuotaTolerance {
+    fn default() -> Self {
+        Self {
+            window_ms: 5000,
+            overage_percent: 10,
+            slack: 20,
+        }
+    }
+}
+
+impl QuotaTolerance {
+    /// `options` returns the tolerance in the form that the issuer of tokens takes.
+    pub fn options(&self) -> CreditOptions {
+        CreditOptions {
+            window: Duration::from_millis(self.window_ms),
+            overage_percent: self.overage_percent,
+            slack: self.slack,
+        }
+    }
+}
+
 /// `Settings` holds the settings of one keeper process.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq)]
 #[serde(deny_unknown_fields)]
@@ -100,6 +134,9 @@
     /// Intervals and timeouts of the config log.
     #[serde(default)]
     pub log: LogTimes,
+    /// The tolerance of the quotas of callers.
+    #[serde(default)]
+    pub quotas: QuotaTolerance,
 }
 
 impl Settings {
--- a/crates/shallothill-keeper/tests/common/mod.rs
+++ b/crates/shallothill-keeper/tests/common/mod.rs
@@ -18,7 +18,7 @@
 use shallothill_keeper::keeper::Keeper;
 use shallothill_keeper::listeners::Listeners;
 use shallothill_keeper::process::{Process, StartOptions};
-use shallothill_keeper::settings::{KeeperSettings, LogTimes, Settings};
+use shallothill_keeper::settings::{KeeperSettings, LogTimes, QuotaTolerance, Settings};
 use shallothill_runtime::settings::Common;
 use shallothill_testing::builders::ConfigBuilder;
 use shallothill_testing::http::Client;
@@ -122,6 +122,7 @@
             seeds: Vec::new(),
             tolerated_losses: 0,
             log: LogTimes::default(),
+            quotas: QuotaTolerance::default(),
             keepers: keepers.clone(),
         });
         Self {
--- a/crates/shallothill-node/src/control/mod.rs
+++ b/crates/shallothill-node/src/control/mod.rs
@@ -1,6 +1,7 @@
 //! Communication with keepers: reports, watches, discovery and the configuration.
 
 mod config_fetch;
+mod credit;
 mod departures;
 mod discovery;
 mod failover;
@@ -12,6 +13,7 @@
 mod watch;
 
 pub use config_fetch::ConfigFetcher;
+pub use credit::CreditClient;
 pub use departures::{recent_departures, record_departure};
 pub use discovery::Discovery;
 pub use failover::KeeperFailover;
--- a/crates/shallothill-node/src/counters.rs
+++ b/crates/shallothill-node/src/counters.rs
@@ -11,6 +11,20 @@
     responses: [AtomicU64; 6],
     peer_attempts: AtomicU64,
     malformed: AtomicU64,
+    credit: [AtomicU64; 4],
+}
+
+/// `CreditResult` tells how a request of a caller with a quota got a token, or why it got none.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum CreditResult {
+    /// The node held a token.
+    Local,
+    /// The request waited for a keeper.
+    Waited,
+    /// The caller is over its quota.
+    Denied,
+    /// No keeper answered in time.
+    NoAnswer,
 }
 
 /// `Gauges` contains current values that are sent with the counters.
@@ -43,19 +57,34 @@
         self.malformed.fetch_add(1, Ordering::Relaxed);
     }
 
+    /// `count_credit` counts a request of a caller with a quota.
+    pub fn count_credit(&self, result: CreditResult) {
+        let index = match result {
+            CreditResult::Local => 0,
+            CreditResult::Waited => 1,
+            CreditResult::Denied => 2,
+            CreditResult::NoAnswer => 3,
+        };
+        self.credit[index].fetch_add(1, Ordering::Relaxed);
+    }
+
     /// `dump` returns the totals for the state dump.
     pub fn dump(&self) -> Value {
         let n = |i: usize| self.responses[i].load(Ordering::Relaxed);
+        let credit = |i: usize| self.credit[i].load(Ordering::Relaxed);
         json!({
             "responses": {"2xx": n(2), "3xx": n(3), "4xx": n(4), "5xx": n(5)},
             "attempts_of_peers": self.peer_attempts.load(Ordering::Relaxed),
+            "credit": {
+                "local": credit(0), "waited": credit(1), "denied": credit(2), "no_answer": credit(3),
+            },
             "malformed": self.malformed.load(Ordering::Relaxed),
         })
     }
 
     /// `send` sends the increase of each total since `last_sent`, which it updates, and the gauges.
-    pub fn send(&self, client: &StatsdClient, last_sent: &mut [u64; 8], gauges: Gauges) {
-        const NAMES: [&str; 8] = [
+    pub fn send(&self, client: &StatsdClient, last_sent: &mut [u64; 12], gauges: Gauges) {
+        const NAMES: [&str; 12] = [
             "responses.other",
             "responses.1xx",
             "responses.2xx",
@@ -64,11 +93,16 @@
             "responses.5xx",
             "attempts_of_peers",
             "malformed",
+            "credit.local",
+            "credit.waited",
+            "credit.denied",
+            "credit.no_answer",
         ];
         let totals = self
             .responses
             .iter()
-            .chain([&self.peer_attempts, &self.malformed]);
+            .chain([&self.peer_attempts, &self.malformed])
+            .chain(&self.credit);
         for ((name, total), last_total) in NAMES.iter().zip(totals).zip(last_sent) {
             let total = total.load(Ordering::Relaxed);
             // Metrics are best effort; a failed send is not repeated.
--- a/crates/shallothill-node/src/dump.rs
+++ b/crates/shallothill-node/src/dump.rs
@@ -31,6 +31,7 @@
             "peers": self.links().addresses(),
             "open_requests": self.entry().open_requests().count(),
             "limited_callers": self.entry().limited_callers(),
+            "credit": self.entry().credit().dump(),
             "buffered_bytes": self.entry().buffered_bytes(),
             "counters": self.counters().dump(),
         })
--- a/crates/shallothill-node/src/entry/attempts.rs
+++ b/crates/shallothill-node/src/entry/attempts.rs
@@ -17,6 +17,7 @@
 use tokio::time;
 
 use crate::attempt::AttemptReply;
+use crate::entry::credit::CreditToken;
 use crate::entry::ended_attempt;
 use crate::entry::ended_attempt::EndedAttempt;
 use crate::entry::prepare::Prepared;
@@ -33,8 +34,11 @@
             head,
             payload,
             permit,
+            credit,
         } = prepared;
+        let started = credit.map(CreditToken::start);
         let Some(service) = self.deps.store.load().service(&head.service).cloned() else {
+            started.into_iter().for_each(|s| s.end(NO_SERVICE.outcome));
             return (NO_SERVICE.reply_without_gate(), InFlight::new(permit, None));
         };
         let now = self.deps.timer.now();
@@ -53,7 +57,9 @@
             sent_at: now,
             last_attempt: None,
         };
-        self.run_all(r, permit).await
+        let (reply, in_flight) = self.run_all(r, permit).await;
+        started.into_iter().for_each(|s| s.end(reply.outcome));
+        (reply, in_flight)
     }
 
     // Runs the first attempt, retries and hedges. Without an answer it returns the reply of the
--- a/crates/shallothill-node/src/entry/mod.rs
+++ b/crates/shallothill-node/src/entry/mod.rs
@@ -2,6 +2,7 @@
 
 mod attempts;
 mod caller;
+mod credit;
 mod ended_attempt;
 mod fingerprint;
 mod handler;
@@ -34,6 +35,7 @@
 use crate::settings::Bounds;
 use crate::view::DirectoryView;
 
+pub use credit::CreditPool;
 pub use in_flight::InFlight;
 pub use open_requests::OpenRequests;
 pub(crate) use prepare::NOT_READY;
@@ -63,6 +65,8 @@
     pub crashes: Arc<CrashTracker>,
     /// The request limits of callers.
     pub limits: CallerLimits,
+    /// The tokens of callers with quotas.
+    pub credit: Arc<CreditPool>,
     /// The budget for request bodies in memory.
     pub buffers: BufferBudget,
     /// The counters of responses.
--- a/crates/shallothill-node/src/entry/prepare.rs
+++ b/crates/shallothill-node/src/entry/prepare.rs
@@ -27,6 +27,7 @@
 use crate::body::Body;
 use crate::buffers::BufferReservation;
 use crate::config::{NamedRoute, RouteLookup};
+use crate::entry::credit::CreditToken;
 use crate::entry::{Entry, fingerprint};
 use crate::gate::{BODY_INCOMPLETE, BODY_TOO_LARGE, BODY_TOO_SLOW};
 use crate::header_filter;
@@ -42,12 +43,14 @@
     Stream(Box<Body>),
 }
 
-/// `Prepared` is a request that passed all checks. `permit` is absent for callers without a limit.
+/// `Prepared` is a request that passed all checks. `permit` and `credit` are absent for callers without a
+/// limit and without a quota.
 #[derive(Debug)]
 pub(crate) struct Prepared {
     pub(crate) head: Arc<RequestHead>,
     pub(crate) payload: Payload,
     pub(crate) permit: Option<Permit>,
+    pub(crate) credit: Option<CreditToken>,
 }
 
 /// `Rejection` is a refusal. `allow` lists the accepted methods if the status is 405.
@@ -102,6 +105,7 @@
             return Err(BODY_TOO_LARGE.into());
         }
         let permit = self.start_within_limits(&caller)?;
+        let credit = self.take_credit(&caller, deadline).await?;
         let (payload, fingerprint) = self
             .read_body(&parts, incoming, route, &key, deadline)
             .await?;
@@ -122,6 +126,7 @@
             head: Arc::new(head),
             payload,
             permit,
+            credit,
         })
     }
 
--- a/crates/shallothill-node/src/node/build.rs
+++ b/crates/shallothill-node/src/node/build.rs
@@ -19,7 +19,7 @@
 use crate::control::Keepers;
 use crate::counters::Counters;
 use crate::crashes::CrashTracker;
-use crate::entry::{Entry, EntryDependencies};
+use crate::entry::{CreditPool, Entry, EntryDependencies};
 use crate::gate::{Gate, GateDependencies, LedgerClient};
 use crate::interface::HttpInterface;
 use crate::node::{ListenAddresses, Node};
@@ -129,6 +129,7 @@
         gate: Arc::clone(gate),
         crashes: Arc::clone(&deps.crashes),
         limits: CallerLimits::new(&LimitOptions::default()),
+        credit: Arc::new(CreditPool::new(deps.timer.clone(), Arc::clone(counters))),
         counters: Arc::clone(counters),
     })
 }
--- a/crates/shallothill-node/src/node/mod.rs
+++ b/crates/shallothill-node/src/node/mod.rs
@@ -23,8 +23,8 @@
 use crate::announce::AnnounceServer;
 use crate::config::ConfigStore;
 use crate::control::{
-    ConfigFetcher, Discovery, KeeperFailover, KeeperSwitch, Keepers, Reporter, VersionProbe,
-    Watcher, confirmed_version, highest_reported_version, recent_departures,
+    ConfigFetcher, CreditClient, Discovery, KeeperFailover, KeeperSwitch, Keepers, Reporter,
+    VersionProbe, Watcher, confirmed_version, highest_reported_version, recent_departures,
 };
 use crate::counters::{Counters, Gauges};
 use crate::crashes::CrashTracker;
@@ -191,6 +191,12 @@
             switch: Arc::clone(&switch),
             timer: self.timer.clone(),
         };
+        let credit = CreditClient {
+            pool: Arc::clone(self.entry.credit()),
+            keepers: Arc::clone(&self.keepers),
+            timer: self.timer.clone(),
+        };
+        tokio::spawn(credit.run(self.end_tasks.clone()));
         let watcher = Watcher {
             node: self.settings.node.clone(),
             keepers: Arc::clone(&self.keepers),
@@ -257,7 +263,7 @@
         let mut refresh = self.timer.every(REFRESH_PERIOD);
         let mut close_idle = self.timer.every(IDLE_LINK_PERIOD);
         let mut metrics_due = self.timer.every(self.settings.process.metrics_period());
-        let mut totals_sent = [0; 8];
+        let mut totals_sent = [0; 12];
         loop {
             tokio::select! {
                 () = self.end_tasks.cancelled() => return,
--- a/crates/shallothill-node/tests/support/keepers.rs
+++ b/crates/shallothill-node/tests/support/keepers.rs
@@ -22,6 +22,7 @@
     WithdrawRequest,
 };
 use shallothill_node::settings::KeeperAddress;
+use shallothill_policy::quota::{CreditReply, CreditRequest};
 use shallothill_wire::control::KeeperControl;
 use shallothill_wire::crash::CrashNotice;
 use shallothill_wire::departures::{
@@ -348,5 +349,10 @@
         }
     }
 
+    // These keepers have no issuer.
+    async fn credit(self, _: Context, _: CreditRequest) -> Option<CreditReply> {
+        None
+    }
+
     async fn release(self, _: Context, _: ReleaseRequest) {}
 }
--- a/crates/shallothill-node/tests/support/mod.rs
+++ b/crates/shallothill-node/tests/support/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod cluster;
 pub mod keepers;
+pub mod real_keepers;
 
 use std::time::Duration;
 
--- a/crates/shallothill-replica/src/reads.rs
+++ b/crates/shallothill-replica/src/reads.rs
@@ -1,6 +1,9 @@
 //! Linearizable reads, confirmed by a lease or by a round that a majority answers.
 
+use shallothill_core::time::Millis;
+
 use crate::action::Action;
+use crate::entry::View;
 use crate::event::ReadToken;
 use crate::primary_state::PendingRead;
 use crate::replica::Replica;
@@ -37,6 +40,22 @@
         self.send_heartbeats();
     }
 
+    /// `read_lease` returns the view and the time up to which this replica is its only primary;
+    /// `None` on other replicas and before the first entry of the view is committed. The time may be
+    /// in the past.
+    pub fn read_lease(&self) -> Option<(View, Millis)> {
+        let primary_state = self.primary_state.as_ref()?;
+        if self.commit < primary_state.first_op {
+            return None;
+        }
+        let alone = self.log.members() == [self.options.me];
+        let confirmed = match alone {
+            true => self.now,
+            false => primary_state.quorum_heard_at,
+        };
+        Some((self.hard_state.view, confirmed + self.options.lease))
+    }
+
     /// `confirm_rounds` records the rounds that a majority answered and serves the reads that
     /// waited for them.
     pub(crate) fn confirm_rounds(&mut self) {
--- a/crates/shallothill-wire/src/control.rs
+++ b/crates/shallothill-wire/src/control.rs
@@ -8,6 +8,7 @@
 use shallothill_core::version::ConfigVersion;
 use shallothill_directory::{LeaseReply, LeaseRequest, ReleaseRequest};
 use shallothill_ledger::{ClaimReply, ClaimRequest, CompleteRequest, WithdrawRequest};
+use shallothill_policy::quota::{CreditReply, CreditRequest};
 use tarpc::client;
 
 use crate::channel;
@@ -49,6 +50,9 @@
     async fn complete(req: CompleteRequest) -> bool;
     /// `lease` grants or renews a lease on an ejection token.
     async fn lease(req: LeaseRequest) -> LeaseReply;
+    /// `credit` reports and requests tokens of callers with quotas; `None` for a request that was
+    /// superseded.
+    async fn credit(req: CreditRequest) -> Option<CreditReply>;
     /// `release` returns an ejection token before its lease ends.
     async fn release(req: ReleaseRequest);
 }
--- a/crates/shallothill-wire/src/lib.rs
+++ b/crates/shallothill-wire/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod channel;
 pub mod control;
 pub mod crash;
+pub mod credit;
 pub mod departures;
 pub mod errors;
 pub mod keeper_info;
