--- a/crates/shallothill-bench/src/scenarios/mod.rs
+++ b/crates/shallothill-bench/src/scenarios/mod.rs
@@ -10,6 +10,7 @@
 mod log;
 mod memory;
 mod overload;
+mod quota;
 mod regions;
 mod scale;
 
@@ -28,7 +29,7 @@
 }
 
 /// `ALL` lists the scenarios in the order in which they run.
-pub const ALL: [Scenario; 11] = [
+pub const ALL: [Scenario; 12] = [
     // First, because the allocator would reuse memory freed by other scenarios, which the resident
     // size would not show.
     Scenario {
@@ -43,6 +44,10 @@
         name: "overload",
         run: overload::run,
     },
+    Scenario {
+        name: "quota",
+        run: quota::run,
+    },
     Scenario {
         name: "detection",
         run: detection::run,
