--- a/crates/shallothill-bench/src/scenarios/quota.rs
+++ b/crates/shallothill-bench/src/scenarios/quota.rs
@@ -204,6 +204,7 @@
             f.waited_max_ms.to_string(),
             cost(messages),
             cost(bytes),
+            cost(fleet.issuer_bytes()),
         ]);
     }
     let name = format!("quota: {nodes} nodes, {}", case.name());
@@ -267,6 +268,7 @@
         "longest wait ms",
         "messages a node and s",
         "bytes a node and s",
+        "bytes of keepers a s",
     ];
     let title = "quota: requests admitted and refused (virtual time, 40 s)";
     let mut table = Table::new(title, &columns);
--- a/crates/shallothill-testing/src/credit/fleet.rs
+++ b/crates/shallothill-testing/src/credit/fleet.rs
@@ -49,6 +49,7 @@
     pub(super) records: HashMap<u64, CallerRecord>,
     pub(super) node_messages: u64,
     pub(super) node_bytes: u64,
+    pub(super) keeper_bytes: u64,
 }
 
 impl Fleet {
@@ -72,6 +73,7 @@
             records: HashMap::new(),
             node_messages: 0,
             node_bytes: 0,
+            keeper_bytes: 0,
             options,
         };
         for node in 0..fleet.nodes.len() {
@@ -160,6 +162,12 @@
         )
     }
 
+    /// `issuer_bytes` returns the bytes between all keepers and the issuer in a second, in both
+    /// directions.
+    pub fn issuer_bytes(&self) -> f64 {
+        self.keeper_bytes as f64 * 1000.0 / self.now.0 as f64
+    }
+
     fn at(&mut self, at: Millis, event: Event) {
         self.next_event += 1;
         self.events.insert((at, self.next_event), event);
--- a/crates/shallothill-testing/src/credit/steps.rs
+++ b/crates/shallothill-testing/src/credit/steps.rs
@@ -162,6 +162,9 @@
         k.in_flight = Some(number);
         self.after(KEEPER_TIMEOUT, Event::KeeperTimeout { keeper, number });
         let ms = if to == keeper { 0 } else { FAR_MS };
+        if to != keeper {
+            self.keeper_bytes += FRAME_BYTES + ASK_BYTES * req.asks.len() as u64;
+        }
         self.send(ms, Event::AtIssuer { keeper, to, req });
     }
 
@@ -174,6 +177,9 @@
         };
         if let Some(reply) = issuer.handle(now, req, |c| quotas.get(&c).copied()) {
             let ms = if to == keeper { 0 } else { FAR_MS };
+            if to != keeper {
+                self.keeper_bytes += FRAME_BYTES + GRANT_BYTES * reply.grants.len() as u64;
+            }
             self.send(ms, Event::FromIssuer { keeper, reply });
         }
     }
