--- a/crates/shallothill-keeper/src/credit.rs
+++ b/crates/shallothill-keeper/src/credit.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
+use serde::Serialize;
 use shallothill_core::config::Quota;
 use shallothill_core::hash;
 use shallothill_core::version::ConfigVersion;
@@ -56,8 +57,8 @@
     asked: watch::Sender<()>,
 }
 
-/// `CreditStatus` counts the callers that use credit, for metrics.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+/// `CreditStatus` counts the callers that use credit, for metrics and dumps.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Serialize)]
 pub struct CreditStatus {
     /// The callers of which nodes hold or asked for tokens at this keeper.
     pub relayed_callers: usize,
--- a/crates/shallothill-keeper/src/operators.rs
+++ b/crates/shallothill-keeper/src/operators.rs
@@ -133,6 +133,7 @@
         "log": to_json(&keeper.log.status()),
         "ledger": to_json(keeper.ledger.state().as_ref()),
         "leases": grants,
+        "credit": to_json(&keeper.credit.status()),
         "keepers": peers,
         "directory": {
             "cursor": to_json(&node_registry.directory.cursor()),
--- a/crates/shallothill-node/src/node/build.rs
+++ b/crates/shallothill-node/src/node/build.rs
@@ -16,7 +16,7 @@
 
 use crate::buffers::BufferBudget;
 use crate::config::ConfigStore;
-use crate::control::Keepers;
+use crate::control::{CreditClient, Keepers};
 use crate::counters::Counters;
 use crate::crashes::CrashTracker;
 use crate::entry::{CreditPool, Entry, EntryDependencies};
@@ -106,6 +106,13 @@
             background,
         }
     }
+    pub(super) fn credit_client(&self) -> CreditClient {
+        CreditClient {
+            pool: Arc::clone(self.entry.credit()),
+            keepers: Arc::clone(&self.keepers),
+            timer: self.timer.clone(),
+        }
+    }
 }
 
 fn new_entry(
--- a/crates/shallothill-node/src/node/mod.rs
+++ b/crates/shallothill-node/src/node/mod.rs
@@ -23,8 +23,8 @@
 use crate::announce::AnnounceServer;
 use crate::config::ConfigStore;
 use crate::control::{
-    ConfigFetcher, CreditClient, Discovery, KeeperFailover, KeeperSwitch, Keepers, Reporter,
-    VersionProbe, Watcher, confirmed_version, highest_reported_version, recent_departures,
+    ConfigFetcher, Discovery, KeeperFailover, KeeperSwitch, Keepers, Reporter, VersionProbe,
+    Watcher, confirmed_version, highest_reported_version, recent_departures,
 };
 use crate::counters::{Counters, Gauges};
 use crate::crashes::CrashTracker;
@@ -191,12 +191,7 @@
             switch: Arc::clone(&switch),
             timer: self.timer.clone(),
         };
-        let credit = CreditClient {
-            pool: Arc::clone(self.entry.credit()),
-            keepers: Arc::clone(&self.keepers),
-            timer: self.timer.clone(),
-        };
-        tokio::spawn(credit.run(self.end_tasks.clone()));
+        tokio::spawn(self.credit_client().run(self.end_tasks.clone()));
         let watcher = Watcher {
             node: self.settings.node.clone(),
             keepers: Arc::clone(&self.keepers),
