--- a/crates/shallothill-keeper/src/lib.rs
+++ b/crates/shallothill-keeper/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod confirmations;
 pub mod control;
 pub mod crashes;
+pub mod credit;
 pub mod data;
 pub mod departure;
 pub mod endpoint_departures;
--- a/crates/shallothill-node/src/node/build.rs
+++ b/crates/shallothill-node/src/node/build.rs
@@ -16,11 +16,11 @@
 
 use crate::buffers::BufferBudget;
 use crate::config::ConfigStore;
-use crate::control::Keepers;
+use crate::control::{CreditClient, Keepers};
 use crate::counters::Counters;
 use crate::crashes::CrashTracker;
 use crate::currency::ConfigCurrency;
-use crate::entry::{Entry, EntryDependencies};
+use crate::entry::{CreditPool, Entry, EntryDependencies};
 use crate::gate::{Gate, GateDependencies, LedgerClient};
 use crate::interface::HttpInterface;
 use crate::node::{ListenAddresses, Node};
@@ -107,6 +107,13 @@
             background,
         }
     }
+    pub(super) fn credit_client(&self) -> CreditClient {
+        CreditClient {
+            pool: Arc::clone(self.entry.credit()),
+            keepers: Arc::clone(&self.keepers),
+            timer: self.timer.clone(),
+        }
+    }
 }
 
 fn new_entry(
@@ -140,6 +147,7 @@
         gate: Arc::clone(gate),
         crashes: Arc::clone(&deps.crashes),
         limits: CallerLimits::new(&LimitOptions::default()),
+        credit: Arc::new(CreditPool::new(deps.timer.clone(), Arc::clone(counters))),
         counters: Arc::clone(counters),
     })
 }
--- a/crates/shallothill-node/src/node/mod.rs
+++ b/crates/shallothill-node/src/node/mod.rs
@@ -192,6 +192,7 @@
             switch: Arc::clone(&switch),
             timer: self.timer.clone(),
         };
+        tokio::spawn(self.credit_client().run(self.end_tasks.clone()));
         let watcher = Watcher {
             node: self.settings.node.clone(),
             keepers: Arc::clone(&self.keepers),
@@ -260,7 +261,7 @@
         let mut refresh = self.timer.every(REFRESH_PERIOD);
         let mut close_idle = self.timer.every(IDLE_LINK_PERIOD);
         let mut metrics_due = self.timer.every(self.settings.process.metrics_period());
-        let mut totals_sent = [0; 10];
+        let mut totals_sent = [0; 14];
         loop {
             tokio::select! {
                 () = self.end_tasks.cancelled() => return,
--- a/crates/shallothill-policy/src/lib.rs
+++ b/crates/shallothill-policy/src/lib.rs
@@ -1,6 +1,6 @@
 //! Decisions of the request path as pure state machines: endpoint selection, admission, failure
-//! detection, ejection, retries, limits, quarantine and the currency of the configuration. Callers pass
-//! the time in; nothing here does I/O.
+//! detection, ejection, retries, limits, quotas, quarantine and the currency of the configuration.
+//! Callers pass the time in; nothing here does I/O.
 
 pub mod admit;
 pub mod currency;
@@ -10,4 +10,5 @@
 pub mod limits;
 pub mod pick;
 pub mod quarantine;
+pub mod quota;
 pub mod retry;
