bench: scenario for the states that reach the nodes that choose

Cause: a third of the servers is in a gray failure at any time, and a large part of all attempts is refused or shed. No scenario showed how much of that comes from states that do not reach the entry nodes.

Change: `scripts/bench states` simulates many entry nodes with few requests a second, servers of uneven speed, slots and limits, a slow-down when nearly full, cold starts and gray episodes of 9 s, with the present pick, gates, estimates and retries.

--- a/crates/shallothill-bench/src/scenarios/mod.rs
+++ b/crates/shallothill-bench/src/scenarios/mod.rs
@@ -12,6 +12,7 @@
 mod overload;
 mod regions;
 mod scale;
+mod states;
 
 use crate::report::Report;
 
@@ -28,7 +29,7 @@
 }
 
 /// `ALL` lists the scenarios in the order in which they run.
-pub const ALL: [Scenario; 11] = [
+pub const ALL: [Scenario; 12] = [
     // First, because the allocator would reuse memory freed by other scenarios, which the resident
     // size would not show.
     Scenario {
@@ -59,6 +60,10 @@
         name: "regions",
         run: regions::run,
     },
+    Scenario {
+        name: "states",
+        run: states::run,
+    },
     Scenario {
         name: "drain",
         run: drain::run,
--- a/crates/shallothill-bench/src/sim/mod.rs
+++ b/crates/shallothill-bench/src/sim/mod.rs
@@ -7,6 +7,7 @@
 mod fleet_request;
 mod naive;
 mod server;
+mod states;
 mod totals;
 mod workload;
 
@@ -15,6 +16,7 @@
 pub use fleet::FleetSimulation;
 pub use naive::NaiveSimulation;
 pub use server::{MEAN_TO_MEDIAN, Server};
+pub use states::{Reporting, StatesPlan, StatesSimulation, StatesTotals};
 pub use totals::{Ejection, Totals};
 pub use workload::{RunPlan, Workload};
 
