policy, node: gates inform the nodes that send to them

Cause: a gate told at most 32 nodes of its region of a suspected or full server; other regions learned it from refusals. A trial that fell due and a slot that changed hands counted as changes of state, and all receivers took up the same trial at once, of which the gate admits one.

Change: `policy::notices` decides when a condition is reported and to whom. The load that replies and datagrams carry says for how long a suspicion is valid. A node's own entry reads the state without a datagram. Attempts name the entry node (`x-shallothill-entry`). A datagram of this version is ignored as malformed by nodes of earlier versions.

Ruled out: telling other regions about full servers, which changes too often for the cost of a message.

--- a/crates/shallothill-bench/src/sim/states/mod.rs
+++ b/crates/shallothill-bench/src/sim/states/mod.rs
@@ -53,6 +53,7 @@
         entry: usize,
         server: usize,
         load: ReportedLoad,
+        invited: bool,
     },
     Toggle(usize),
     Poll(usize),
@@ -70,6 +71,7 @@
 
 /// An entry node.
 struct EntryNode {
+    name: NodeName,
     dc: usize,
     tables: ServiceTables,
     budget: RetryBudget,
@@ -115,6 +117,7 @@
             .map(|n| {
                 let changed = vec![(service.clone(), infos.clone())];
                 Ok(EntryNode {
+                    name: node_name(n)?,
                     dc: dc_of(n),
                     tables: ServiceTables::default().with_endpoints(
                         &zone(dc_of(n))?,
@@ -182,7 +185,8 @@
                 entry,
                 server,
                 load,
-            } => self.record_load(entry, server, load),
+                invited,
+            } => self.apply_notice(entry, server, load, invited),
             Event::Toggle(server) => {
                 let after = self.hosts[server].toggle(&mut self.rng);
                 self.events.schedule_after(after, Event::Toggle(server));
@@ -231,6 +235,10 @@
     })
 }
 
+fn node_name(n: usize) -> shallothill_core::Result<NodeName> {
+    NodeName::try_new(&format!("n{n}"))
+}
+
 fn endpoint_info(
     service: &ServiceName,
     server: usize,
@@ -239,7 +247,7 @@
     Ok(EndpointInfo {
         id: EndpointId {
             service: service.clone(),
-            node: NodeName::try_new(&format!("n{}", server % entries))?,
+            node: node_name(server % entries)?,
             name: EndpointName::try_new(&format!("s{server}"))?,
         },
         zone: zone(dc_of(server))?,
--- a/crates/shallothill-bench/src/sim/states/plan.rs
+++ b/crates/shallothill-bench/src/sim/states/plan.rs
@@ -66,7 +66,7 @@
 }
 
 impl StatesTotals {
-    /// `add` adds the counts of another run and keeps the worst balance of both.
+    /// `add` adds the counts of another run, and its balance.
     pub fn add(&mut self, other: &Self) {
         let counts = [
             (&mut self.offered, other.offered),
@@ -84,7 +84,7 @@
         for (sum, n) in counts {
             *sum += n;
         }
-        self.busiest_to_mean = self.busiest_to_mean.max(other.busiest_to_mean);
+        self.busiest_to_mean += other.busiest_to_mean;
         self.fewest = self.fewest.min(other.fewest);
     }
 }
--- a/crates/shallothill-bench/src/sim/states/request.rs
+++ b/crates/shallothill-bench/src/sim/states/request.rs
@@ -95,6 +95,7 @@
             return;
         };
         let host = &mut self.hosts[server];
+        host.senders.record(now, &self.entries[request.entry].name);
         if !host.gray.admits(now, request.caution) {
             return self.send_reply(req, server, End::Suspect);
         }
--- a/crates/shallothill-core/src/headers.rs
+++ b/crates/shallothill-core/src/headers.rs
@@ -24,6 +24,8 @@
 /// `ENDPOINT` carries the name of the backend server that the entry node picked, on hops between
 /// nodes.
 pub const ENDPOINT: &str = "x-shallothill-endpoint";
+/// `ENTRY` carries the name of the entry node to the gate, which informs it of changed states.
+pub const ENTRY: &str = "x-shallothill-entry";
 /// `REASON` carries a short machine-readable reason for a refusal or a failure.
 pub const REASON: &str = "x-shallothill-reason";
 /// `TRIAL` marks a trial request for an ejected backend server, on hops between nodes.
--- a/crates/shallothill-node/src/attempt.rs
+++ b/crates/shallothill-node/src/attempt.rs
@@ -84,11 +84,15 @@
     pub body: Body,
 }
 
-/// `format_load_header` formats a load for the load header: in flight, slots, queued and state,
-/// separated by slashes.
+/// `format_load_header` formats a load for the load header: in flight, slots, queued, state and the
+/// time for which the state is valid, if that is known, separated by slashes.
 pub fn format_load_header(load: ReportedLoad) -> String {
     let state = load.state.as_str();
-    format!("{}/{}/{}/{state}", load.in_flight, load.slots, load.queued)
+    let mut text = format!("{}/{}/{}/{state}", load.in_flight, load.slots, load.queued);
+    if load.state_valid_ms > 0 {
+        text.push_str(&format!("/{}", load.state_valid_ms));
+    }
+    text
 }
 
 /// `parse_load_header` parses the value of a load header; returns `None` when it is malformed.
@@ -106,11 +110,14 @@
         "unproven" => ServingState::Unproven,
         _ => return None,
     };
+    // Nodes of earlier versions don't send it.
+    let state_valid_ms = parts.next().and_then(|p| p.parse().ok()).unwrap_or(0);
     Some(ReportedLoad {
         in_flight,
         slots,
         queued,
         state,
+        state_valid_ms,
     })
 }
 
--- a/crates/shallothill-node/src/entry/send.rs
+++ b/crates/shallothill-node/src/entry/send.rs
@@ -55,7 +55,8 @@
         let sent_at = self.deps.timer.now();
         let id = self.deps.links.next_attempt_id();
         let told_reply_by = attempt.reply_by.get().is_some();
-        let req = peer::write_attempt(attempt, id, self.deps.store.version());
+        let mut req = peer::write_attempt(attempt, id, self.deps.store.version());
+        peer::write_entry(req.headers_mut(), &self.deps.node);
         let link = self.deps.links.link(address);
         let sent = self.send_checking_silence(&link, req, deadline, &path);
         let sent = async {
--- a/crates/shallothill-node/src/gate/attempt_limits.rs
+++ b/crates/shallothill-node/src/gate/attempt_limits.rs
@@ -71,6 +71,14 @@
         (self.lock().gray.probability(now) * 100.0) as u8
     }
 
+    /// `suspicion_left_ms` returns for how many milliseconds the suspicion of a gray failure will
+    /// last without further evidence; 0 without a suspicion.
+    pub(crate) fn suspicion_left_ms(&self) -> u16 {
+        let now = self.now();
+        let left = self.lock().gray.suspected_for(now);
+        u16::try_from(left.as_millis()).unwrap_or(u16::MAX)
+    }
+
     /// `doubted_state` returns the state to report to other nodes while a gray failure is suspected
     /// or the backend server is unhealthy without an ejection lease: `Ejected` when a trial request
     /// is due, else `Demoted`. It is `Unproven` for an idle server that has run nothing lately, and
--- a/crates/shallothill-node/src/gate/mod.rs
+++ b/crates/shallothill-node/src/gate/mod.rs
@@ -20,13 +20,15 @@
 
 use std::collections::BTreeMap;
 use std::sync::atomic::AtomicBool;
-use std::sync::{Arc, Mutex, OnceLock};
+use std::sync::{Arc, Mutex, OnceLock, PoisonError};
+use std::time::Duration;
 
 use arc_swap::ArcSwap;
 use shallothill_core::config::{BodyMode, OncePer};
 use shallothill_core::ids::{EndpointId, EndpointName, NodeName, Region, ServiceName};
 use shallothill_core::incarnation::Incarnation;
 use shallothill_core::time::Millis;
+use shallothill_policy::notices::RecentSenders;
 use shallothill_policy::pick::ReportedLoad;
 use shallothill_runtime::timer::Timer;
 use tokio::sync::{Notify, watch};
@@ -93,6 +95,8 @@
     deps: GateDependencies,
     endpoints: ArcSwap<Endpoints>,
     departed: Mutex<DepartedEndpoints>,
+    /// The other nodes that have sent attempts lately.
+    senders: Mutex<RecentSenders>,
     /// Whether the departures from before a restart are known.
     restored: watch::Sender<bool>,
     /// Set when the node begins to stop.
@@ -109,6 +113,7 @@
             deps,
             endpoints: ArcSwap::default(),
             departed: Mutex::default(),
+            senders: Mutex::default(),
             restored: watch::Sender::new(false),
             stops_at: OnceLock::new(),
             closed: AtomicBool::new(false),
@@ -138,6 +143,21 @@
         endpoints.values().map(of).collect()
     }
 
+    /// `record_sender` records that `node` sent an attempt.
+    pub fn record_sender(&self, node: &NodeName) {
+        let now = self.deps.timer.now();
+        let mut senders = self.senders.lock().unwrap_or_else(PoisonError::into_inner);
+        senders.record(now, node);
+    }
+
+    /// `recent_senders` returns the other nodes that sent attempts within `max_age`, the latest
+    /// first.
+    pub fn recent_senders(&self, max_age: Duration) -> Vec<NodeName> {
+        let now = self.deps.timer.now();
+        let mut senders = self.senders.lock().unwrap_or_else(PoisonError::into_inner);
+        senders.list(now, max_age)
+    }
+
     /// `run` runs an attempt or refuses it. `local` attempts come from the entry role of this node,
     /// which has checked the quarantine already.
     pub async fn run(self: &Arc<Self>, attempt: Attempt, local: bool) -> AttemptReply {
@@ -229,7 +249,7 @@
 
 /// `quarantine_refusal` refuses a request that is in quarantine for `remaining` because backend
 /// servers crashed while it ran.
-pub(crate) fn quarantine_refusal(remaining: std::time::Duration) -> Refusal {
+pub(crate) fn quarantine_refusal(remaining: Duration) -> Refusal {
     Refusal {
         retry_after: Some(remaining),
         ..Refusal::not_run(
@@ -253,6 +273,7 @@
     let mut load = endpoint.reported_load();
     if let Some(state) = endpoint.doubted_state() {
         load.state = state;
+        load.state_valid_ms = endpoint.suspicion_left_ms();
     }
     if !endpoint.is_up() {
         load.state = shallothill_core::health::ServingState::Draining;
--- a/crates/shallothill-node/src/neighbours.rs
+++ b/crates/shallothill-node/src/neighbours.rs
@@ -1,9 +1,10 @@
-//! Notifies the nodes of the region of backend servers that they should avoid or try.
+//! Notifies the nodes that send attempts of backend servers that they should avoid or try.
 //!
 //! A node sends few requests to each backend server, so the load that their replies report is often
-//! outdated. A gate therefore sends a datagram to its neighbours when one of its backend servers
-//! becomes suspected, full or normal again, and repeats it while the state is not normal. A lost
-//! datagram costs at most a refused attempt.
+//! outdated. A gate therefore sends a datagram to the nodes that have sent it attempts lately, and to
+//! its neighbours in the region, when the condition of one of its backend servers changes;
+//! [`shallothill_policy::notices`] decides when and to whom. A lost datagram costs at most a refused
+//! attempt.
 
 use std::collections::HashMap;
 use std::io;
@@ -11,10 +12,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use rand::seq::SliceRandom;
 use serde::{Deserialize, Serialize};
 use shallothill_core::health::ServingState;
 use shallothill_core::ids::{EndpointId, ServiceName};
-use shallothill_core::time::Millis;
+use shallothill_policy::notices::{NoticeOptions, NoticeSchedule, Receivers};
 use shallothill_policy::pick::{EndpointKey, ReportedLoad};
 use shallothill_runtime::timer::Timer;
 use tokio::net::UdpSocket;
@@ -27,14 +29,6 @@
 /// `POLL_INTERVAL` is the time between two checks of the gate's loads.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
-/// `REPEAT_INTERVAL` is the time after which a notice of an unusual state is repeated; it is
-/// shorter than the time for which a reported load is valid.
-const REPEAT_INTERVAL: Duration = Duration::from_millis(800);
-
-/// `MAX_NEIGHBOURS` bounds the nodes that get notices, so that the cost does not grow with the
-/// region.
-const MAX_NEIGHBOURS: usize = 32;
-
 /// `MAX_DATAGRAM_BYTES` bounds the size of a received datagram.
 const MAX_DATAGRAM_BYTES: usize = 1200;
 
@@ -48,43 +42,26 @@
     slots: u16,
     queued: u16,
     state: ServingState,
+    #[serde(default)]
+    state_valid_ms: u16,
+    /// Whether a trial is wanted from the receiver, if the state asks for one. Earlier versions
+    /// ask all receivers.
+    #[serde(default = "invited_by_default")]
+    invited: bool,
 }
 
-/// `SentNotice` is the last notice that the neighbours were sent about a backend server.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-struct SentNotice {
-    condition: LoadCondition,
-    at: Millis,
-}
-
-/// `LoadCondition` summarises whether neighbours should pick a backend server.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum LoadCondition {
-    /// The backend server accepts requests.
-    Usual,
-    /// All slots are in use.
-    Full,
-    /// The backend server is suspected, needs a trial or is draining.
-    Unusual(ServingState),
-}
-
-impl LoadCondition {
-    fn of(load: &ReportedLoad) -> Self {
-        match load.state {
-            ServingState::Ready | ServingState::Cold if load.in_flight < load.slots => Self::Usual,
-            ServingState::Ready | ServingState::Cold => Self::Full,
-            state => Self::Unusual(state),
-        }
-    }
+fn invited_by_default() -> bool {
+    true
 }
 
-/// `NeighbourExchange` exchanges notices with the nodes of the region.
+/// `NeighbourExchange` exchanges notices with other nodes.
 #[derive(Debug)]
 pub struct NeighbourExchange {
     socket: UdpSocket,
     gate: Arc<Gate>,
     view: Arc<DirectoryView>,
     timer: Timer,
+    options: NoticeOptions,
 }
 
 impl NeighbourExchange {
@@ -102,13 +79,14 @@
             gate,
             view,
             timer,
+            options: NoticeOptions::default(),
         })
     }
 
     /// `run` sends and receives notices until `stop` is cancelled.
     pub async fn run(self, stop: CancellationToken) {
         let mut polls = self.timer.every(POLL_INTERVAL);
-        let mut sent: HashMap<EndpointId, SentNotice> = HashMap::new();
+        let mut schedules: HashMap<EndpointId, NoticeSchedule> = HashMap::new();
         let mut buf = [0; MAX_DATAGRAM_BYTES];
         loop {
             tokio::select! {
@@ -118,7 +96,7 @@
                         self.apply_datagram(datagram);
                     }
                 }
-                _ = polls.recv() => self.send_changes(&mut sent).await,
+                _ = polls.recv() => self.send_changes(&mut schedules).await,
                 () = stop.cancelled() => return,
             }
         }
@@ -129,46 +107,86 @@
             debug!("neighbours: a malformed datagram is ignored");
             return;
         };
-        let tables = self.view.tables();
-        let table = tables.service(&notice.service);
-        let Some(endpoint) = table.and_then(|t| t.find(EndpointKey(notice.endpoint))) else {
-            return;
-        };
         let load = ReportedLoad {
             in_flight: notice.in_flight,
             slots: notice.slots,
             queued: notice.queued,
             state: notice.state,
+            state_valid_ms: notice.state_valid_ms,
+        };
+        let key = EndpointKey(notice.endpoint);
+        self.record(&notice.service, key, load, notice.invited);
+    }
+
+    fn record(&self, service: &ServiceName, key: EndpointKey, load: ReportedLoad, invited: bool) {
+        let tables = self.view.tables();
+        let table = tables.service(service);
+        let Some(endpoint) = table.and_then(|t| t.find(key)) else {
+            return;
         };
-        endpoint.stats.record_load(self.timer.now(), load);
+        let now = self.timer.now();
+        endpoint.stats.record_load(now, load);
+        if !invited {
+            let until = now + self.options.repeat_interval;
+            endpoint.stats.postpone_trial(until);
+        }
     }
 
-    async fn send_changes(&self, sent: &mut HashMap<EndpointId, SentNotice>) {
+    async fn send_changes(&self, schedules: &mut HashMap<EndpointId, NoticeSchedule>) {
         let now = self.timer.now();
         let loads = self.gate.reported_loads();
-        sent.retain(|id, _| loads.iter().any(|(current, _)| current == id));
+        schedules.retain(|id, _| loads.iter().any(|(current, _)| current == id));
         for (id, load) in loads {
-            let condition = LoadCondition::of(&load);
-            let last = sent.get(&id);
-            let changed = last.map_or(condition != LoadCondition::Usual, |t| {
-                t.condition != condition
-            });
-            let is_due = |t: &SentNotice| now.saturating_since(t.at) >= REPEAT_INTERVAL;
-            let repeat = condition != LoadCondition::Usual && last.is_none_or(is_due);
-            if changed || repeat {
-                if changed {
-                    info!(
-                        "gate: {id} is reported as {condition:?}, {} in flight, {} queued",
-                        load.in_flight, load.queued
-                    );
+            // The entry role of this node needs no datagram.
+            self.record(&id.service, EndpointKey::of(&id), load, true);
+            let schedule = schedules.entry(id.clone()).or_default();
+            let Some(receivers) = schedule.poll(now, &load, &self.options) else {
+                continue;
+            };
+            if receivers.changed {
+                info!(
+                    "gate: {id} is reported as {:?}, {} in flight, {} queued",
+                    receivers.condition, load.in_flight, load.queued
+                );
+            }
+            self.send_notices(&id, load, receivers).await;
+        }
+    }
+
+    async fn send_notices(&self, id: &EndpointId, load: ReportedLoad, receivers: Receivers) {
+        let senders = self.gate.recent_senders(self.options.sender_age);
+        let senders = self.view.peer_addresses(&senders);
+        let of_region = |wanted: bool| {
+            let those = senders.iter().filter(move |(near, _)| *near == wanted);
+            those.map(|(_, address)| *address).collect::<Vec<_>>()
+        };
+        if receivers.region {
+            let mut near = of_region(true);
+            for address in self.view.neighbours(self.options.max_near) {
+                if near.len() < self.options.max_near && !near.contains(&address) {
+                    near.push(address);
                 }
-                self.send_notice(&id, load).await;
-                sent.insert(id, SentNotice { condition, at: now });
             }
+            near.truncate(self.options.max_near);
+            near.shuffle(&mut rand::rng());
+            let (invited, others) = near.split_at(near.len().min(self.options.max_invited));
+            self.send_to(id, load, true, invited).await;
+            self.send_to(id, load, false, others).await;
+        }
+        if receivers.other_regions {
+            let mut far = of_region(false);
+            far.truncate(self.options.max_far);
+            self.send_to(id, load, false, &far).await;
         }
     }
 
-    async fn send_notice(&self, id: &EndpointId, load: ReportedLoad) {
+    async fn send_to(
+        &self,
+        id: &EndpointId,
+        load: ReportedLoad,
+        invited: bool,
+        receivers: &[SocketAddr],
+    ) {
         let notice = Notice {
             service: id.service.clone(),
             endpoint: EndpointKey::of(id).0,
@@ -176,11 +194,13 @@
             slots: load.slots,
             queued: load.queued,
             state: load.state,
+            state_valid_ms: load.state_valid_ms,
+            invited,
         };
         let Ok(datagram) = rmp_serde::to_vec(&notice) else {
             return;
         };
-        for address in self.view.neighbours(MAX_NEIGHBOURS) {
+        for address in receivers {
             if let Err(e) = self.socket.send_to(&datagram, address).await {
                 debug!("neighbours: sending a notice to {address} failed: {e}");
             }
--- a/crates/shallothill-node/src/peer/codec.rs
+++ b/crates/shallothill-node/src/peer/codec.rs
@@ -112,6 +112,16 @@
     req
 }
 
+/// `write_entry` adds the name of the entry node to an attempt.
+pub fn write_entry(map: &mut HeaderMap, node: &NodeName) {
+    set_header(map, headers::ENTRY, node.as_str());
+}
+
+/// `read_entry` returns the name of the node that sent an attempt, if it is stated.
+pub fn read_entry(map: &HeaderMap) -> Option<NodeName> {
+    NodeName::try_new(header_filter::single_value(map, headers::ENTRY)?).ok()
+}
+
 /// `read_attempt` parses an attempt that a peer sent to `node`, and the configuration version of
 /// the peer; `None` if it is malformed. `route_rules` returns what the configuration of
 /// `node` says of a route.
--- a/crates/shallothill-node/src/peer/mod.rs
+++ b/crates/shallothill-node/src/peer/mod.rs
@@ -10,7 +10,9 @@
 mod server;
 
 pub use attempt_id::{AttemptId, ProcessId};
-pub use codec::{RouteRules, read_attempt, read_reply, write_attempt, write_reply};
+pub use codec::{
+    RouteRules, read_attempt, read_entry, read_reply, write_attempt, write_entry, write_reply,
+};
 pub use link::{LinkError, PeerLink};
 pub use links::PeerLinks;
 pub use question::{Question, read_question, read_reply_limit, write_question, write_reply_limit};
--- a/crates/shallothill-node/src/peer/server.rs
+++ b/crates/shallothill-node/src/peer/server.rs
@@ -78,6 +78,7 @@
             return self.write_reply(NOT_READY.reply_from_gate());
         }
         let id = question::read_id(req.headers());
+        let entry = peer::read_entry(req.headers());
         let route_rules = |name: &RouteName| {
             let snapshot = self.store.load();
             let named = snapshot.routes().by_name(name);
@@ -91,6 +92,9 @@
             Some((attempt, version)) => {
                 self.store.record_version(version);
                 self.counters.count_peer_attempt();
+                if let Some(entry) = &entry {
+                    self.gate.record_sender(entry);
+                }
                 match id {
                     Some(id) => self.attempts.run(id, Arc::clone(&self.gate), attempt).await,
                     None => self.gate.run(attempt, false).await,
--- a/crates/shallothill-node/src/view.rs
+++ b/crates/shallothill-node/src/view.rs
@@ -135,6 +135,16 @@
         near.into_iter().take(n).map(|(_, a)| a).collect()
     }
 
+    /// `peer_addresses` returns the addresses of those of `nodes` that are known, in the same order,
+    /// each with whether the node is in the own region.
+    pub fn peer_addresses(&self, nodes: &[NodeName]) -> Vec<(bool, SocketAddr)> {
+        let state = self.lock();
+        let known = nodes.iter().filter_map(|n| state.nodes.get(n));
+        known
+            .map(|(r, _)| (r.zone.region == self.zone.region, r.peer_address))
+            .collect()
+    }
+
     /// `node_count` returns the number of nodes with a report.
     pub fn node_count(&self) -> usize {
         self.lock().nodes.len()
--- a/crates/shallothill-policy/src/admit/gate.rs
+++ b/crates/shallothill-policy/src/admit/gate.rs
@@ -255,6 +255,7 @@
             slots: self.slots(),
             queued: saturate(self.queue.len()),
             state: self.state(),
+            state_valid_ms: 0,
         }
     }
 
--- a/crates/shallothill-policy/src/gray/estimate.rs
+++ b/crates/shallothill-policy/src/gray/estimate.rs
@@ -138,6 +138,23 @@
             && now >= self.next_trial
     }
 
+    /// `suspected_for` returns for how long requests that must run at most once will be refused if
+    /// nothing more is observed; zero while they are not.
+    pub fn suspected_for(&self, now: Millis) -> Duration {
+        let share = self.options.episode_share;
+        let excess = self.probability(now) - share;
+        let limit = self.options.refuse_above - share;
+        if !self.is_suspect(now) {
+            return Duration::ZERO;
+        }
+        let time_constant = self.options.relaxation_time();
+        if limit <= 0.0 {
+            // Without evidence the probability stays above the limit.
+            return time_constant;
+        }
+        time_constant.mul_f64((excess / limit).ln().max(0.0))
+    }
+
     /// `is_suspect` returns whether requests that must run at most once are refused.
     pub fn is_suspect(&self, now: Millis) -> bool {
         self.probability(now) > self.options.refuse_above
--- a/crates/shallothill-policy/src/lib.rs
+++ b/crates/shallothill-policy/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod eject;
 pub mod gray;
 pub mod limits;
+pub mod notices;
 pub mod pick;
 pub mod quarantine;
 pub mod retry;
--- a/crates/shallothill-policy/src/pick/service_table.rs
+++ b/crates/shallothill-policy/src/pick/service_table.rs
@@ -278,8 +278,8 @@
             return false;
         }
         let suspect_states = [ServingState::Demoted, ServingState::Ejected];
-        let recent = e.stats.recent_load(now, self.options.suspicion_max_age);
-        if recent.is_some_and(|l| suspect_states.contains(&l.state)) {
+        let believed = e.stats.believed_state(now, self.options.suspicion_max_age);
+        if believed.is_some_and(|s| suspect_states.contains(&s)) {
             return false;
         }
         let fresh = self.options.load_max_age;
--- a/crates/shallothill-policy/src/pick/stats.rs
+++ b/crates/shallothill-policy/src/pick/stats.rs
@@ -18,6 +18,9 @@
     pub queued: u16,
     /// The state of the endpoint at the gate.
     pub state: ServingState,
+    /// The time for which the gate will hold on to a suspicion without further evidence, in
+    /// milliseconds; 0 if it is unknown.
+    pub state_valid_ms: u16,
 }
 
 /// `EndpointStats` counts this entry node's requests to an endpoint and keeps the last load that
@@ -28,6 +31,7 @@
     // `in_flight << 48 | slots << 32 | queued << 16 | state`, packed so that readers see a single
     // report.
     packed_load: AtomicU64,
+    state_valid_ms: AtomicU32,
     load_at_plus_one: AtomicU64,
     next_trial: AtomicU64,
 }
@@ -61,26 +65,47 @@
             | u64::from(load.queued) << 16
             | state;
         self.packed_load.store(packed, Ordering::Relaxed);
+        // A reader may see the time of another report than the state; it is an estimate.
+        self.state_valid_ms
+            .store(u32::from(load.state_valid_ms), Ordering::Relaxed);
         // 0 means that nothing was reported yet.
         self.load_at_plus_one.store(now.0 + 1, Ordering::Release);
     }
 
     /// `recent_load` returns the last reported load unless it is older than `max_age`.
     pub fn recent_load(&self, now: Millis, max_age: Duration) -> Option<ReportedLoad> {
+        let (load, age) = self.last_load(now)?;
+        (age <= max_age).then_some(load)
+    }
+
+    /// `believed_state` returns the last reported state unless it is older than `max_age` and than
+    /// the time for which the gate said that it is valid.
+    pub fn believed_state(&self, now: Millis, max_age: Duration) -> Option<ServingState> {
+        let (load, age) = self.last_load(now)?;
+        let valid = Duration::from_millis(u64::from(load.state_valid_ms));
+        (age <= max_age.max(valid)).then_some(load.state)
+    }
+
+    fn last_load(&self, now: Millis) -> Option<(ReportedLoad, Duration)> {
         let at = self
             .load_at_plus_one
             .load(Ordering::Acquire)
             .checked_sub(1)?;
-        if now.saturating_since(Millis(at)) > max_age {
-            return None;
-        }
         let packed = self.packed_load.load(Ordering::Relaxed);
-        Some(ReportedLoad {
+        let valid_ms = self.state_valid_ms.load(Ordering::Relaxed);
+        let load = ReportedLoad {
             in_flight: (packed >> 48) as u16,
             slots: (packed >> 32) as u16,
             queued: (packed >> 16) as u16,
             state: STATES[(packed & 0xffff) as usize % STATES.len()],
-        })
+            state_valid_ms: valid_ms as u16,
+        };
+        Some((load, now.saturating_since(Millis(at))))
+    }
+
+    /// `postpone_trial` permits no trial until `until`.
+    pub fn postpone_trial(&self, until: Millis) {
+        self.next_trial.fetch_max(until.0, Ordering::Relaxed);
     }
 
     /// `claim_trial` returns whether a trial may be sent now; it then permits none for `interval`.
--- a/crates/shallothill-policy/tests/gray.rs
+++ b/crates/shallothill-policy/tests/gray.rs
@@ -191,3 +191,17 @@
         assert!(with < without / 4.0, "seed {seed}: {with} of {without}");
     }
 }
+
+/// Guards against nodes that avoid a server for longer or shorter than its gate refuses requests.
+#[test]
+fn a_suspicion_lasts_as_long_as_it_says() {
+    let mut estimate = EpisodeEstimator::new(options());
+    estimate.observe(Millis(1000), Observation::Failed(FAST), USUAL_LATENCY);
+
+    let left = estimate.suspected_for(Millis(1000));
+
+    assert!(left > Duration::from_secs(3), "{left:?}");
+    assert!(estimate.is_suspect(Millis(990) + left));
+    assert!(!estimate.is_suspect(Millis(1010) + left));
+    assert_eq!(estimate.suspected_for(Millis(1010) + left), Duration::ZERO);
+}
--- a/crates/shallothill-policy/tests/idle_servers.rs
+++ b/crates/shallothill-policy/tests/idle_servers.rs
@@ -100,6 +100,7 @@
             slots: SLOTS,
             queued: 0,
             state,
+            state_valid_ms: 0,
         }
     }
 }
--- a/crates/shallothill-policy/tests/pick.rs
+++ b/crates/shallothill-policy/tests/pick.rs
@@ -90,6 +90,7 @@
             slots: 5,
             queued,
             state: ServingState::Ready,
+            state_valid_ms: 0,
         };
         e.stats.record_load(NOW, load);
     }
