policy, node: gates learn how many requests a backend server runs

Cause: a backend server that is cold, or that takes fewer requests than it announced, sheds what its gate passes on, and a shed request that must run at most once is lost. Shed requests end at once, so the server looks idle and draws more.

Change: a gate lowers the slots of its server to one below the number that ran when a request was shed, and raises them by one after each round of served requests; the rounds double after an attempt that failed, up to 16. The limit stays at a quarter of the slots or more, so that a server that sheds at any load still gets requests. The reported slots follow, so that entries see such a server as full.

Ruled out: weights from the measured completion time.

--- a/crates/shallothill-policy/src/admit/mod.rs
+++ b/crates/shallothill-policy/src/admit/mod.rs
@@ -5,6 +5,7 @@
 mod options;
 mod queue;
 mod request;
+mod shed_limit;
 
 pub use gate::{Gate, STOP_RESERVE};
 pub use options::GateOptions;
--- a/crates/shallothill-policy/tests/admit.rs
+++ b/crates/shallothill-policy/tests/admit.rs
@@ -320,3 +320,68 @@
     assert_eq!(opened, [true, true, false]);
     assert!(gate.open_connection());
 }
+
+/// Fills the free slots at `now` and returns how many requests run.
+fn fill(gate: &mut Gate, now: Millis, running: &mut Vec<Ticket>) -> usize {
+    while running.len() < usize::from(gate.slots()) {
+        match gate.admit(now, request(Class::Shop, now.0 + 1000)) {
+            Admission::Run(ticket) => running.push(ticket),
+            other => panic!("{other:?} although a slot is free"),
+        }
+    }
+    running.len()
+}
+
+/// Guards against a gate that goes on sending a server more requests than it runs, and against one
+/// that never uses the slots of a server again that has shed load once, for example while cold.
+#[test]
+fn a_server_that_sheds_gets_fewer_requests_until_it_serves_more() {
+    const SLOTS: u16 = 12;
+    const BOUND: usize = 8;
+    let options = GateOptions {
+        slots: SLOTS,
+        ..options()
+    };
+    let mut gate = Gate::new(options, false);
+    let mut running = Vec::new();
+    let (mut sent, mut shed) = (0, 0);
+    for round in 0..200 {
+        let now = Millis(round * 10);
+        let bound = if round < 100 {
+            BOUND
+        } else {
+            usize::from(SLOTS)
+        };
+        fill(&mut gate, now, &mut running);
+        sent += running.len();
+        while running.len() > bound {
+            gate.finish(now, running.pop().unwrap(), SlotOutcome::Shed);
+            shed += 1;
+        }
+        for ticket in running.drain(..) {
+            gate.finish(now, ticket, SlotOutcome::Served(Duration::from_millis(10)));
+        }
+    }
+
+    assert!(shed > 0 && shed * 50 < sent, "{shed} of {sent} were shed");
+    assert_eq!(gate.slots(), SLOTS, "the bound is gone");
+}
+
+/// Guards against a server that gets no requests because it sheds at any load.
+#[test]
+fn a_server_that_always_sheds_keeps_some_slots() {
+    let options = GateOptions {
+        slots: 12,
+        ..options()
+    };
+    let mut gate = Gate::new(options, false);
+    let mut running = Vec::new();
+    for _ in 0..50 {
+        fill(&mut gate, Millis(0), &mut running);
+        for ticket in running.drain(..) {
+            gate.finish(Millis(0), ticket, SlotOutcome::Shed);
+        }
+    }
+
+    assert_eq!(gate.slots(), 3);
+}
