policy, node: picks prefer proven servers with room

Cause: requests that must run at most once drew servers at random and were refused as `suspect` by gates whose server had served nothing for some seconds. Only idle servers were reported as unproven, and the pick did not use that. A full server was picked as long as its queue had places, and a tier above 0.9 of its capacity sent work away although servers of the region had room.

Change: a pick looks in turn for a free slot in the region, a short wait there (less than half of the slots queued), a free slot and a short wait in other regions, and then any server that accepts. Requests that must run at most once skip unproven servers in all but the last step; repeatable ones prove them. A gate reports its server as unproven whenever it would refuse such requests; a trial is wanted only if nothing runs there. Of two servers the one with the lower load after this request is taken. The spill-over orders the tiers of the region. Attempts that a gate refuses are counted by reason (`refused.REASON`).

The test of the spill-over reported servers as completely full; such servers now get nothing while others have room, which a test of its own checks. The spill-over is tested with servers at 0.95, with the steps that the smoothed utilisation gives for that.

--- a/crates/shallothill-bench/src/scenarios/states.rs
+++ b/crates/shallothill-bench/src/scenarios/states.rs
@@ -40,15 +40,29 @@
 struct Rules {
     name: &'static str,
     reporting: Reporting,
+    by_state: bool,
+    learns_limit: bool,
 }
 
-const RULES: [Rules; 2] = [
-    rules("before", Reporting::Region),
-    rules("+ notices", Reporting::Senders),
+const RULES: [Rules; 4] = [
+    rules("before", Reporting::Region, false, false),
+    rules("+ notices", Reporting::Senders, false, false),
+    rules("+ picks by state", Reporting::Senders, true, false),
+    rules("+ learned limit", Reporting::Senders, true, true),
 ];
 
-const fn rules(name: &'static str, reporting: Reporting) -> Rules {
-    Rules { name, reporting }
+const fn rules(
+    name: &'static str,
+    reporting: Reporting,
+    by_state: bool,
+    learns_limit: bool,
+) -> Rules {
+    Rules {
+        name,
+        reporting,
+        by_state,
+        learns_limit,
+    }
 }
 
 const DATAGRAM_BYTES: u64 = 60;
@@ -75,8 +89,14 @@
     ];
     let mut table = Table::new("states: a third of the servers has gray failures", &columns);
     for case in &CASES {
+        let mut results = Vec::new();
         for rules in &RULES {
-            table.add_row(row(rules.name, case, &measure(case, seed, rules)?));
+            let totals = measure(case, seed, rules)?;
+            table.add_row(row(rules.name, case, &totals));
+            results.push(totals);
+        }
+        if let (Some(before), Some(after)) = (results.first(), results.last()) {
+            check_bounds(report, case, before, after);
         }
     }
     report.tables.push(table);
@@ -91,8 +111,12 @@
             entries: case.entries,
             load: case.load,
             idempotent: 0.35,
-            pick: PickOptions::default(),
+            pick: PickOptions {
+                by_state: rules.by_state,
+                ..PickOptions::default()
+            },
             reporting: rules.reporting,
+            learns_limit: rules.learns_limit,
             end: case.seconds * SECOND,
             seed: seed * 1000 + run,
         };
@@ -105,6 +129,36 @@
     Ok(totals.unwrap_or_default())
 }
 
+fn check_bounds(report: &mut Report, case: &Case, before: &StatesTotals, after: &StatesTotals) {
+    let at = |what: &str| format!("states {} {:.2}: {what}", case.servers, case.load);
+    let turned_away =
+        |t: &StatesTotals| (t.suspect + t.full + t.shed) as f64 / t.arrivals.max(1) as f64;
+    report.add_bound(
+        at("fewer attempts are turned away than by the former rules"),
+        format!(
+            "{:.3}, before {:.3}",
+            turned_away(after),
+            turned_away(before)
+        ),
+        turned_away(after) < turned_away(before),
+    );
+    let in_objective = |t: &StatesTotals| t.in_objective as f64 / t.offered.max(1) as f64;
+    report.add_bound(
+        at("no fewer requests are completed within the objective"),
+        format!(
+            "{:.3}, before {:.3}",
+            in_objective(after),
+            in_objective(before)
+        ),
+        in_objective(after) >= in_objective(before),
+    );
+    report.add_bound(
+        at("every server gets requests"),
+        after.fewest.to_string(),
+        after.fewest > 0,
+    );
+}
+
 fn row(rules: &str, case: &Case, t: &StatesTotals) -> Vec<String> {
     let share = |n: u64, of: u64| format!("{:.3}", n as f64 / of.max(1) as f64);
     let seconds = (case.seconds - 2) * case.runs;
--- a/crates/shallothill-bench/src/sim/states/host.rs
+++ b/crates/shallothill-bench/src/sim/states/host.rs
@@ -47,6 +47,8 @@
     limit: usize,
     /// The duration of its requests relative to the mean of all servers.
     slowness: f64,
+    /// Whether only an idle server is reported as unproven.
+    pub(super) only_idle_unproven: bool,
     sick: bool,
     cold_left: u32,
     running: usize,
@@ -78,6 +80,7 @@
             // A third of the servers turn requests away before all announced slots are in use.
             limit: usize::from(slots) - rng.random_range(0..6usize).saturating_sub(3),
             slowness: rng.random_range(0.6..1.4),
+            only_idle_unproven: false,
             sick: rng.random_bool(EPISODE_SHARE),
             cold_left: 0,
             running: 0,
@@ -134,6 +137,13 @@
         }
     }
 
+    fn reports_unproven(&self, now: Millis) -> bool {
+        if self.only_idle_unproven {
+            return self.gate.is_idle() && self.gray.lacks_evidence(now);
+        }
+        self.gray.is_unproven(now)
+    }
+
     /// Returns the load that replies and datagrams carry, as the gate of a node reports it.
     pub(super) fn load(&self, now: Millis) -> ReportedLoad {
         let mut load = self.gate.load();
@@ -144,7 +154,7 @@
             };
             let valid = self.gray.suspected_for(now).as_millis();
             load.state_valid_ms = u16::try_from(valid).unwrap_or(u16::MAX);
-        } else if self.gate.is_idle() && self.gray.lacks_evidence(now) {
+        } else if self.reports_unproven(now) {
             load.state = ServingState::Unproven;
         }
         load
--- a/crates/shallothill-bench/src/sim/states/mod.rs
+++ b/crates/shallothill-bench/src/sim/states/mod.rs
@@ -112,6 +112,7 @@
         let mut infos = infos;
         for (info, host) in infos.iter_mut().zip(&mut hosts) {
             info.slots = host.slots;
+            host.only_idle_unproven = !plan.pick.by_state;
         }
         let entries = (0..plan.entries)
             .map(|n| {
--- a/crates/shallothill-bench/src/sim/states/request.rs
+++ b/crates/shallothill-bench/src/sim/states/request.rs
@@ -158,7 +158,8 @@
             }
             Run::Shed(_) => {
                 self.totals.shed += u64::from(counts);
-                (SlotOutcome::Failed, End::Failed)
+                let learned = self.plan.learns_limit.then_some(SlotOutcome::Shed);
+                (learned.unwrap_or(SlotOutcome::Failed), End::Failed)
             }
         };
         host.gate.finish(now, ticket, slot);
--- a/crates/shallothill-node/src/counters.rs
+++ b/crates/shallothill-node/src/counters.rs
@@ -1,13 +1,30 @@
 //! Counts responses, attempts and malformed messages and sends the counts as metrics.
 
+use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicU64, Ordering};
 
 use cadence::{Counted, Gauged, StatsdClient};
 use serde_json::{Value, json};
 
+/// `TOTALS` is the number of totals that are sent as metrics.
+pub const TOTALS: usize = 8 + REFUSALS.len();
+
+/// `REFUSALS` lists the reasons for which gates refuse attempts; the last one counts all others.
+const REFUSALS: [&str; 8] = [
+    "suspect",
+    "queue-full",
+    "shed",
+    "deadline",
+    "ejected",
+    "draining",
+    "retry-budget",
+    "other",
+];
+
 /// `Counters` holds totals since the start of the process.
 #[derive(Debug, Default)]
 pub struct Counters {
+    refused: [AtomicU64; REFUSALS.len()],
     responses: [AtomicU64; 6],
     peer_attempts: AtomicU64,
     malformed: AtomicU64,
@@ -43,10 +60,23 @@
         self.malformed.fetch_add(1, Ordering::Relaxed);
     }
 
+    /// `count_refused` counts an attempt that the gate of this node refused for `reason`, without
+    /// sending it to the backend server.
+    pub fn count_refused(&self, reason: &str) {
+        let known = REFUSALS.iter().position(|r| *r == reason);
+        let reason = known.unwrap_or(REFUSALS.len() - 1);
+        self.refused[reason].fetch_add(1, Ordering::Relaxed);
+    }
+
     /// `dump` returns the totals for the state dump.
     pub fn dump(&self) -> Value {
         let n = |i: usize| self.responses[i].load(Ordering::Relaxed);
+        let refused: BTreeMap<&str, u64> = REFUSALS
+            .into_iter()
+            .zip(self.refused.iter().map(|n| n.load(Ordering::Relaxed)))
+            .collect();
         json!({
+            "refused": refused,
             "responses": {"2xx": n(2), "3xx": n(3), "4xx": n(4), "5xx": n(5)},
             "attempts_of_peers": self.peer_attempts.load(Ordering::Relaxed),
             "malformed": self.malformed.load(Ordering::Relaxed),
@@ -54,7 +84,7 @@
     }
 
     /// `send` sends the increase of each total since `last_sent`, which it updates, and the gauges.
-    pub fn send(&self, client: &StatsdClient, last_sent: &mut [u64; 8], gauges: Gauges) {
+    pub fn send(&self, client: &StatsdClient, last_sent: &mut [u64; TOTALS], gauges: Gauges) {
         const NAMES: [&str; 8] = [
             "responses.other",
             "responses.1xx",
@@ -68,8 +98,11 @@
         let totals = self
             .responses
             .iter()
-            .chain([&self.peer_attempts, &self.malformed]);
-        for ((name, total), last_total) in NAMES.iter().zip(totals).zip(last_sent) {
+            .chain([&self.peer_attempts, &self.malformed])
+            .chain(&self.refused);
+        let refusals = REFUSALS.map(|reason| format!("refused.{reason}"));
+        let names = NAMES.into_iter().chain(refusals.iter().map(String::as_str));
+        for ((name, total), last_total) in names.zip(totals).zip(last_sent) {
             let total = total.load(Ordering::Relaxed);
             // Metrics are best effort; a failed send is not repeated.
             let _ = client.count(name, total - *last_total);
--- a/crates/shallothill-node/src/gate/attempt_limits.rs
+++ b/crates/shallothill-node/src/gate/attempt_limits.rs
@@ -81,8 +81,8 @@
 
     /// `doubted_state` returns the state to report to other nodes while a gray failure is suspected
     /// or the backend server is unhealthy without an ejection lease: `Ejected` when a trial request
-    /// is due, else `Demoted`. It is `Unproven` for an idle server that has run nothing lately, and
-    /// `None` when there is no doubt.
+    /// is due, else `Demoted`. It is `Unproven` for a server that has served too little lately for
+    /// requests that must run at most once, and `None` when there is no doubt.
     pub(crate) fn doubted_state(&self) -> Option<ServingState> {
         let now = self.now();
         let inner = self.lock();
@@ -91,7 +91,7 @@
         } else if inner.health.is_demoted(now) {
             inner.health.needs_trial(now)
         } else {
-            return inner.lacks_evidence(now).then_some(ServingState::Unproven);
+            return inner.is_unproven(now).then_some(ServingState::Unproven);
         };
         Some(if wants_trial {
             ServingState::Ejected
--- a/crates/shallothill-node/src/gate/endpoint.rs
+++ b/crates/shallothill-node/src/gate/endpoint.rs
@@ -308,14 +308,11 @@
 }
 
 impl Inner {
-    /// `lacks_evidence` tells whether a trial should be sent to the backend server, because nothing
-    /// runs there that would show how it serves.
-    pub(crate) fn lacks_evidence(&self, now: Millis) -> bool {
+    /// `is_unproven` tells whether the backend server takes requests, but too little has been served
+    /// lately for requests that must run at most once.
+    pub(crate) fn is_unproven(&self, now: Millis) -> bool {
         let takes_requests = matches!(self.gate.state(), ServingState::Ready | ServingState::Cold);
-        takes_requests
-            && !self.gate.is_stopping()
-            && self.gate.is_idle()
-            && self.gray.lacks_evidence(now)
+        takes_requests && !self.gate.is_stopping() && self.gray.is_unproven(now)
     }
 
     /// `apply_health` sets the state and the trial slots of the admission gate from the health.
--- a/crates/shallothill-node/src/gate/mod.rs
+++ b/crates/shallothill-node/src/gate/mod.rs
@@ -39,6 +39,7 @@
 use crate::buffers::{BufferBudget, BufferReservation};
 use crate::config::ConfigStore;
 use crate::control::Keepers;
+use crate::counters::Counters;
 use crate::crashes::CrashTracker;
 use crate::gate::attempt_log::AttemptLog;
 use crate::gate::departed::DepartedEndpoints;
@@ -85,6 +86,8 @@
     pub changed: Arc<Notify>,
     /// The memory budget for request bodies, shared with the entry role.
     pub buffers: BufferBudget,
+    /// The counters of refused attempts.
+    pub counters: Arc<Counters>,
     /// Tracks background tasks, such as requests whose caller has disconnected, for the stop.
     pub tasks: TaskTracker,
 }
@@ -169,7 +172,12 @@
         let attempt_log = AttemptLog::new(&self.deps.interface, &endpoint, &attempt);
         let mut reply = match self.admit_and_run(&endpoint, attempt, local).await {
             Ok(reply) => reply,
-            Err(refusal) => refusal.reply_from_gate(),
+            Err(refusal) => {
+                if !refusal.reached_backend {
+                    self.deps.counters.count_refused(refusal.reason);
+                }
+                refusal.reply_from_gate()
+            }
         };
         attempt_log.log(&endpoint, &reply, self.deps.store.version());
         reply.load = Some(reported_load(&endpoint));
--- a/crates/shallothill-node/src/node/build.rs
+++ b/crates/shallothill-node/src/node/build.rs
@@ -78,6 +78,7 @@
             ledger,
             changed: Arc::clone(&changed),
             buffers,
+            counters: Arc::clone(&counters),
             tasks: background.clone(),
         }));
         let origin = settings.host_service.as_ref();
--- a/crates/shallothill-policy/src/gray/estimate.rs
+++ b/crates/shallothill-policy/src/gray/estimate.rs
@@ -138,6 +138,12 @@
             && now >= self.next_trial
     }
 
+    /// `is_unproven` returns whether requests that must run at most once are refused at first,
+    /// because too little has been served lately.
+    pub fn is_unproven(&self, now: Millis) -> bool {
+        self.is_enabled() && self.probability(now) > self.options.trust_below
+    }
+
     /// `suspected_for` returns for how long requests that must run at most once will be refused if
     /// nothing more is observed; zero while they are not.
     pub fn suspected_for(&self, now: Millis) -> Duration {
--- a/crates/shallothill-policy/src/pick/mod.rs
+++ b/crates/shallothill-policy/src/pick/mod.rs
@@ -1,6 +1,7 @@
 //! Selection of a backend server for an attempt by distance, state and load.
 
 mod byte_budget;
+mod choose;
 mod endpoint;
 mod options;
 mod path_stats;
--- a/crates/shallothill-policy/src/pick/options.rs
+++ b/crates/shallothill-policy/src/pick/options.rs
@@ -22,6 +22,9 @@
     pub trial_share_permille: u32,
     /// Minimum time between two trials that one entry node sends to the same endpoint.
     pub trial_interval: Duration,
+    /// Whether endpoints that are proven and have room are picked before others; otherwise the
+    /// tier comes first.
+    pub by_state: bool,
 }
 
 impl Default for PickOptions {
@@ -38,6 +41,7 @@
             // Half of the default retry budget, because a refused trial costs one retry.
             trial_share_permille: 50,
             trial_interval: Duration::from_millis(200),
+            by_state: true,
         }
     }
 }
--- a/crates/shallothill-policy/src/pick/service_table.rs
+++ b/crates/shallothill-policy/src/pick/service_table.rs
@@ -4,7 +4,6 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
 
-use rand::Rng;
 use shallothill_core::health::ServingState;
 use shallothill_core::ids::{NodeName, Zone};
 use shallothill_core::time::Millis;
@@ -13,12 +12,9 @@
 use crate::pick::endpoint::{Endpoint, EndpointInfo, EndpointKey};
 use crate::pick::options::PickOptions;
 use crate::pick::path_stats::PathStats;
-use crate::pick::request::{PickRequest, Picked, Tier};
+use crate::pick::request::Tier;
 
-// Random draws per list: enough to find two usable endpoints while most are usable, and a constant
-// amount of work.
-const MAX_DRAWS: usize = 6;
-const PERMILLE: u32 = 1000;
+pub(super) const PERMILLE: u32 = 1000;
 
 /// `ServiceTable` holds the endpoints of a service by tier and state.
 ///
@@ -27,17 +23,17 @@
 /// not depend on the number of endpoints.
 #[derive(Debug)]
 pub struct ServiceTable {
-    endpoints: Vec<Endpoint>,
+    pub(super) endpoints: Vec<Endpoint>,
     by_key: HashMap<EndpointKey, u32>,
-    preferred: [Vec<u32>; 3],
-    fallback: [Vec<u32>; 3],
-    ejected: Vec<u32>,
-    tiers: Vec<Tier>,
-    spill: Arc<[AtomicU32; 2]>,
+    pub(super) preferred: [Vec<u32>; 3],
+    pub(super) fallback: [Vec<u32>; 3],
+    pub(super) ejected: Vec<u32>,
+    pub(super) tiers: Vec<Tier>,
+    pub(super) spill: Arc<[AtomicU32; 2]>,
     // Smoothed utilisation of the first two tiers, in thousandths.
-    utilisation_permille: Arc<[AtomicU32; 2]>,
-    cross_region_bytes: Arc<ByteBudget>,
-    options: PickOptions,
+    pub(super) utilisation_permille: Arc<[AtomicU32; 2]>,
+    pub(super) cross_region_bytes: Arc<ByteBudget>,
+    pub(super) options: PickOptions,
 }
 
 impl ServiceTable {
@@ -123,182 +119,6 @@
         &self.cross_region_bytes
     }
 
-    /// `pick` selects an endpoint, or returns `None` if the request may use none of them.
-    pub fn pick(
-        &self,
-        now: Millis,
-        rng: &mut impl Rng,
-        req: &PickRequest<'_>,
-    ) -> Option<Picked<'_>> {
-        if let Some(picked) = self.pick_trial(now, rng, req) {
-            return Some(picked);
-        }
-        let start = self.start_tier(rng, req);
-        // Start at the drawn tier and go outward; the nearer tiers come last because they are known
-        // to be loaded.
-        let order = (start..3).chain((0..start).rev());
-        for strict in [true, false] {
-            for lists in [&self.preferred, &self.fallback] {
-                for t in order.clone() {
-                    if t == 2 && strict && !self.may_cross_regions(now, req) {
-                        continue;
-                    }
-                    if let Some(i) = self.choose_of_two(&lists[t], now, rng, req.avoid, strict) {
-                        return Some(self.picked(i, false));
-                    }
-                }
-            }
-        }
-        None
-    }
-
-    fn may_cross_regions(&self, now: Millis, req: &PickRequest<'_>) -> bool {
-        self.cross_region_bytes
-            .allows(now, req.cross_region_bytes_per_s)
-    }
-
-    fn picked(&self, i: u32, trial: bool) -> Picked<'_> {
-        Picked {
-            endpoint: &self.endpoints[i as usize],
-            tier: self.tiers[i as usize],
-            trial,
-        }
-    }
-
-    fn pick_trial(
-        &self,
-        now: Millis,
-        rng: &mut impl Rng,
-        req: &PickRequest<'_>,
-    ) -> Option<Picked<'_>> {
-        if !req.idempotent || !req.avoid.is_empty() {
-            return None;
-        }
-        if let Some(i) = self.endpoint_wanting_trial(now, rng) {
-            return Some(self.picked(i, false));
-        }
-        if self.ejected.is_empty() {
-            return None;
-        }
-        if rng.random_range(0..PERMILLE) >= self.options.trial_share_permille {
-            return None;
-        }
-        let i = self.ejected[rng.random_range(0..self.ejected.len())];
-        let endpoint = &self.endpoints[i as usize];
-        endpoint
-            .stats
-            .claim_trial(now, self.options.trial_interval)
-            .then(|| self.picked(i, true))
-    }
-
-    // Finds an endpoint of the region whose gate wants a trial now, because it is suspected or has
-    // run nothing lately.
-    fn endpoint_wanting_trial(&self, now: Millis, rng: &mut impl Rng) -> Option<u32> {
-        for list in self.preferred[..2].iter().chain(&self.fallback[..2]) {
-            if list.is_empty() {
-                continue;
-            }
-            let first = rng.random_range(0..list.len());
-            let drawn = (0..MAX_DRAWS.min(list.len())).map(|n| list[(first + n) % list.len()]);
-            for i in drawn {
-                let stats = &self.endpoints[i as usize].stats;
-                let reported = stats.recent_load(now, self.options.load_max_age);
-                let wants = reported.is_some_and(|l| {
-                    matches!(l.state, ServingState::Ejected | ServingState::Unproven)
-                });
-                if wants && stats.claim_trial(now, self.options.trial_interval) {
-                    return Some(i);
-                }
-            }
-        }
-        None
-    }
-
-    fn start_tier(&self, rng: &mut impl Rng, req: &PickRequest<'_>) -> usize {
-        let mut tier = 0;
-        // A retry stays in the region as long as a nearer endpoint can serve it.
-        let outermost = if req.avoid.is_empty() { 2 } else { 1 };
-        while tier < outermost {
-            let share = self.spill[tier].load(Ordering::Relaxed);
-            let spills = share > 0 && rng.random_range(0..PERMILLE) < share;
-            if !spills && !self.preferred[tier].is_empty() {
-                break;
-            }
-            tier += 1;
-        }
-        tier
-    }
-
-    fn choose_of_two(
-        &self,
-        list: &[u32],
-        now: Millis,
-        rng: &mut impl Rng,
-        avoid: &[EndpointKey],
-        strict: bool,
-    ) -> Option<u32> {
-        if list.is_empty() {
-            return None;
-        }
-        let mut best: Option<(u32, f64)> = None;
-        let mut found = 0;
-        let first = rng.random_range(0..list.len());
-        for draw in 0..MAX_DRAWS {
-            // Short lists are scanned in full, so that every endpoint is considered.
-            let at = if list.len() <= MAX_DRAWS {
-                if draw == list.len() {
-                    break;
-                }
-                (first + draw) % list.len()
-            } else {
-                rng.random_range(0..list.len())
-            };
-            let i = list[at];
-            let e = &self.endpoints[i as usize];
-            let same = best.is_some_and(|(b, _)| b == i);
-            if same || avoid.contains(&e.key) || (strict && !self.is_usable(e, now)) {
-                continue;
-            }
-            found += 1;
-            let load = self.relative_load(e, now);
-            if best.is_none_or(|(_, least)| load < least) {
-                best = Some((i, load));
-            }
-            if found == 2 {
-                break;
-            }
-        }
-        let (i, _) = best?;
-        let claimed = !strict || self.endpoints[i as usize].path.claim_probe(now);
-        claimed.then_some(i)
-    }
-
-    fn is_usable(&self, e: &Endpoint, now: Millis) -> bool {
-        if e.path.is_penalised(now) {
-            return false;
-        }
-        let suspect_states = [ServingState::Demoted, ServingState::Ejected];
-        let believed = e.stats.believed_state(now, self.options.suspicion_max_age);
-        if believed.is_some_and(|s| suspect_states.contains(&s)) {
-            return false;
-        }
-        let fresh = self.options.load_max_age;
-        e.stats.recent_load(now, fresh).is_none_or(|l| {
-            let accepting = l.state != ServingState::Draining;
-            accepting && (l.in_flight < l.slots || l.queued < l.slots)
-        })
-    }
-
-    fn relative_load(&self, e: &Endpoint, now: Millis) -> f64 {
-        let own = e.stats.own_in_flight();
-        let reported = e.stats.recent_load(now, self.options.load_max_age);
-        let slots = reported.map_or(e.info.slots, |l| l.slots).max(1);
-        let reported_load = reported.map_or(0, |l| u32::from(l.in_flight) + u32::from(l.queued));
-        // The own count reacts immediately; the reported one includes requests of other entry
-        // nodes.
-        f64::from(own + reported_load) / f64::from(slots)
-    }
-
     /// `update_spill` adjusts the spill-over between tiers; call it about every 250 ms. Its work
     /// grows with the number of endpoints of the entry node's region.
     pub fn update_spill(&self, now: Millis) {
--- a/crates/shallothill-policy/tests/idle_servers.rs
+++ b/crates/shallothill-policy/tests/idle_servers.rs
@@ -90,7 +90,7 @@
                 true => ServingState::Ejected,
                 false => ServingState::Demoted,
             }
-        } else if self.running.is_empty() && self.estimate.lacks_evidence(now) {
+        } else if self.estimate.is_unproven(now) {
             ServingState::Unproven
         } else {
             ServingState::Ready
--- a/crates/shallothill-policy/tests/pick.rs
+++ b/crates/shallothill-policy/tests/pick.rs
@@ -83,15 +83,18 @@
     (nodes, tiers)
 }
 
-fn report_load(table: &ServiceTable, nodes: std::ops::Range<usize>, in_flight: u16, queued: u16) {
+fn load(in_flight: u16, state: ServingState) -> ReportedLoad {
+    ReportedLoad {
+        in_flight,
+        slots: 20,
+        queued: 0,
+        state,
+        state_valid_ms: 0,
+    }
+}
+
+fn report(table: &ServiceTable, nodes: std::ops::Range<usize>, load: ReportedLoad) {
     for e in &table.endpoints()[nodes] {
-        let load = ReportedLoad {
-            in_flight,
-            slots: 5,
-            queued,
-            state: ServingState::Ready,
-            state_valid_ms: 0,
-        };
         e.stats.record_load(NOW, load);
     }
 }
@@ -170,14 +173,14 @@
     assert_eq!(probes, 1);
 }
 
-/// Guards against full endpoints that keep all traffic, against spill-over that oscillates with
-/// every report, and against traffic that never returns.
+/// Guards against nearly full endpoints that keep all traffic, against spill-over that oscillates
+/// with every report, and against traffic that never returns.
 #[test]
 fn load_spills_over_with_hysteresis() {
     let t = tables(infos());
     let table = t.service(&service()).unwrap();
     let refresh = |times: usize| (0..times).for_each(|_| table.update_spill(NOW));
-    report_load(table, 0..2, 5, 0);
+    report(table, 0..2, load(19, ServingState::Ready));
     refresh(4);
     assert_eq!(
         table.spill_permille(),
@@ -185,17 +188,17 @@
         "a moment of load spilled over"
     );
     refresh(17);
-    assert_eq!(table.spill_permille(), (14 * 40, 0));
+    assert_eq!(table.spill_permille(), (11 * 40, 0));
     let (_, tiers) = count_picks(table, &request(&[]));
     let near = tiers[&(Tier::DataCentre, false)];
     assert!((400..600).contains(&near), "{near} of 1000 stay");
 
-    report_load(table, 0..2, 4, 0);
+    report(table, 0..2, load(16, ServingState::Ready));
     refresh(10);
     let settled = table.spill_permille();
     refresh(20);
     assert_eq!(table.spill_permille(), settled, "changed inside the gap");
-    report_load(table, 0..2, 1, 0);
+    report(table, 0..2, load(4, ServingState::Ready));
     refresh(60);
     assert_eq!(table.spill_permille(), (0, 0));
 }
@@ -307,3 +310,71 @@
     assert!(sent <= 11_100, "{sent} bytes");
     assert_eq!(budget.total(), sent);
 }
+
+/// Guards against a full endpoint that gets requests while others have room, and against requests
+/// that leave the region while a short wait suffices.
+#[test]
+fn full_endpoints_get_nothing_while_others_have_room() {
+    let t = tables(infos());
+    let table = t.service(&service()).unwrap();
+    report(table, 0..3, load(20, ServingState::Ready));
+    let (nodes, _) = count_picks(table, &request(&[]));
+    assert_eq!(nodes, BTreeMap::from([("n3".to_owned(), 1000)]));
+
+    report(table, 3..4, load(20, ServingState::Ready));
+    let (_, tiers) = count_picks(table, &request(&[]));
+    assert_eq!(tiers, BTreeMap::from([((Tier::DataCentre, false), 1000)]));
+
+    let waiting = ReportedLoad {
+        queued: 15,
+        ..load(20, ServingState::Ready)
+    };
+    report(table, 0..4, waiting);
+    let (_, tiers) = count_picks(table, &request(&[]));
+    assert_eq!(tiers, BTreeMap::from([((Tier::OtherRegion, false), 1000)]));
+}
+
+/// Guards against requests that must run at most once and are sent where they will be refused, and
+/// against unproven endpoints that serve nothing when no proven one has room.
+#[test]
+fn requests_that_run_once_prefer_proven_endpoints() {
+    let t = tables(infos());
+    let table = t.service(&service()).unwrap();
+    let once = PickRequest {
+        idempotent: false,
+        ..request(&[])
+    };
+    // Something runs there, so no trial is wanted.
+    report(table, 0..3, load(1, ServingState::Unproven));
+    let (nodes, _) = count_picks(table, &once);
+    assert_eq!(nodes, BTreeMap::from([("n3".to_owned(), 1000)]));
+    let (nodes, _) = count_picks(table, &request(&[]));
+    assert_eq!(nodes.len(), 2, "repeatable requests prove the near ones");
+
+    report(table, 0..12, load(1, ServingState::Unproven));
+    let (nodes, _) = count_picks(table, &once);
+    assert_eq!(nodes.values().sum::<u32>(), 1000);
+}
+
+/// Guards against a suspicion that a node forgets before its gate does, or keeps for longer.
+#[test]
+fn a_suspicion_holds_as_long_as_the_gate_says() {
+    let t = tables(infos());
+    let table = t.service(&service()).unwrap();
+    let suspected = ReportedLoad {
+        state_valid_ms: 9000,
+        ..load(0, ServingState::Demoted)
+    };
+    report(table, 0..1, suspected);
+    let mut rng = SmallRng::seed_from_u64(1);
+    let mut picks_first = |after: u64| {
+        let now = NOW + Duration::from_millis(after);
+        (0..100).any(|_| {
+            let picked = table.pick(now, &mut rng, &request(&[])).unwrap();
+            picked.endpoint.info.id.node.as_str() == "n0"
+        })
+    };
+
+    assert!(!picks_first(8999));
+    assert!(picks_first(9001));
+}
