--- a/crates/shallothill-bench/src/scenarios/mod.rs
+++ b/crates/shallothill-bench/src/scenarios/mod.rs
@@ -13,6 +13,7 @@
 mod quota;
 mod regions;
 mod scale;
+mod states;
 
 use crate::report::Report;
 
@@ -64,6 +65,10 @@
         name: "regions",
         run: regions::run,
     },
+    Scenario {
+        name: "states",
+        run: states::run,
+    },
     Scenario {
         name: "drain",
         run: drain::run,
