node: test of a suspended node with a bound on its configuration

Cause: no process test suspended a node that holds a lease.

Change: a node process is stopped, its keepers are killed, a request with a key reaches its socket, and it resumes after the bound: the request is refused as `stale-config` and does not run. The test waits until all threads are stopped.

With a lease that always holds the test fails.

--- a/crates/shallothill-node/tests/currency.rs
+++ b/crates/shallothill-node/tests/currency.rs
@@ -2,11 +2,16 @@
 
 mod support;
 
+use std::fs;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::process::Command;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use hyper::Method;
+use serde_json::{Value, json};
 use shallothill_core::class::Class;
 use shallothill_core::config::{ApiKey, Caller, Config};
 use shallothill_core::ids::{CallerName, KeeperId, RouteName};
@@ -15,11 +20,13 @@
 use shallothill_testing::behaviour::Behaviour;
 use shallothill_testing::http::{Client, Reply};
 use shallothill_testing::process;
+use shallothill_testing::process::Process;
 use shallothill_testing::relay::{Direction, Relay};
 use shallothill_testing::standin::Standin;
 use support::cluster::RunningNode;
 use support::keepers::Keepers;
 use support::{MAX_WAIT, cluster, reason};
+use tempfile::TempDir;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::time;
@@ -50,6 +57,12 @@
     }
 }
 
+async fn send(client: &Client, at: SocketAddr, path: &str) -> Reply {
+    let headers = [("x-shallothill-key", KEY)];
+    let sent = client.send(Method::GET, at, path, &headers, Bytes::new(), MAX_WAIT);
+    sent.await.unwrap()
+}
+
 struct Site {
     keepers: Keepers,
     relays: Vec<Relay>,
@@ -88,12 +101,7 @@
     }
 
     async fn send(&self, path: &str) -> Reply {
-        let headers = [("x-shallothill-key", KEY)];
-        let at = self.node.caller_address();
-        let sent = self
-            .client
-            .send(Method::GET, at, path, &headers, Bytes::new(), MAX_WAIT);
-        sent.await.unwrap()
+        send(&self.client, self.node.caller_address(), path).await
     }
 
     /// Waits until a request with the key gets `status`.
@@ -156,6 +164,64 @@
     site.wait_for_status(401).await;
 }
 
+/// Starts a node process with the bound.
+fn start_bounded_process(keepers: &Keepers, dir: &Path) -> Process {
+    let file = cluster::write_settings_file("n1", keepers, dir);
+    let mut settings: Value = serde_json::from_slice(&fs::read(&file).unwrap()).unwrap();
+    settings["bounds"] = json!({"max_config_age_ms": MAX_AGE.as_millis() as u64});
+    fs::write(&file, settings.to_string()).unwrap();
+    let mut command = Command::new(env!("CARGO_BIN_EXE_shallothill-node"));
+    command.arg("--settings").arg(&file);
+    Process::start(command, &dir.join("n1.log"), MAX_WAIT).unwrap()
+}
+
+/// Tells whether all threads of a process are stopped, which a signal brings about with a delay.
+fn is_stopped(id: u32) -> bool {
+    let threads = fs::read_dir(format!("/proc/{id}/task")).unwrap();
+    threads.into_iter().all(|thread| {
+        let status = fs::read_to_string(thread.unwrap().path().join("status"));
+        status.is_ok_and(|s| s.contains("State:\tT"))
+    })
+}
+
+/// Guards against a node that was suspended and runs what reached its sockets meanwhile, with the
+/// lease that it had before.
+#[tokio::test]
+async fn holds_a_resumed_node_does_not_run_requests_with_a_revoked_key() {
+    let mut keepers = Keepers::start(cluster::REGION, config(&[KEY])).await;
+    let dir = TempDir::new().unwrap();
+    let node = start_bounded_process(&keepers, dir.path());
+    let standin = cluster::start_process_standin(&node, "e1", Behaviour::default()).await;
+    let at = node.address("caller").unwrap();
+    let served = || async { send(&Client::default(), at, "/internal").await.status == 200 };
+    process::wait_until("the node serves", MAX_WAIT, served)
+        .await
+        .unwrap();
+
+    node.signal("STOP").unwrap();
+    process::wait_until("the node is stopped", MAX_WAIT, || async {
+        is_stopped(node.id())
+    })
+    .await
+    .unwrap();
+    (0..3).for_each(|i| keepers.kill(i));
+    let ran = standin.record().len();
+    let stopped = Instant::now();
+    let sent = tokio::spawn(async move { send(&Client::default(), at, "/internal").await });
+    process::wait_until("the bound has passed", MAX_WAIT, || async {
+        stopped.elapsed() > MAX_AGE
+    })
+    .await
+    .unwrap();
+    assert!(!sent.is_finished());
+    node.signal("CONT").unwrap();
+
+    let reply = sent.await.unwrap();
+    let refusal = (reply.status.as_u16(), reason(&reply));
+    assert_eq!(refusal, (503, "stale-config"));
+    assert_eq!(standin.record().len(), ran);
+}
+
 /// Guards against a node that refuses requests with keys for a while because its keeper was killed.
 #[tokio::test]
 async fn a_node_whose_keeper_is_killed_keeps_its_lease() {
