--- a/crates/shallothill-bench/src/scenarios/mod.rs
+++ b/crates/shallothill-bench/src/scenarios/mod.rs
@@ -30,7 +30,7 @@
 }
 
 /// `ALL` lists the scenarios in the order in which they run.
-pub const ALL: [Scenario; 12] = [
+pub const ALL: [Scenario; 13] = [
     // First, because the allocator would reuse memory freed by other scenarios, which the resident
     // size would not show.
     Scenario {
