--- a/crates/shallothill-node/tests/currency.rs
+++ b/crates/shallothill-node/tests/currency.rs
@@ -175,8 +175,6 @@
     Process::start(command, &dir.join("n1.log"), MAX_WAIT).unwrap()
 }
 
-<<<<<<< HEAD
-=======
 /// Tells whether all threads of a process are stopped, which a signal brings about with a delay.
 fn is_stopped(id: u32) -> bool {
     let threads = fs::read_dir(format!("/proc/{id}/task")).unwrap();
@@ -186,7 +184,6 @@
     })
 }
 
->>>>>>> currency
 /// Guards against a node that was suspended and runs what reached its sockets meanwhile, with the
 /// lease that it had before.
 #[tokio::test]
@@ -202,14 +199,11 @@
         .unwrap();
 
     node.signal("STOP").unwrap();
-<<<<<<< HEAD
-=======
     process::wait_until("the node is stopped", MAX_WAIT, || async {
         is_stopped(node.id())
     })
     .await
     .unwrap();
->>>>>>> currency
     (0..3).for_each(|i| keepers.kill(i));
     let ran = standin.record().len();
     let stopped = Instant::now();
@@ -219,10 +213,7 @@
     })
     .await
     .unwrap();
-<<<<<<< HEAD
-=======
     assert!(!sent.is_finished());
->>>>>>> currency
     node.signal("CONT").unwrap();
 
     let reply = sent.await.unwrap();
