--- a/crates/shallothill-node/src/gate/slot.rs
+++ b/crates/shallothill-node/src/gate/slot.rs
@@ -22,8 +22,6 @@
     started: Option<Instant>,
     evidence_recorded: bool,
     served_latency: Option<Duration>,
-    /// Whether the backend server refused to run the request.
-    shed: bool,
 }
 
 impl Slot {
@@ -35,7 +33,6 @@
             started: None,
             evidence_recorded: false,
             served_latency: None,
-            shed: false,
         }
     }
 
@@ -106,7 +103,6 @@
             (None, Some(started)) if !self.evidence_recorded => {
                 SlotOutcome::Abandoned(started.elapsed())
             }
-            _ if self.shed => SlotOutcome::Shed,
             _ => SlotOutcome::Failed,
         }
     }
@@ -114,7 +110,6 @@
     fn record_evidence(&mut self, evidence: Evidence) {
         if self.started.is_some() && !self.evidence_recorded {
             self.evidence_recorded = true;
-            self.shed = evidence == Evidence::Shed;
             let age = self.started.map_or(Duration::ZERO, |s| s.elapsed());
             self.endpoint.record_evidence(self.ticket, evidence, age);
         }
--- a/crates/shallothill-policy/src/admit/gate.rs
+++ b/crates/shallothill-policy/src/admit/gate.rs
@@ -12,7 +12,6 @@
 use crate::admit::request::{
     Admission, GateRequest, QueueDecision, Refusal, RequestKind, SlotOutcome, Ticket,
 };
-use crate::admit::shed_limit::ShedLimit;
 use crate::pick::ReportedLoad;
 
 /// `STOP_RESERVE` is how many times its usual duration a request may take at a stopping node. What
@@ -39,7 +38,6 @@
     open_connections: u32,
     served_since_start: u32,
     latencies: LatencyEstimates,
-    shed_limit: ShedLimit,
     /// When the node of the gate stops, if it is stopping.
     stops_at: Option<Millis>,
 }
@@ -61,7 +59,6 @@
             last_ticket: 0,
             open_connections: 0,
             served_since_start: 0,
-            shed_limit: ShedLimit::default(),
             stops_at: None,
         }
     }
@@ -117,10 +114,6 @@
         let Some(i) = self.running.iter().position(|(t, _)| *t == ticket) else {
             return;
         };
-        if end == SlotOutcome::Shed {
-            let running = self.running.len();
-            self.shed_limit.record_shed(running, self.options.slots);
-        }
         let (_, kind) = self.running.swap_remove(i);
         self.running_trials.retain(|t| *t != ticket);
         if let SlotOutcome::Abandoned(age) = end {
@@ -128,7 +121,6 @@
         }
         if let SlotOutcome::Served(latency) = end {
             self.latencies.record_served(now, kind, latency);
-            self.shed_limit.record_served(self.options.slots);
             self.served_since_start = self.served_since_start.saturating_add(1);
             if self.served_since_start >= self.options.cold_start_requests {
                 self.cold = false;
@@ -284,15 +276,16 @@
     }
 
     /// `slots` returns the current concurrency limit; during a cold start it grows from 1 with the
-    /// number of served requests, and it is lower after the backend server has shed load.
+    /// number of served requests.
     pub fn slots(&self) -> u16 {
-        let limit = self.shed_limit.current(self.options.slots);
         let ramp_requests = self.options.cold_start_requests;
         if !self.cold || ramp_requests == 0 {
-            return limit;
+            return self.options.slots;
         }
         let grown = u32::from(self.options.slots) * self.served_since_start / ramp_requests;
-        u16::try_from(grown).unwrap_or(u16::MAX).clamp(1, limit)
+        u16::try_from(grown)
+            .unwrap_or(u16::MAX)
+            .clamp(1, self.options.slots)
     }
 
     fn has_free_slot(&self) -> bool {
--- a/crates/shallothill-policy/src/admit/mod.rs
+++ b/crates/shallothill-policy/src/admit/mod.rs
@@ -5,7 +5,6 @@
 mod options;
 mod queue;
 mod request;
-mod shed_limit;
 
 pub use gate::{Gate, STOP_RESERVE};
 pub use options::GateOptions;
--- a/crates/shallothill-policy/src/admit/request.rs
+++ b/crates/shallothill-policy/src/admit/request.rs
@@ -20,8 +20,6 @@
     Served(Duration),
     /// The caller stopped waiting after this time, while the backend server was still working.
     Abandoned(Duration),
-    /// The backend server refused to run the request, because it was at its limit.
-    Shed,
     /// The request failed or was never sent.
     Failed,
 }
