policy: buckets gain a part of the tolerated excess

The bound of a window allows 15.6 a second beyond tolerance, as the burst counts in each window; a bucket that gains the rate alone admits 13. Change: of the 60% of the tolerated excess that buckets may use, 35 go to what they gain in a window and 25 to what they save up. The bound of a window stays the same.

--- a/crates/shallothill-policy/src/quota/issuer.rs
+++ b/crates/shallothill-policy/src/quota/issuer.rs
@@ -1,12 +1,12 @@
 //! Grants tokens from the bucket of each caller.
 
 use std::collections::HashMap;
+use std::time::Duration;
 
 use shallothill_core::config::Quota;
 use shallothill_core::time::Millis;
 
 use super::messages::{CreditAsk, CreditGrant, CreditReply, CreditRequest};
-use super::options;
 use super::options::{CreditOptions, MICROS, TIME_TO_LIVE};
 use super::receivers::Receivers;
 use super::senders::Senders;
@@ -135,7 +135,7 @@
         }
         CreditGrant {
             denied_ms: match for_need < ask.needed {
-                true => bucket.ms_until_token(),
+                true => bucket.ms_until_token(options),
                 false => 0,
             },
             ..granted(ask, for_need, in_advance)
@@ -168,13 +168,13 @@
         let capacity = options.capacity(&self.quota);
         if self.updated < expired {
             let until = now.min(expired);
-            let gained = options::refill(&self.quota, until.saturating_since(self.updated));
+            let gained = options.gain(&self.quota, until.saturating_since(self.updated));
             let outstanding = u64::from(self.receivers.outstanding()) * MICROS;
             let limit = outstanding + options.takeover(&self.quota).max(MICROS);
             self.level = (self.level + gained).min(limit.max(self.level));
             self.updated = until;
         }
-        let gained = options::refill(&self.quota, now.saturating_since(self.updated));
+        let gained = options.gain(&self.quota, now.saturating_since(self.updated));
         self.level = match self.updated < full_at && now >= full_at {
             true => capacity,
             false => (self.level + gained).min(capacity),
@@ -203,11 +203,11 @@
         self.free().saturating_sub(kept).div_ceil(2)
     }
 
-    fn ms_until_token(&self) -> u32 {
+    fn ms_until_token(&self, options: &CreditOptions) -> u32 {
         let next = (u64::from(self.receivers.outstanding()) + 1) * MICROS;
         let missing = next.saturating_sub(self.level);
-        let rate = u64::from(self.quota.limited_rate().unwrap_or_default().thousandths());
-        let ms = missing.div_ceil(rate.max(1));
+        let gain_per_ms = options.gain(&self.quota, Duration::from_millis(1));
+        let ms = missing.div_ceil(gain_per_ms.max(1));
         ms.clamp(1, DENIED_MAX_MS) as u32
     }
 }
--- a/crates/shallothill-policy/src/quota/options.rs
+++ b/crates/shallothill-policy/src/quota/options.rs
@@ -16,7 +16,12 @@
 pub(super) const MICROS: u64 = 1_000_000;
 
 /// `CAPACITY_PERCENT` is the part of the tolerated excess that buckets save up.
-const CAPACITY_PERCENT: u64 = 60;
+const CAPACITY_PERCENT: u64 = 25;
+
+/// `GAIN_PERCENT` is the part of the tolerated excess that buckets gain in a window beyond the rate. A
+/// caller that sends its rate and a burst in each window is served then, which the rate alone does not
+/// allow.
+const GAIN_PERCENT: u64 = 35;
 
 /// `TAKEOVER_PERCENT` is the part of the tolerated excess that a new issuer grants while tokens of
 /// the former one may be in use. The rest covers requests that arrive at backend servers in another
@@ -53,6 +58,14 @@
         (burst(quota) + part).max(MICROS)
     }
 
+    /// `gain` returns the micro-tokens that a bucket gains in `time`.
+    pub(super) fn gain(&self, quota: &Quota, time: Duration) -> u64 {
+        let window_ms = u64::try_from(self.window.as_millis()).unwrap_or(u64::MAX);
+        let ms = u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
+        let extra_per_ms = self.excess(quota) / 100 * GAIN_PERCENT / window_ms.max(1);
+        refill(quota, time).saturating_add(extra_per_ms.saturating_mul(ms))
+    }
+
     /// `takeover` returns the micro-tokens that a new issuer grants and saves up at first.
     pub(super) fn takeover(&self, quota: &Quota) -> u64 {
         self.excess(quota) / 100 * TAKEOVER_PERCENT
@@ -64,8 +77,8 @@
     }
 }
 
-/// `refill` returns the micro-tokens that a bucket gains in `time`.
-pub(super) fn refill(quota: &Quota, time: Duration) -> u64 {
+// Returns the micro-tokens that the rate of a quota allows in `time`.
+fn refill(quota: &Quota, time: Duration) -> u64 {
     let rate = quota.limited_rate().unwrap_or_default();
     let ms = u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
     u64::from(rate.thousandths()).saturating_mul(ms)
