policy, node, platform: calls of running requests wait for capacity

Cause: a call that a backend server makes while it runs a request was refused like a new request after at most seven gates. The running request then failed with a 500 although its work was done and its deadline seconds away.

Change: where the interface says that calls share the deadline (`HttpInterface::calls_share_deadline`, set on the platform), the gate records the deadlines that it tells its servers, and the entry of the node recognises a call by the instant at which it ends. The call has the class, the rank and the spent work of the running request. Gates queue it before new requests of its rank and displace a less urgent request for it; its entry sends it again after jittered pauses while a run still fits before its deadline. Calls of a repeated attempt are marked as repeated.

--- a/crates/shallothill-bench/src/scenarios/cost.rs
+++ b/crates/shallothill-bench/src/scenarios/cost.rs
@@ -117,6 +117,7 @@
             reply_by: None,
             objective: None,
             rank: 0,
+            spent: None,
             trial: false,
         };
         if let Admission::Run(ticket) = black_box(gate.admit(now, req)) {
--- a/crates/shallothill-bench/src/sim/fleet_request.rs
+++ b/crates/shallothill-bench/src/sim/fleet_request.rs
@@ -112,6 +112,7 @@
             reply_by: None,
             objective: None,
             rank: 0,
+            spent: None,
             trial: trial && request.call.idempotent,
         };
         let host = &mut self.hosts[server];
@@ -282,7 +283,7 @@
             .attempts
             .on_attempt_end(now, outcome, &self.retry, budget)
         {
-            NextStep::Retry => self.attempt(req),
+            NextStep::Retry | NextStep::RetryAfter(_) => self.attempt(req),
             NextStep::Wait => {}
             NextStep::Return(outcome) => self.conclude(req, outcome),
         }
--- a/crates/shallothill-core/src/headers.rs
+++ b/crates/shallothill-core/src/headers.rs
@@ -45,6 +45,9 @@
 /// `OBJECTIVE_MS` carries the time left until the request exceeds its target latency, in
 /// milliseconds, on hops between nodes.
 pub const OBJECTIVE_MS: &str = "x-shallothill-objective-ms";
+/// `SPENT_MS` marks a call that a backend server makes while it runs a request, on hops between
+/// nodes. It carries the time that backend servers have worked for that request, in milliseconds.
+pub const SPENT_MS: &str = "x-shallothill-spent-ms";
 /// `REPLY_BY_MS` carries the time left until the entry node of an attempt stops, in milliseconds, on
 /// hops between nodes.
 pub const REPLY_BY_MS: &str = "x-shallothill-reply-by-ms";
--- a/crates/shallothill-node/src/attempt.rs
+++ b/crates/shallothill-node/src/attempt.rs
@@ -1,6 +1,7 @@
 //! Attempts and their replies, as entry nodes and gates exchange them.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use hyper::header::{HeaderMap, HeaderValue};
 use hyper::http::uri::PathAndQuery;
@@ -57,12 +58,23 @@
     pub objective: Option<Instant>,
     /// Identifies the request across resends, for the quarantine.
     pub fingerprint: Fingerprint,
+    /// Set if a backend server makes the request while it runs another one.
+    pub call: Option<Call>,
     /// The limit of the request body, in bytes.
     pub max_body_bytes: u64,
     /// Whether the request body may be passed on as it arrives.
     pub body_mode: BodyMode,
 }
 
+/// `Call` describes the running request for which a backend server makes a call.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Call {
+    /// The time that backend servers have worked for it.
+    pub spent: Duration,
+    /// Whether it may have run before, so that the call may have been made before.
+    pub repeated: bool,
+}
+
 /// `Attempt` is one try to run a request at one backend server.
 #[derive(Debug)]
 pub struct Attempt {
--- a/crates/shallothill-node/src/counters.rs
+++ b/crates/shallothill-node/src/counters.rs
@@ -5,12 +5,17 @@
 use cadence::{Counted, Gauged, StatsdClient};
 use serde_json::{Value, json};
 
+/// `TOTALS` is the number of totals that are sent as metrics.
+pub(crate) const TOTALS: usize = 10;
+
 /// `Counters` holds totals since the start of the process.
 #[derive(Debug, Default)]
 pub struct Counters {
     responses: [AtomicU64; 6],
     peer_attempts: AtomicU64,
     malformed: AtomicU64,
+    calls: AtomicU64,
+    call_pauses: AtomicU64,
 }
 
 /// `Gauges` contains current values that are sent with the counters.
@@ -43,6 +48,16 @@
         self.malformed.fetch_add(1, Ordering::Relaxed);
     }
 
+    /// `count_call` counts a recognised call of a request that runs on this host.
+    pub fn count_call(&self) {
+        self.calls.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// `count_call_pause` counts a pause of a call that found no capacity.
+    pub fn count_call_pause(&self) {
+        self.call_pauses.fetch_add(1, Ordering::Relaxed);
+    }
+
     /// `dump` returns the totals for the state dump.
     pub fn dump(&self) -> Value {
         let n = |i: usize| self.responses[i].load(Ordering::Relaxed);
@@ -50,12 +65,14 @@
             "responses": {"2xx": n(2), "3xx": n(3), "4xx": n(4), "5xx": n(5)},
             "attempts_of_peers": self.peer_attempts.load(Ordering::Relaxed),
             "malformed": self.malformed.load(Ordering::Relaxed),
+            "calls": self.calls.load(Ordering::Relaxed),
+            "call_pauses": self.call_pauses.load(Ordering::Relaxed),
         })
     }
 
     /// `send` sends the increase of each total since `last_sent`, which it updates, and the gauges.
-    pub fn send(&self, client: &StatsdClient, last_sent: &mut [u64; 8], gauges: Gauges) {
-        const NAMES: [&str; 8] = [
+    pub fn send(&self, client: &StatsdClient, last_sent: &mut [u64; TOTALS], gauges: Gauges) {
+        const NAMES: [&str; TOTALS] = [
             "responses.other",
             "responses.1xx",
             "responses.2xx",
@@ -64,11 +81,14 @@
             "responses.5xx",
             "attempts_of_peers",
             "malformed",
+            "calls",
+            "call_pauses",
         ];
         let totals = self
             .responses
             .iter()
-            .chain([&self.peer_attempts, &self.malformed]);
+            .chain([&self.peer_attempts, &self.malformed])
+            .chain([&self.calls, &self.call_pauses]);
         for ((name, total), last_total) in NAMES.iter().zip(totals).zip(last_sent) {
             let total = total.load(Ordering::Relaxed);
             // Metrics are best effort; a failed send is not repeated.
--- a/crates/shallothill-node/src/entry/attempts.rs
+++ b/crates/shallothill-node/src/entry/attempts.rs
@@ -1,6 +1,5 @@
 //! Picks endpoints for a request and runs its attempts, retries and hedges.
 
-use std::future::Future;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -18,7 +17,7 @@
 
 use crate::attempt::AttemptReply;
 use crate::entry::ended_attempt;
-use crate::entry::ended_attempt::EndedAttempt;
+use crate::entry::ended_attempt::{EndedAttempt, StartedAttempt};
 use crate::entry::prepare::Prepared;
 use crate::entry::run_state::{NO_BACKEND, RunState};
 use crate::entry::stop;
@@ -43,8 +42,14 @@
             .saturating_duration_since(time::Instant::now());
         let mut options = RetryOptions::from_service(&service);
         options.max_attempts = head.max_attempts.unwrap_or(options.max_attempts);
+        let attempts = if head.call.is_some() {
+            options.usual_latency = self.usual_latency(&head.route);
+            retry::Attempts::for_call(head.idempotent, now + left)
+        } else {
+            retry::Attempts::new(head.idempotent, now + left)
+        };
         let r = RunState {
-            attempts: retry::Attempts::new(head.idempotent, now + left),
+            attempts,
             budget: self.retry_budget(&head.service),
             head,
             payload: Some(payload),
@@ -61,8 +66,8 @@
     async fn run_all(&self, mut r: RunState, permit: Option<Permit>) -> (AttemptReply, InFlight) {
         let mut running = FuturesUnordered::new();
         let mut worst: Option<EndedAttempt> = None;
-        match self.start_attempt(&mut r) {
-            Ok(attempt) => running.push(attempt),
+        match self.start_next(&mut r, NextStep::Retry).await {
+            Ok(attempt) => running.push(self.finish_attempt(attempt)),
             Err(refusal) => {
                 self.delay_failure(&r).await;
                 return (refusal.reply_without_gate(), InFlight::new(permit, None));
@@ -82,7 +87,7 @@
                     if r.can_resend() && r.attempts.try_hedge(now, r.sent_at, &r.options, &r.budget)
                         && let Ok(attempt) = self.start_attempt(&mut r)
                     {
-                        running.push(attempt);
+                        running.push(self.finish_attempt(attempt));
                     }
                     continue;
                 }
@@ -95,36 +100,74 @@
             let now = self.deps.timer.now();
             let outcome = ended.reply.outcome;
             r.log_attempt(now, &self.deps.interface, &ended.reply);
+            if r.head.call.is_some() && outcome == Outcome::Answered {
+                self.record_latency(&r.head.route, now.saturating_since(r.sent_at));
+            }
             if outcome == Outcome::Answered || !ended.reply.allows_retry(r.head.idempotent) {
                 worst = Some(ended);
                 break;
             }
             let next = r.next_step(now, &ended.reply);
             worst = Some(ended_attempt::more_severe(worst, ended));
-            match next {
-                NextStep::Wait => {}
-                NextStep::Return(_) => break,
-                NextStep::Retry => match self.start_attempt(&mut r) {
-                    Ok(attempt) => running.push(attempt),
+            if next != NextStep::Wait {
+                match self.start_next(&mut r, next).await {
+                    Ok(attempt) => running.push(self.finish_attempt(attempt)),
                     Err(_) => break,
-                },
+                }
             }
             hedge.set(hedge_timer(r.hedge_delay()));
             hedged = false;
         }
         // Dropping the remaining attempts cancels them at their gates.
         drop(running);
+        self.conclude(&r, worst, permit).await
+    }
+
+    async fn conclude(
+        &self,
+        r: &RunState,
+        worst: Option<EndedAttempt>,
+        permit: Option<Permit>,
+    ) -> (AttemptReply, InFlight) {
         let Some(ended) = worst else {
             return (NO_BACKEND.reply_without_gate(), InFlight::new(permit, None));
         };
         if ended.reply.outcome != Outcome::Answered {
-            self.delay_failure(&r).await;
+            self.delay_failure(r).await;
         }
         let guard = InFlight::new(permit, Some(ended.in_flight));
         let guard = guard.with_answer(ended.quarantine_permit, &self.deps.timer);
         (ended.reply, guard)
     }
 
+    // Starts the attempt that follows `next`, for a call after a pause. Fails if none follows, and
+    // when the node is about to end.
+    async fn start_next(
+        &self,
+        r: &mut RunState,
+        mut next: NextStep,
+    ) -> Result<StartedAttempt, Refusal> {
+        loop {
+            let retried = tokio::select! {
+                biased;
+                retried = self.wait_to_retry(r, next) => retried,
+                () = self.final_answer_due() => false,
+            };
+            if !retried {
+                return Err(self.check_time_left().err().unwrap_or(NO_BACKEND));
+            }
+            match self.start_attempt(r) {
+                Ok(attempt) => return Ok(attempt),
+                Err(refusal) => {
+                    next = self.after_failed_pick(r, &refusal);
+                    if matches!(next, NextStep::Return(_)) {
+                        return Err(refusal);
+                    }
+                }
+            }
+        }
+    }
+
     // Delays a failed reply until other nodes have received the crash notice, so that the caller
     // cannot resend the request to them before that.
     async fn delay_failure(&self, r: &RunState) {
@@ -154,12 +197,9 @@
         }
     }
 
-    // Picks an endpoint and returns the attempt as a future. Fails when no endpoint can be picked
-    // or the quarantine refuses the request.
-    fn start_attempt<'a>(
-        &'a self,
-        r: &mut RunState,
-    ) -> Result<impl Future<Output = EndedAttempt> + Send + use<'a>, Refusal> {
+    // Picks an endpoint and builds the attempt. Fails when no endpoint can be picked or the quarantine
+    // refuses the request.
+    fn start_attempt(&self, r: &mut RunState) -> Result<StartedAttempt, Refusal> {
         self.check_time_left()?;
         let now = self.deps.timer.now();
         let quarantine_permit = self
@@ -181,29 +221,35 @@
             let limit = r.service.cross_region_bytes_per_s;
             table.cross_region_bytes().charge(now, bytes, limit);
         }
-        let attempt = r.new_attempt(now, &picked, table, &self.reply_by)?;
-        let id = endpoint.info.id.clone();
-        let stats = Arc::clone(&endpoint.stats);
-        let path = Arc::clone(&endpoint.path);
-        let address = endpoint.info.peer_address;
-        let in_flight = stats.start_request();
-        let fingerprint = r.head.fingerprint;
-        Ok(async move {
-            let reply = self.send(attempt, address, path).await;
-            let now = self.deps.timer.now();
-            if let Some(load) = reply.load {
-                stats.record_load(now, load);
-            }
-            self.record_crash(now, &reply, fingerprint, id);
-            // Any other outcome releases the quarantine permit at once, for the next attempt.
-            let quarantine_permit = reply.clears_crashes().then_some(quarantine_permit);
-            EndedAttempt {
-                reply,
-                in_flight,
-                quarantine_permit,
-            }
+        Ok(StartedAttempt {
+            attempt: r.new_attempt(now, &picked, table, &self.reply_by)?,
+            address: endpoint.info.peer_address,
+            path: Arc::clone(&endpoint.path),
+            stats: Arc::clone(&endpoint.stats),
+            in_flight: endpoint.stats.start_request(),
+            quarantine_permit,
         })
     }
+
+    // Sends an attempt and waits for its end.
+    async fn finish_attempt(&self, started: StartedAttempt) -> EndedAttempt {
+        let fingerprint = started.attempt.head.fingerprint;
+        let id = started.attempt.endpoint.clone();
+        let sent = self.send(started.attempt, started.address, started.path);
+        let reply = sent.await;
+        let now = self.deps.timer.now();
+        if let Some(load) = reply.load {
+            started.stats.record_load(now, load);
+        }
+        self.record_crash(now, &reply, fingerprint, id);
+        // Any other outcome releases the quarantine permit at once, for the next attempt.
+        let quarantine_permit = reply.clears_crashes().then_some(started.quarantine_permit);
+        EndedAttempt {
+            reply,
+            in_flight: started.in_flight,
+            quarantine_permit,
+        }
+    }
 }
 
 async fn hedge_timer(after: Option<Duration>) {
--- a/crates/shallothill-node/src/entry/ended_attempt.rs
+++ b/crates/shallothill-node/src/entry/ended_attempt.rs
@@ -1,11 +1,25 @@
-//! Attempts that have ended.
+//! Attempts that were started or have ended.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
 
 use shallothill_core::outcome::Outcome;
 use shallothill_policy::pick;
+use shallothill_policy::pick::{EndpointStats, PathStats};
 
-use crate::attempt::AttemptReply;
+use crate::attempt::{Attempt, AttemptReply};
 use crate::crashes::QuarantinePermit;
 
+/// `StartedAttempt` is an attempt that is about to be sent, with the state of its endpoint.
+pub(super) struct StartedAttempt {
+    pub(super) attempt: Attempt,
+    pub(super) address: SocketAddr,
+    pub(super) path: Arc<PathStats>,
+    pub(super) stats: Arc<EndpointStats>,
+    pub(super) in_flight: pick::InFlight,
+    pub(super) quarantine_permit: QuarantinePermit,
+}
+
 /// `EndedAttempt` is the reply of an attempt with the guards that outlive it.
 pub(super) struct EndedAttempt {
     pub(super) reply: AttemptReply,
--- a/crates/shallothill-node/src/entry/mod.rs
+++ b/crates/shallothill-node/src/entry/mod.rs
@@ -2,6 +2,7 @@
 
 mod attempts;
 mod caller;
+mod calls;
 mod ended_attempt;
 mod fingerprint;
 mod handler;
@@ -14,13 +15,13 @@
 
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, PoisonError, RwLock};
+use std::sync::{Arc, Mutex, PoisonError, RwLock};
 
 use hyper::header::HeaderValue;
-use shallothill_core::ids::ServiceName;
+use shallothill_core::ids::{RouteName, ServiceName};
 use shallothill_core::version::ConfigVersion;
 use shallothill_policy::limits::CallerLimits;
-use shallothill_policy::retry::RetryBudget;
+use shallothill_policy::retry::{RetryBudget, UsualLatency};
 use shallothill_runtime::timer::Timer;
 
 use crate::buffers::BufferBudget;
@@ -78,6 +79,8 @@
     open: OpenRequests,
     /// Set when the node begins to stop.
     reply_by: ReplyBy,
+    /// The usual latency of the routes that serve calls.
+    latencies: Mutex<HashMap<RouteName, UsualLatency>>,
 }
 
 impl Entry {
@@ -89,6 +92,7 @@
             serving: AtomicBool::new(false),
             open: OpenRequests::default(),
             reply_by: ReplyBy::default(),
+            latencies: Mutex::default(),
         }
     }
 
--- a/crates/shallothill-node/src/entry/prepare.rs
+++ b/crates/shallothill-node/src/entry/prepare.rs
@@ -23,12 +23,13 @@
 use tokio::time;
 use tokio::time::Instant;
 
-use crate::attempt::RequestHead;
+use crate::attempt::{Call, RequestHead};
 use crate::body::Body;
 use crate::buffers::BufferReservation;
 use crate::config::{NamedRoute, RouteLookup};
+use crate::entry::caller::IdentifiedCaller;
 use crate::entry::{Entry, fingerprint};
-use crate::gate::{BODY_INCOMPLETE, BODY_TOO_LARGE, BODY_TOO_SLOW};
+use crate::gate::{BODY_INCOMPLETE, BODY_TOO_LARGE, BODY_TOO_SLOW, ParentRequest};
 use crate::header_filter;
 use crate::refusal::Refusal;
 use crate::unread_body::UnreadBody;
@@ -95,8 +96,7 @@
         let key = read_key(&parts.headers, route)?;
         let caller = self.identify_caller(&parts.headers, &cfg, route)?;
         self.strip_caller_headers(&mut parts.headers, &cfg);
-        let class = request_class(&parts.headers, route, caller.settings);
-        let rank = caller.settings.and_then(|c| c.rank).unwrap_or(route.rank);
+        let priority = self.priority(&parts.headers, route, &caller);
         let service = choose_service(&route.target).ok_or(UNKNOWN_ROUTE)?;
         if incoming.size_hint().lower() > route.max_body_bytes {
             return Err(BODY_TOO_LARGE.into());
@@ -110,12 +110,13 @@
             host,
             service,
             caller: caller.keyed_name(),
-            class,
-            rank,
+            class: priority.class,
+            rank: priority.rank,
             key,
             deadline,
             objective,
             fingerprint,
+            call: priority.parent.as_ref().map(|p| self.call_details(p)),
         };
         let head = build_head(parts, &named, fields);
         Ok(Prepared {
@@ -125,6 +126,30 @@
         })
     }
 
+    // Returns the priority of a request: that of the running request that it is a call of, else that
+    // of its caller, else that of its route.
+    fn priority(
+        &self,
+        map: &HeaderMap,
+        route: &Route,
+        caller: &IdentifiedCaller<'_>,
+    ) -> RequestPriority {
+        // Calls between services carry no key.
+        let parent = match caller.keyed_name() {
+            Some(_) => None,
+            None => self.parent_of(map),
+        };
+        let own_rank = caller.settings.and_then(|c| c.rank).unwrap_or(route.rank);
+        RequestPriority {
+            class: match &parent {
+                Some(parent) => parent.class,
+                None => request_class(map, route, caller.settings),
+            },
+            rank: parent.as_ref().map_or(own_rank, |p| p.rank),
+            parent,
+        }
+    }
+
     fn check_parts(&self, parts: &request::Parts) -> Result<(), Refusal> {
         let path_bytes = parts.uri.path_and_query().map_or(0, |p| p.as_str().len());
         if header_filter::encoded_size(&parts.headers) + path_bytes > self.deps.bounds.header_bytes
@@ -243,6 +268,13 @@
     target.choose(point).cloned()
 }
 
+/// `RequestPriority` is the priority of a request, and the running request that it is a call of.
+struct RequestPriority {
+    class: Class,
+    rank: u8,
+    parent: Option<Arc<ParentRequest>>,
+}
+
 /// `HeadFields` contains the values that `prepare` determines for a request head.
 struct HeadFields {
     host: Option<HeaderValue>,
@@ -254,6 +286,7 @@
     deadline: Instant,
     objective: Option<Instant>,
     fingerprint: Fingerprint,
+    call: Option<Call>,
 }
 
 fn build_head(parts: request::Parts, named: &NamedRoute, fields: HeadFields) -> RequestHead {
@@ -283,6 +316,7 @@
         deadline: fields.deadline,
         objective: fields.objective,
         fingerprint: fields.fingerprint,
+        call: fields.call,
         max_body_bytes: named.route.max_body_bytes,
         body_mode: named.route.body,
     }
--- a/crates/shallothill-node/src/entry/run_state.rs
+++ b/crates/shallothill-node/src/entry/run_state.rs
@@ -96,7 +96,9 @@
             // A refusal would be final, so only a suspected backend server may refuse.
             Caution::Settle
         };
-        let repeated = self.attempts.reached_count() > 0;
+        // The calls of a repeated request may have been made before as well.
+        let made_again = self.head.call.is_some_and(|c| c.repeated);
+        let repeated = made_again || self.attempts.reached_count() > 0;
         self.attempts
             .record_start(endpoint.key, &self.options, &self.budget);
         self.sent_at = now;
--- a/crates/shallothill-node/src/gate/attempt_log.rs
+++ b/crates/shallothill-node/src/gate/attempt_log.rs
@@ -61,6 +61,7 @@
             repeated = self.repeated,
             route = self.head.route.as_str(),
             rank = self.head.rank,
+            spent_ms = self.head.call.map(|c| c.spent.as_millis() as u64),
             left_ms = self.remaining.as_millis() as u64,
             server = %endpoint.id,
             caution = self.caution.as_str(),
--- a/crates/shallothill-node/src/gate/endpoint.rs
+++ b/crates/shallothill-node/src/gate/endpoint.rs
@@ -207,6 +207,7 @@
             reply_by: reply_by.get().map(to_millis),
             objective: head.objective.map(to_millis),
             rank: head.rank,
+            spent: head.call.map(|c| c.spent),
             trial,
         };
         let (ticket, rx) = {
--- a/crates/shallothill-node/src/gate/exchange.rs
+++ b/crates/shallothill-node/src/gate/exchange.rs
@@ -19,7 +19,7 @@
 use crate::body::{Body, BodyError};
 use crate::crashes::QuarantinePermit;
 use crate::gate::slot::{RunningRequest, Slot};
-use crate::gate::{Connection, Endpoint, Gate, SendError};
+use crate::gate::{Connection, Endpoint, Gate, ParentRequest, SendError};
 use crate::gate::{head_limit, response_check};
 use crate::header_filter;
 use crate::interface::HttpInterface;
@@ -63,7 +63,15 @@
     ) -> Result<(Response<Incoming>, Connection), Refusal> {
         let endpoint = Arc::clone(slot.endpoint());
         let objective = self.route_objective(head);
-        let mut req = build_request(&self.deps.interface, head, &endpoint, body);
+        let left = head.deadline.saturating_duration_since(Instant::now());
+        let left_ms = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
+        let mut req = build_request(&self.deps.interface, head, &endpoint, body, left_ms);
+        if self.deps.interface.calls_share_deadline {
+            let now = self.deps.timer.now();
+            let parent = ParentRequest::new(head, slot.is_repeated(), now);
+            let told = now + Duration::from_millis(left_ms);
+            slot.track_calls(self.parent_requests.track(told, parent));
+        }
         let mut idle = endpoint.pool.take_idle(!head.idempotent);
         loop {
             let reused = idle.is_some();
@@ -216,6 +224,7 @@
     head: &RequestHead,
     endpoint: &Endpoint,
     body: Body,
+    left_ms: u64,
 ) -> Request<Body> {
     let mut req = Request::new(body);
     *req.method_mut() = head.method.clone();
@@ -227,9 +236,7 @@
     if let Some(host) = head.host.clone().or_else(address) {
         map.insert(header::HOST, host);
     }
-    let left = head.deadline.saturating_duration_since(Instant::now());
-    let left = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
-    map.insert(interface.deadline_ms.clone(), HeaderValue::from(left));
+    map.insert(interface.deadline_ms.clone(), HeaderValue::from(left_ms));
     if interface.send_shallothill_headers {
         map.insert(
             HeaderName::from_static(headers::CLASS),
--- a/crates/shallothill-node/src/gate/mod.rs
+++ b/crates/shallothill-node/src/gate/mod.rs
@@ -12,6 +12,7 @@
 mod head_limit;
 mod ledger_client;
 mod lifecycle;
+mod parent_requests;
 mod queued_request;
 mod registration;
 mod response_check;
@@ -51,6 +52,8 @@
 pub use endpoint::Endpoint;
 pub(crate) use exchange::{BODY_INCOMPLETE, BODY_TOO_LARGE, BODY_TOO_SLOW};
 pub use ledger_client::LedgerClient;
+pub use parent_requests::ParentRequest;
+pub(crate) use parent_requests::ParentRequests;
 pub use slot::RunningRequest;
 
 /// `Endpoints` maps service and name of each registered backend server to its endpoint.
@@ -100,6 +103,8 @@
     /// Whether the gate takes no more attempts and announcements.
     closed: AtomicBool,
     next_incarnation: std::sync::atomic::AtomicU64,
+    /// The requests that run here, if their calls can be recognised.
+    parent_requests: ParentRequests,
 }
 
 impl Gate {
@@ -113,6 +118,7 @@
             stops_at: OnceLock::new(),
             closed: AtomicBool::new(false),
             next_incarnation: std::sync::atomic::AtomicU64::new(0),
+            parent_requests: ParentRequests::default(),
         }
     }
 
@@ -131,6 +137,11 @@
         &self.deps.ledger
     }
 
+    /// `parent_requests` returns the requests that run here and whose calls can be recognised.
+    pub(crate) fn parent_requests(&self) -> &ParentRequests {
+        &self.parent_requests
+    }
+
     /// `reported_loads` returns the load of each backend server as it is reported to entry nodes.
     pub fn reported_loads(&self) -> Vec<(EndpointId, ReportedLoad)> {
         let endpoints = self.endpoints.load();
--- a/crates/shallothill-node/src/gate/slot.rs
+++ b/crates/shallothill-node/src/gate/slot.rs
@@ -9,6 +9,7 @@
 use tokio::time::Instant;
 
 use crate::crashes::QuarantinePermit;
+use crate::gate::parent_requests::TrackedParent;
 use crate::gate::{Connection, Endpoint};
 use crate::refusal::Refusal;
 
@@ -22,6 +23,8 @@
     started: Option<Instant>,
     evidence_recorded: bool,
     served_latency: Option<Duration>,
+    /// Set while calls of the request can be recognised.
+    parent: Option<TrackedParent>,
 }
 
 impl Slot {
@@ -33,6 +36,7 @@
             started: None,
             evidence_recorded: false,
             served_latency: None,
+            parent: None,
         }
     }
 
@@ -48,6 +52,16 @@
         Ok(self)
     }
 
+    /// `is_repeated` tells whether the request may have reached a backend server before.
+    pub(crate) fn is_repeated(&self) -> bool {
+        self.repeated
+    }
+
+    /// `track_calls` recognises the calls of the request until the slot is freed.
+    pub(crate) fn track_calls(&mut self, parent: TrackedParent) {
+        self.parent = Some(parent);
+    }
+
     /// `endpoint` returns the endpoint that the slot belongs to.
     pub(crate) fn endpoint(&self) -> &Arc<Endpoint> {
         &self.endpoint
--- a/crates/shallothill-node/src/interface.rs
+++ b/crates/shallothill-node/src/interface.rs
@@ -39,6 +39,10 @@
     /// Whether an idempotent request is retried at another backend server after a response with
     /// status 500 to 599.
     pub retry_server_errors: bool,
+    /// Whether a backend server sends the time left for the request that it runs with the calls that
+    /// it makes for it, through the node of its host. The calls are recognised by that time, as they
+    /// carry nothing else of the request.
+    pub calls_share_deadline: bool,
 }
 
 impl HttpInterface {
@@ -65,6 +69,7 @@
             fractional_retry_after: false,
             max_buffered_response_bytes: None,
             retry_server_errors: false,
+            calls_share_deadline: false,
         }
     }
 }
--- a/crates/shallothill-node/src/node/mod.rs
+++ b/crates/shallothill-node/src/node/mod.rs
@@ -26,7 +26,7 @@
     ConfigFetcher, Discovery, KeeperFailover, KeeperSwitch, Keepers, Reporter, VersionProbe,
     Watcher, confirmed_version, highest_reported_version, recent_departures,
 };
-use crate::counters::{Counters, Gauges};
+use crate::counters::{Counters, Gauges, TOTALS};
 use crate::crashes::CrashTracker;
 use crate::entry::Entry;
 use crate::errors;
@@ -257,7 +257,7 @@
         let mut refresh = self.timer.every(REFRESH_PERIOD);
         let mut close_idle = self.timer.every(IDLE_LINK_PERIOD);
         let mut metrics_due = self.timer.every(self.settings.process.metrics_period());
-        let mut totals_sent = [0; 8];
+        let mut totals_sent = [0; TOTALS];
         loop {
             tokio::select! {
                 () = self.end_tasks.cancelled() => return,
--- a/crates/shallothill-node/src/peer/codec.rs
+++ b/crates/shallothill-node/src/peer/codec.rs
@@ -22,7 +22,7 @@
 use tokio::time::Instant;
 
 use crate::attempt;
-use crate::attempt::{Attempt, AttemptReply, RequestHead};
+use crate::attempt::{Attempt, AttemptReply, Call, RequestHead};
 use crate::body::Body;
 use crate::header_filter;
 use crate::peer::{AttemptId, question};
@@ -99,6 +99,9 @@
     if head.rank > 0 {
         set_header(map, headers::RANK, &head.rank.to_string());
     }
+    if let Some(call) = &head.call {
+        set_header(map, headers::SPENT_MS, &call.spent.as_millis().to_string());
+    }
     if let Some(objective) = head.objective {
         let left = objective.saturating_duration_since(Instant::now());
         set_header(map, headers::OBJECTIVE_MS, &left.as_millis().to_string());
@@ -154,6 +157,10 @@
     let arrived = Instant::now();
     let deadline = arrived + left;
     let objective = number(headers::OBJECTIVE_MS).map(|ms| arrived + Duration::from_millis(ms));
+    let call = number(headers::SPENT_MS).map(|ms| Call {
+        spent: Duration::from_millis(ms),
+        repeated,
+    });
     let head = RequestHead {
         method: parts.method,
         path: parts.uri.path_and_query().cloned().unwrap_or_else(root),
@@ -171,6 +178,7 @@
         deadline,
         objective,
         fingerprint,
+        call,
         max_body_bytes: rules.max_body_bytes,
         body_mode: rules.body_mode,
     };
--- a/crates/shallothill-node/tests/support/cluster.rs
+++ b/crates/shallothill-node/tests/support/cluster.rs
@@ -18,6 +18,7 @@
 };
 use shallothill_core::incarnation::Incarnation;
 use shallothill_directory::{Cursor, Delta, DirectoryChange, Liveness, NodeReport};
+use shallothill_node::interface::HttpInterface;
 use shallothill_node::node::Node;
 use shallothill_node::settings::{Bounds, KeeperAddress, Settings};
 use shallothill_runtime::settings::Common;
@@ -158,6 +159,22 @@
         }
     }
 
+    /// Starts a node whose callers and backend servers speak `interface`.
+    pub async fn start_with_interface(
+        name: &str,
+        keepers: &[KeeperAddress],
+        interface: HttpInterface,
+    ) -> Self {
+        let stop = CancellationToken::new();
+        let settings = settings(name, keepers, Bounds::default());
+        let node = Node::start_with_interface(settings, interface, stop.clone());
+        Self {
+            node: node.await.unwrap(),
+            stop: stop.clone(),
+            _guard: stop.drop_guard(),
+        }
+    }
+
     /// Starts a node that discovers keepers through seeds instead of a fixed list.
     pub async fn start_with_seeds(name: &str, seeds: Vec<SocketAddr>) -> Self {
         let stop = CancellationToken::new();
--- a/crates/shallothill-node/tests/support/mod.rs
+++ b/crates/shallothill-node/tests/support/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod cluster;
 pub mod keepers;
+pub mod nested;
 
 use std::time::Duration;
 
--- a/crates/shallothill-policy/src/admit/gate.rs
+++ b/crates/shallothill-policy/src/admit/gate.rs
@@ -77,6 +77,7 @@
             reply_by: earliest(req.reply_by, self.latest_answer(req.kind)),
             objective: req.objective,
             rank: req.rank,
+            spent: req.spent,
             kind: req.kind,
             expected_duration: self.latencies.expected(req.kind),
         };
--- a/crates/shallothill-policy/src/admit/queue.rs
+++ b/crates/shallothill-policy/src/admit/queue.rs
@@ -15,6 +15,8 @@
     /// When the latency objective ends, if that is before the deadline.
     pub(crate) objective: Option<Millis>,
     pub(crate) rank: u8,
+    /// The work already spent on the request that this one is a call of; `None` for a new request.
+    pub(crate) spent: Option<Duration>,
     pub(crate) kind: RequestKind,
     /// How long the request is expected to run once it has started.
     pub(crate) expected_duration: Duration,
@@ -23,11 +25,14 @@
 /// `Urgency` orders waiting requests: the smallest starts first, the largest is shed first.
 ///
 /// A request that can still meet its objective precedes one that will miss it anyway, since running
-/// the late one first makes both late. Then the rank decides, then the order of arrival.
+/// the late one first makes both late. Then the rank decides. Within a rank, calls of running
+/// requests precede new requests, since a call that is refused wastes the work already spent. Then
+/// the order of arrival decides.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub(crate) struct Urgency {
     late: bool,
     rank: u8,
+    new: bool,
     ticket: Ticket,
 }
 
@@ -45,12 +50,20 @@
         }
     }
 
+    /// Returns whether a backend server makes the request while it runs another one.
+    pub(crate) fn is_call(&self) -> bool {
+        self.spent.is_some()
+    }
+
     pub(crate) fn urgency(&self, now: Millis) -> Urgency {
+        // A late call still completes a request that would fail without it.
+        let late = self
+            .objective
+            .is_some_and(|at| now + self.expected_duration > at);
         Urgency {
-            late: self
-                .objective
-                .is_some_and(|at| now + self.expected_duration > at),
+            late: late && !self.is_call(),
             rank: self.rank,
+            new: !self.is_call(),
             ticket: self.ticket,
         }
     }
@@ -129,12 +142,15 @@
         self.internal.pop().map(|w| w.ticket)
     }
 
-    /// Removes the least urgent of the callers' requests if it is less urgent than `than`.
+    /// Removes the least urgent of the callers' requests if it is less urgent than `than`: a call of
+    /// a running request only if there is no such new request, since a displaced call waits at its
+    /// entry node and is sent again.
     pub(crate) fn shed_caller(&mut self, now: Millis, than: Urgency) -> Option<Ticket> {
         let urgency = |w: &WaitingRequest| w.urgency(now);
         let all = self.callers.iter().enumerate();
-        let (i, last) = all.max_by_key(|(_, w)| urgency(w))?;
-        (urgency(last) > than).then(|| self.callers.remove(i).ticket)
+        let less_urgent = all.filter(|(_, w)| urgency(w) > than);
+        let (i, _) = less_urgent.max_by_key(|(_, w)| (!w.is_call(), urgency(w)))?;
+        Some(self.callers.remove(i).ticket)
     }
 
     /// Removes the next request to start. Callers' requests come first, but while both queues hold
--- a/crates/shallothill-policy/src/admit/request.rs
+++ b/crates/shallothill-policy/src/admit/request.rs
@@ -40,6 +40,9 @@
     pub objective: Option<Millis>,
     /// The priority within the class; 0 is the highest.
     pub rank: u8,
+    /// The time that backend servers have worked for the request that this one is a call of; `None`
+    /// for a new request.
+    pub spent: Option<Duration>,
     /// Whether the request may test an ejected endpoint: its sender marked it as a trial and it is
     /// idempotent.
     pub trial: bool,
--- a/crates/shallothill-policy/src/retry/attempts.rs
+++ b/crates/shallothill-policy/src/retry/attempts.rs
@@ -1,5 +1,7 @@
 //! The attempts of one request.
 
+use std::time::Duration;
+
 use shallothill_core::outcome::Outcome;
 use shallothill_core::time::Millis;
 
@@ -34,11 +36,29 @@
     RetryBudget,
 }
 
+/// `CALL_REFUSALS_AT_ONCE` is the number of gates that a call of a running request asks without a
+/// pause. When these are full, the next gates probably are as well.
+const CALL_REFUSALS_AT_ONCE: u8 = 3;
+
+/// `FIRST_CALL_PAUSE` is the first pause of a call that gates have refused, a tenth of what a call
+/// usually takes. It doubles up to `MAX_CALL_PAUSE`.
+const FIRST_CALL_PAUSE: Duration = Duration::from_millis(15);
+
+/// `MAX_CALL_PAUSE` is the longest pause between two attempts of a call.
+const MAX_CALL_PAUSE: Duration = Duration::from_millis(120);
+
+/// `MAX_CALL_ATTEMPTS` bounds the messages for one call. With the longest pause they last for 4 s,
+/// twice the usual timeout of a call.
+const MAX_CALL_ATTEMPTS: u8 = 40;
+
 /// `NextStep` is what to do after an attempt has ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum NextStep {
     /// Send the request again, avoiding [`Attempts::used_endpoints`].
     Retry,
+    /// Send the request again after about this pause, which the owner spreads by jitter, and after
+    /// [`Attempts::forget_refusals`].
+    RetryAfter(Duration),
     /// Wait for the other attempt that is still running.
     Wait,
     /// Return this outcome to the caller.
@@ -58,6 +78,10 @@
     used: [EndpointKey; MAX_ATTEMPTS],
     outcome: Outcome,
     response_started: bool,
+    /// Whether a backend server makes the request while it runs another one.
+    call: bool,
+    /// Which of the last `MAX_ATTEMPTS` attempts gates refused, one bit for each slot of `used`.
+    refused_slots: u16,
 }
 
 impl Attempts {
@@ -74,6 +98,18 @@
             used: [EndpointKey::default(); MAX_ATTEMPTS],
             outcome: Outcome::RefusedNotRun,
             response_started: false,
+            call: false,
+            refused_slots: 0,
+        }
+    }
+
+    /// `for_call` tracks a request that a backend server makes while it runs another one. The work
+    /// spent on that one is lost if the call is refused. Gates that refuse the call therefore do not
+    /// end it; it is sent again after pauses, as long as it can be answered before `deadline`.
+    pub fn for_call(idempotent: bool, deadline: Millis) -> Self {
+        Self {
+            call: true,
+            ..Self::new(idempotent, deadline)
         }
     }
 
@@ -88,9 +124,9 @@
         if self.sent == 0 {
             budget.deposit(options.budget_percent);
         }
-        if let Some(slot) = self.used.get_mut(usize::from(self.sent)) {
-            *slot = endpoint;
-        }
+        let slot = usize::from(self.sent) % MAX_ATTEMPTS;
+        self.used[slot] = endpoint;
+        self.refused_slots &= !(1 << slot);
         self.sent = self.sent.saturating_add(1);
         self.running += 1;
     }
@@ -138,6 +174,14 @@
         if self.running > 0 {
             return NextStep::Wait;
         }
+        if self.call {
+            self.mark_last_refused();
+            return match self.call_pause(now, options) {
+                Some(Duration::ZERO) => NextStep::Retry,
+                Some(pause) => NextStep::RetryAfter(pause),
+                None => NextStep::Return(self.outcome),
+            };
+        }
         // An attempt that may have run is repeated only if the request is idempotent.
         let allowed = self.outcome.allows_retry(self.idempotent);
         let below_limits = self.refused <= MAX_REFUSALS
@@ -149,6 +193,36 @@
         NextStep::Return(self.outcome)
     }
 
+    /// `call_pause` returns the pause before the next attempt of a call that gates refuse or that
+    /// finds no endpoint. It returns `None` for other requests, and once the call can't be answered
+    /// before its deadline.
+    pub fn call_pause(&self, now: Millis, options: &RetryOptions) -> Option<Duration> {
+        let pause = match self.refused.checked_sub(CALL_REFUSALS_AT_ONCE) {
+            Some(waited) => (FIRST_CALL_PAUSE * (1 << waited.min(8))).min(MAX_CALL_PAUSE),
+            None => Duration::ZERO,
+        };
+        let allowed = self.call
+            && self.outcome.allows_retry(self.idempotent)
+            && now + pause + options.usual_latency < self.deadline;
+        (allowed && self.may_send(now, options)).then_some(pause)
+    }
+
+    /// `forget_refusals` allows the endpoints whose gates refused an attempt to be picked again.
+    pub fn forget_refusals(&mut self) {
+        for (slot, used) in self.used.iter_mut().enumerate() {
+            if self.refused_slots & (1 << slot) != 0 {
+                *used = EndpointKey::default();
+            }
+        }
+        self.refused_slots = 0;
+    }
+
+    fn mark_last_refused(&mut self) {
+        if let Some(last) = self.sent.checked_sub(1) {
+            self.refused_slots |= 1 << (usize::from(last) % MAX_ATTEMPTS);
+        }
+    }
+
     /// `try_hedge` decides at `now` whether a second attempt runs beside the one that was sent at
     /// `sent`; if so, it is taken from the budget.
     pub fn try_hedge(
@@ -196,7 +270,12 @@
     }
 
     fn may_send(&self, now: Millis, options: &RetryOptions) -> bool {
-        let room = usize::from(self.sent) < MAX_ATTEMPTS;
+        let max_sent = if self.call {
+            MAX_CALL_ATTEMPTS
+        } else {
+            MAX_ATTEMPTS as u8
+        };
+        let room = self.sent < max_sent;
         room && self.reached_count() < options.max_attempts && now < self.deadline
     }
 }
--- a/crates/shallothill-policy/src/retry/mod.rs
+++ b/crates/shallothill-policy/src/retry/mod.rs
@@ -5,9 +5,11 @@
 mod gate_budget;
 mod gate_options;
 mod options;
+mod usual_latency;
 
 pub use attempts::{Attempts, NextStep, RefusedBy};
 pub use budget::RetryBudget;
 pub use gate_budget::GateRetryBudget;
 pub use gate_options::GateRetryOptions;
 pub use options::RetryOptions;
+pub use usual_latency::UsualLatency;
--- a/crates/shallothill-policy/src/retry/options.rs
+++ b/crates/shallothill-policy/src/retry/options.rs
@@ -17,6 +17,8 @@
     /// Time after which an idempotent request gets a second, concurrent attempt; `None` without
     /// hedging.
     pub hedge_after: Option<Duration>,
+    /// Time that an answer usually takes once no request waits before it; zero if it is not known.
+    pub usual_latency: Duration,
 }
 
 impl Default for RetryOptions {
@@ -26,6 +28,7 @@
             budget_percent: 10,
             bounded_by_gates: false,
             hedge_after: None,
+            usual_latency: Duration::ZERO,
         }
     }
 }
@@ -38,6 +41,7 @@
             budget_percent: service.retry_budget_percent,
             bounded_by_gates: service.retry_budget_saved.is_some(),
             hedge_after: service.hedge_after,
+            usual_latency: Duration::ZERO,
         }
     }
 }
--- a/crates/shallothill-policy/tests/admit.rs
+++ b/crates/shallothill-policy/tests/admit.rs
@@ -42,6 +42,7 @@
         reply_by: None,
         objective: None,
         rank: 0,
+        spent: None,
         trial: false,
     }
 }
--- a/crates/shallothill-policy/tests/kinds.rs
+++ b/crates/shallothill-policy/tests/kinds.rs
@@ -35,6 +35,7 @@
         reply_by: None,
         objective: Some(Millis(now + 4000)),
         rank: 1,
+        spent: None,
         trial: false,
     }
 }
--- a/crates/shallothill-policy/tests/retry.rs
+++ b/crates/shallothill-policy/tests/retry.rs
@@ -66,7 +66,9 @@
             trace.ran += u32::from(outcome != Outcome::RefusedNotRun);
             match attempts.on_attempt_end(now, outcome, &options, budget) {
                 NextStep::Wait => assert_eq!(i + 1, 1),
-                NextStep::Retry => assert!(allows(outcome), "sent again after {outcome}"),
+                NextStep::Retry | NextStep::RetryAfter(_) => {
+                    assert!(allows(outcome), "sent again after {outcome}");
+                }
                 NextStep::Return(_) => return Ok(trace),
             }
         }
--- a/crates/shallothill-policy/tests/stopping.rs
+++ b/crates/shallothill-policy/tests/stopping.rs
@@ -19,6 +19,7 @@
         reply_by: None,
         objective: None,
         rank: 0,
+        spent: None,
         trial: false,
     }
 }
--- /dev/null
+++ b/crates/shallothill-policy/tests/support/mod.rs
@@ -0,0 +1,318 @@
+//! Load on the gates of one service, with the calls that other requests make there.
+
+#![allow(dead_code, reason = "each test file uses a part of the fixtures")]
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap};
+use std::time::Duration;
+
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use shallothill_core::class::Class;
+use shallothill_core::time::Millis;
+use shallothill_policy::admit::{
+    Admission, Gate, GateOptions, GateRequest, QueueDecision, RequestKind, SlotOutcome, Ticket,
+};
+use shallothill_policy::pick::EndpointKey;
+use shallothill_policy::retry::{
+    Attempts, NextStep, RefusedBy, RetryBudget, RetryOptions, UsualLatency,
+};
+
+/// One way between two nodes.
+const HOP_MS: u64 = 2;
+
+/// A kind of request. Of one with `parent_work_ms`, that work is done at another service, and then
+/// the call of `work_ms` comes to the simulated one.
+#[derive(Clone, Copy, Debug)]
+pub struct Kind {
+    pub per_s: f64,
+    pub work_ms: u64,
+    pub rank: u8,
+    pub objective_ms: u64,
+    pub deadline_ms: u64,
+    pub parent_work_ms: Option<u64>,
+    /// The timeout of the call itself.
+    pub call_timeout_ms: u64,
+}
+
+/// What callers of one kind got.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Tally {
+    pub sent: usize,
+    pub in_time: usize,
+    pub late: usize,
+    /// Requests that failed after another service had worked for them.
+    pub failed_after_work: usize,
+}
+
+impl Tally {
+    pub fn share_served(&self) -> f64 {
+        (self.in_time + self.late) as f64 / self.sent as f64
+    }
+}
+
+/// The service and its load. `suspect` gates refuse every attempt.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    pub gates: usize,
+    pub suspect: usize,
+    pub slots: u16,
+    pub queue: u16,
+    pub kinds: Vec<Kind>,
+    pub load: f64,
+    pub run_ms: u64,
+    /// Whether calls are recognised.
+    pub recognised: bool,
+}
+
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+enum Event {
+    Arrive(usize),
+    Send(usize),
+    AtGate(usize, usize),
+    Done(usize, Ticket, u64),
+    Reply(usize, bool),
+}
+
+#[derive(Debug)]
+struct Request {
+    kind: usize,
+    arrived: u64,
+    /// When the request came to the simulated service.
+    sent: u64,
+    deadline: u64,
+    attempts: Attempts,
+}
+
+pub struct Simulation {
+    plan: Plan,
+    rng: StdRng,
+    events: BinaryHeap<Reverse<(u64, u64, Event)>>,
+    number: u64,
+    now: u64,
+    gates: Vec<Gate>,
+    tickets: BTreeMap<(usize, Ticket), usize>,
+    requests: Vec<Request>,
+    usual: Vec<UsualLatency>,
+    budget: RetryBudget,
+    pub tallies: Vec<Tally>,
+}
+
+impl Simulation {
+    pub fn run(plan: Plan, seed: u64) -> Vec<Tally> {
+        let options = GateOptions {
+            slots: plan.slots,
+            queue_capacity: plan.queue,
+            expected_latency: Duration::from_millis(400),
+            ..GateOptions::default()
+        };
+        let kinds = plan.kinds.len();
+        let mut simulation = Self {
+            rng: StdRng::seed_from_u64(seed),
+            events: BinaryHeap::new(),
+            number: 0,
+            now: 0,
+            gates: (0..plan.gates)
+                .map(|_| Gate::new(options.clone(), false))
+                .collect(),
+            tickets: BTreeMap::new(),
+            requests: Vec::new(),
+            usual: vec![UsualLatency::default(); kinds],
+            budget: RetryBudget::default(),
+            tallies: vec![Tally::default(); kinds],
+            plan,
+        };
+        for kind in 0..kinds {
+            simulation.schedule_arrival(kind);
+        }
+        while let Some(Reverse((at, _, event))) = simulation.events.pop() {
+            simulation.now = at;
+            simulation.handle(event);
+        }
+        simulation.tallies
+    }
+
+    fn at(&mut self, after: u64, event: Event) {
+        self.number += 1;
+        let item = (self.now + after, self.number, event);
+        self.events.push(Reverse(item));
+    }
+
+    fn schedule_arrival(&mut self, kind: usize) {
+        let per_ms = self.plan.kinds[kind].per_s * self.plan.load / 1000.0;
+        let draw: f64 = self.rng.random_range(f64::EPSILON..1.0);
+        let after = (-draw.ln() / per_ms) as u64;
+        if self.now + after < self.plan.run_ms {
+            self.at(after, Event::Arrive(kind));
+        }
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Arrive(kind) => self.arrive(kind),
+            Event::Send(req) => self.send(req),
+            Event::AtGate(req, gate) => self.arrive_at_gate(req, gate),
+            Event::Done(gate, ticket, work) => {
+                let served = SlotOutcome::Served(Duration::from_millis(work));
+                self.gates[gate].finish(Millis(self.now), ticket, served);
+                if let Some(req) = self.tickets.remove(&(gate, ticket)) {
+                    self.at(HOP_MS, Event::Reply(req, true));
+                }
+                self.poll(gate);
+            }
+            Event::Reply(req, answered) => self.reply(req, answered),
+        }
+    }
+
+    fn arrive(&mut self, kind: usize) {
+        self.schedule_arrival(kind);
+        let k = self.plan.kinds[kind];
+        self.tallies[kind].sent += 1;
+        let end = self.now + k.deadline_ms;
+        let sent = self.now + k.parent_work_ms.unwrap_or(0);
+        let deadline = match k.parent_work_ms {
+            Some(_) => end.min(sent + k.call_timeout_ms),
+            None => end,
+        };
+        let attempts = if k.parent_work_ms.is_some() && self.plan.recognised {
+            Attempts::for_call(true, Millis(deadline))
+        } else {
+            Attempts::new(true, Millis(deadline))
+        };
+        self.requests.push(Request {
+            kind,
+            arrived: self.now,
+            sent,
+            deadline,
+            attempts,
+        });
+        self.at(sent - self.now, Event::Send(self.requests.len() - 1));
+    }
+
+    fn options(&self, kind: usize) -> RetryOptions {
+        RetryOptions {
+            bounded_by_gates: true,
+            usual_latency: self.usual[kind].get(),
+            ..RetryOptions::default()
+        }
+    }
+
+    // Takes the less loaded of two gates that the request has not used.
+    fn pick(&mut self, req: usize) -> Option<usize> {
+        let used = self.requests[req].attempts.used_endpoints();
+        let unused = |g: &usize| !used.contains(&EndpointKey(*g as u64 + 1));
+        let free: Vec<usize> = (0..self.gates.len()).filter(unused).collect();
+        let draw = |rng: &mut StdRng| free[rng.random_range(0..free.len())];
+        if free.is_empty() {
+            return None;
+        }
+        let (a, b) = (draw(&mut self.rng), draw(&mut self.rng));
+        let load = |g: usize| {
+            let load = self.gates[g].load();
+            load.in_flight + load.queued
+        };
+        Some(if load(b) < load(a) { b } else { a })
+    }
+
+    fn send(&mut self, req: usize) {
+        let options = self.options(self.requests[req].kind);
+        let Some(gate) = self.pick(req) else {
+            let pause = self.requests[req]
+                .attempts
+                .call_pause(Millis(self.now), &options);
+            return match pause {
+                Some(pause) => self.retry_after(req, pause),
+                None => self.fail(req),
+            };
+        };
+        let key = EndpointKey(gate as u64 + 1);
+        self.requests[req]
+            .attempts
+            .record_start(key, &options, &self.budget);
+        self.at(HOP_MS, Event::AtGate(req, gate));
+    }
+
+    fn retry_after(&mut self, req: usize, pause: Duration) {
+        self.requests[req].attempts.forget_refusals();
+        let jitter = self.rng.random_range(0.5..1.5);
+        let pause = pause.mul_f64(jitter).as_millis() as u64;
+        self.at(pause, Event::Send(req));
+    }
+
+    fn arrive_at_gate(&mut self, req: usize, gate: usize) {
+        let (kind, r) = (self.requests[req].kind, &self.requests[req]);
+        let k = self.plan.kinds[kind];
+        let spent = k.parent_work_ms.filter(|_| self.plan.recognised);
+        let offer = GateRequest {
+            kind: RequestKind(kind as u64),
+            class: Class::Editor,
+            deadline: Millis(r.deadline),
+            reply_by: None,
+            objective: Some(Millis(r.sent + k.objective_ms)),
+            rank: k.rank,
+            spent: spent.map(Duration::from_millis),
+            trial: false,
+        };
+        if gate < self.plan.suspect {
+            return self.at(HOP_MS, Event::Reply(req, false));
+        }
+        match self.gates[gate].admit(Millis(self.now), offer) {
+            Admission::Run(ticket) => {
+                self.tickets.insert((gate, ticket), req);
+                self.start(gate, ticket);
+            }
+            Admission::Queued(ticket) => {
+                self.tickets.insert((gate, ticket), req);
+            }
+            Admission::Refused { .. } => self.at(HOP_MS, Event::Reply(req, false)),
+        }
+        self.poll(gate);
+    }
+
+    fn start(&mut self, gate: usize, ticket: Ticket) {
+        let req = self.tickets[&(gate, ticket)];
+        let work = self.plan.kinds[self.requests[req].kind].work_ms;
+        let work = self.rng.random_range(work / 2..work * 3 / 2);
+        self.at(work, Event::Done(gate, ticket, work));
+    }
+
+    fn poll(&mut self, gate: usize) {
+        while let Some(decision) = self.gates[gate].poll(Millis(self.now)) {
+            match decision {
+                QueueDecision::Run(ticket) => self.start(gate, ticket),
+                QueueDecision::Refused(ticket, _) => {
+                    if let Some(req) = self.tickets.remove(&(gate, ticket)) {
+                        self.at(HOP_MS, Event::Reply(req, false));
+                    }
+                }
+            }
+        }
+    }
+
+    fn reply(&mut self, req: usize, answered: bool) {
+        let r = &self.requests[req];
+        let kind = r.kind;
+        let k = self.plan.kinds[kind];
+        if answered && self.now <= r.deadline {
+            let in_time = self.now - r.arrived <= k.objective_ms;
+            let took = Duration::from_millis(self.now - r.sent);
+            self.usual[kind].record(took);
+            self.tallies[kind].in_time += usize::from(in_time);
+            self.tallies[kind].late += usize::from(!in_time);
+            return;
+        }
+        let options = self.options(kind);
+        let attempts = &mut self.requests[req].attempts;
+        match attempts.on_refusal(Millis(self.now), RefusedBy::OwnRegion, &options) {
+            NextStep::Retry => self.send(req),
+            NextStep::RetryAfter(pause) => self.retry_after(req, pause),
+            NextStep::Wait | NextStep::Return(_) => self.fail(req),
+        }
+    }
+
+    fn fail(&mut self, req: usize) {
+        let kind = self.requests[req].kind;
+        let worked = self.plan.kinds[kind].parent_work_ms.is_some();
+        self.tallies[kind].failed_after_work += usize::from(worked);
+    }
+}
--- a/crates/shallothill-policy/tests/urgency.rs
+++ b/crates/shallothill-policy/tests/urgency.rs
@@ -87,6 +87,7 @@
             reply_by: None,
             objective: Some(Millis(now + OBJECTIVE_MS)),
             rank: arrival.rank,
+            spent: None,
             trial: false,
         };
         match self.gate.admit(Millis(now), req) {
@@ -185,6 +186,7 @@
         reply_by: None,
         objective: None,
         rank: 0,
+        spent: None,
         trial: false,
     };
     gate.admit(Millis(0), request(DEADLINE_MS));
