policy, node: fewer new requests while their calls lack capacity

Cause: a request whose call finds no capacity has taken a slot of its own service and fails all the same.

Change: an entry admits a share of the new requests of such a route and refuses the rest at once with 503, not run, and a jittered `Retry-After`; the most urgent ranks last. The signal is a mark on the reply of the running request, as its calls go through the node of its host.

Ruled out: failures alone as the signal.

`--test nested_calls` of the node shows the refusals behind real nodes.

--- a/crates/shallothill-core/src/headers.rs
+++ b/crates/shallothill-core/src/headers.rs
@@ -56,6 +56,9 @@
 pub const REPEATED: &str = "x-shallothill-repeated";
 /// `REACHED` marks responses between nodes when the request reached a backend server.
 pub const REACHED: &str = "x-shallothill-reached";
+/// `CALL_SHORTAGE` marks responses between nodes when a call that the backend server made for the
+/// request waited long for capacity or was refused.
+pub const CALL_SHORTAGE: &str = "x-shallothill-call-shortage";
 /// `PROCESS` carries the id of the sending process, on hops between nodes.
 pub const PROCESS: &str = "x-shallothill-process";
 /// `ATTEMPT_NUMBER` carries the number of the attempt among all those of the sending process.
--- a/crates/shallothill-node/src/attempt.rs
+++ b/crates/shallothill-node/src/attempt.rs
@@ -19,6 +19,7 @@
 use tokio::time::Instant;
 
 use crate::body::Body;
+use crate::gate::CallShortage;
 use crate::header_filter;
 use crate::reply_by::ReplyBy;
 
@@ -153,6 +154,11 @@
             && !self.response.status().is_server_error()
     }
 
+    /// `calls_refused` tells whether a call of the request lacked capacity.
+    pub(crate) fn call_shortage(&self) -> bool {
+        self.response.extensions().get::<CallShortage>().is_some()
+    }
+
     /// `refused_for` tells whether the reply states `reason`.
     pub(crate) fn refused_for(&self, reason: &str) -> bool {
         header_filter::single_value(self.response.headers(), headers::REASON) == Some(reason)
--- a/crates/shallothill-node/src/counters.rs
+++ b/crates/shallothill-node/src/counters.rs
@@ -6,7 +6,7 @@
 use serde_json::{Value, json};
 
 /// `TOTALS` is the number of totals that are sent as metrics.
-pub(crate) const TOTALS: usize = 10;
+pub(crate) const TOTALS: usize = 11;
 
 /// `Counters` holds totals since the start of the process.
 #[derive(Debug, Default)]
@@ -16,6 +16,7 @@
     malformed: AtomicU64,
     calls: AtomicU64,
     call_pauses: AtomicU64,
+    call_shortages: AtomicU64,
 }
 
 /// `Gauges` contains current values that are sent with the counters.
@@ -29,6 +30,8 @@
     pub buffered_bytes: u64,
     /// The number of ledger claims in flight.
     pub claims: u64,
+    /// The number of routes of which fewer requests are admitted.
+    pub limited_routes: u64,
 }
 
 impl Counters {
@@ -58,6 +61,11 @@
         self.call_pauses.fetch_add(1, Ordering::Relaxed);
     }
 
+    /// `count_call_shortage` counts an attempt of which a call lacked capacity.
+    pub fn count_call_shortage(&self) {
+        self.call_shortages.fetch_add(1, Ordering::Relaxed);
+    }
+
     /// `dump` returns the totals for the state dump.
     pub fn dump(&self) -> Value {
         let n = |i: usize| self.responses[i].load(Ordering::Relaxed);
@@ -67,6 +75,7 @@
             "malformed": self.malformed.load(Ordering::Relaxed),
             "calls": self.calls.load(Ordering::Relaxed),
             "call_pauses": self.call_pauses.load(Ordering::Relaxed),
+            "call_shortages": self.call_shortages.load(Ordering::Relaxed),
         })
     }
 
@@ -83,12 +92,13 @@
             "malformed",
             "calls",
             "call_pauses",
+            "call_shortages",
         ];
         let totals = self
             .responses
             .iter()
             .chain([&self.peer_attempts, &self.malformed])
-            .chain([&self.calls, &self.call_pauses]);
+            .chain([&self.calls, &self.call_pauses, &self.call_shortages]);
         for ((name, total), last_total) in NAMES.iter().zip(totals).zip(last_sent) {
             let total = total.load(Ordering::Relaxed);
             // Metrics are best effort; a failed send is not repeated.
@@ -99,5 +109,6 @@
         let _ = client.gauge("endpoints", gauges.endpoints);
         let _ = client.gauge("buffered_bytes", gauges.buffered_bytes);
         let _ = client.gauge("claims", gauges.claims);
+        let _ = client.gauge("limited_routes", gauges.limited_routes);
     }
 }
--- a/crates/shallothill-node/src/dump.rs
+++ b/crates/shallothill-node/src/dump.rs
@@ -30,6 +30,7 @@
             "picks": self.dump_picks(),
             "peers": self.links().addresses(),
             "open_requests": self.entry().open_requests().count(),
+            "limited_routes": self.entry().limited_routes(),
             "limited_callers": self.entry().limited_callers(),
             "buffered_bytes": self.entry().buffered_bytes(),
             "counters": self.counters().dump(),
--- a/crates/shallothill-node/src/entry/attempts.rs
+++ b/crates/shallothill-node/src/entry/attempts.rs
@@ -16,6 +16,7 @@
 use tokio::time;
 
 use crate::attempt::AttemptReply;
+use crate::entry::backpressure::CallInProgress;
 use crate::entry::ended_attempt;
 use crate::entry::ended_attempt::{EndedAttempt, StartedAttempt};
 use crate::entry::prepare::Prepared;
@@ -32,6 +33,7 @@
             head,
             payload,
             permit,
+            parent,
         } = prepared;
         let Some(service) = self.deps.store.load().service(&head.service).cloned() else {
             return (NO_SERVICE.reply_without_gate(), InFlight::new(permit, None));
@@ -57,8 +59,15 @@
             options,
             sent_at: now,
             last_attempt: None,
+            parent,
+            paused: Duration::ZERO,
         };
-        self.run_all(r, permit).await
+        let call = r.parent.clone().map(CallInProgress::new);
+        let (reply, in_flight) = self.run_all(r, permit).await;
+        if let Some(call) = call {
+            call.end(reply.outcome == Outcome::Answered);
+        }
+        (reply, in_flight)
     }
 
     // Runs the first attempt, retries and hedges. Without an answer it returns the reply of the
@@ -100,9 +109,7 @@
             let now = self.deps.timer.now();
             let outcome = ended.reply.outcome;
             r.log_attempt(now, &self.deps.interface, &ended.reply);
-            if r.head.call.is_some() && outcome == Outcome::Answered {
-                self.record_latency(&r.head.route, now.saturating_since(r.sent_at));
-            }
+            self.record_end(now, &r, &ended.reply);
             if outcome == Outcome::Answered || !ended.reply.allows_retry(r.head.idempotent) {
                 worst = Some(ended);
                 break;
@@ -140,6 +147,17 @@
         (ended.reply, guard)
     }
 
+    // Records what an ended attempt shows of the calls of its route.
+    fn record_end(&self, now: Millis, r: &RunState, reply: &AttemptReply) {
+        if r.head.call.is_some() && reply.outcome == Outcome::Answered {
+            self.record_latency(&r.head.route, now.saturating_since(r.sent_at));
+        }
+        if reply.call_shortage() {
+            self.deps.counters.count_call_shortage();
+            self.backpressure.record_shortage(now, &r.head.route);
+        }
+    }
+
     // Starts the attempt that follows `next`, for a call after a pause. Fails if none follows, and
     // when the node is about to end.
     async fn start_next(
--- a/crates/shallothill-node/src/entry/calls.rs
+++ b/crates/shallothill-node/src/entry/calls.rs
@@ -6,6 +6,7 @@
 use hyper::header::HeaderMap;
 use rand::Rng;
 use shallothill_core::ids::RouteName;
+use shallothill_policy::backpressure::LONG_WAIT;
 use shallothill_policy::retry::NextStep;
 use tokio::time;
 
@@ -52,6 +53,10 @@
             NextStep::Retry => {}
             NextStep::RetryAfter(pause) => {
                 self.deps.counters.count_call_pause();
+                r.paused += pause;
+                if let Some(parent) = r.parent.as_ref().filter(|_| r.paused >= LONG_WAIT) {
+                    parent.record_shortage();
+                }
                 let factor = rand::rng().random_range(PAUSE_JITTER);
                 time::sleep(pause.mul_f64(factor)).await;
                 r.attempts.forget_refusals();
--- a/crates/shallothill-node/src/entry/mod.rs
+++ b/crates/shallothill-node/src/entry/mod.rs
@@ -1,6 +1,7 @@
 //! The entry role: takes callers' requests and sends them to gates.
 
 mod attempts;
+mod backpressure;
 mod caller;
 mod calls;
 mod ended_attempt;
@@ -28,6 +29,7 @@
 use crate::config::ConfigStore;
 use crate::counters::Counters;
 use crate::crashes::CrashTracker;
+use crate::entry::backpressure::Backpressure;
 use crate::gate::Gate;
 use crate::interface::HttpInterface;
 use crate::peer::PeerLinks;
@@ -81,6 +83,7 @@
     reply_by: ReplyBy,
     /// The usual latency of the routes that serve calls.
     latencies: Mutex<HashMap<RouteName, UsualLatency>>,
+    backpressure: Backpressure,
 }
 
 impl Entry {
@@ -93,6 +96,7 @@
             open: OpenRequests::default(),
             reply_by: ReplyBy::default(),
             latencies: Mutex::default(),
+            backpressure: Backpressure::default(),
         }
     }
 
@@ -129,6 +133,11 @@
         self.deps.buffers.used_bytes()
     }
 
+    /// `limited_routes` returns the number of routes of which fewer requests are admitted.
+    pub fn limited_routes(&self) -> usize {
+        self.backpressure.limited_routes(self.deps.timer.now())
+    }
+
     fn retry_budget(&self, service: &ServiceName) -> Arc<RetryBudget> {
         let known = self.budgets.read().unwrap_or_else(PoisonError::into_inner);
         if let Some(budget) = known.get(service) {
--- a/crates/shallothill-node/src/entry/prepare.rs
+++ b/crates/shallothill-node/src/entry/prepare.rs
@@ -49,6 +49,8 @@
     pub(crate) head: Arc<RequestHead>,
     pub(crate) payload: Payload,
     pub(crate) permit: Option<Permit>,
+    /// The running request that this one is a call of.
+    pub(crate) parent: Option<Arc<ParentRequest>>,
 }
 
 /// `Rejection` is a refusal. `allow` lists the accepted methods if the status is 405.
@@ -97,6 +99,10 @@
         let caller = self.identify_caller(&parts.headers, &cfg, route)?;
         self.strip_caller_headers(&mut parts.headers, &cfg);
         let priority = self.priority(&parts.headers, route, &caller);
+        if priority.parent.is_none() {
+            let now = self.deps.timer.now();
+            self.backpressure.admit(now, &named.name, priority.rank)?;
+        }
         let service = choose_service(&route.target).ok_or(UNKNOWN_ROUTE)?;
         if incoming.size_hint().lower() > route.max_body_bytes {
             return Err(BODY_TOO_LARGE.into());
@@ -123,6 +129,7 @@
             head: Arc::new(head),
             payload,
             permit,
+            parent: priority.parent,
         })
     }
 
--- a/crates/shallothill-node/src/entry/run_state.rs
+++ b/crates/shallothill-node/src/entry/run_state.rs
@@ -18,6 +18,7 @@
 use crate::body::Body;
 use crate::entry::prepare::Payload;
 use crate::gate;
+use crate::gate::ParentRequest;
 use crate::header_filter;
 use crate::interface::HttpInterface;
 use crate::peer;
@@ -45,6 +46,10 @@
     pub(super) attempts: retry::Attempts,
     pub(super) sent_at: Millis,
     pub(super) last_attempt: Option<LastAttempt>,
+    /// The running request that this one is a call of.
+    pub(super) parent: Option<Arc<ParentRequest>>,
+    /// The sum of the pauses for want of capacity.
+    pub(super) paused: Duration,
 }
 
 /// `LastAttempt` describes the last attempt: where it was sent, and why.
--- a/crates/shallothill-node/src/gate/exchange.rs
+++ b/crates/shallothill-node/src/gate/exchange.rs
@@ -88,7 +88,8 @@
             }
             slot.start(head.fingerprint, objective);
             match time::timeout_at(response_deadline, connection.send(req)).await {
-                Ok(Ok(response)) => {
+                Ok(Ok(mut response)) => {
+                    slot.mark_response(&mut response);
                     self.record_response(slot, head, &response);
                     connection.update_keep_alive(response.headers());
                     return Ok((response, connection));
--- a/crates/shallothill-node/src/gate/mod.rs
+++ b/crates/shallothill-node/src/gate/mod.rs
@@ -53,7 +53,7 @@
 pub(crate) use exchange::{BODY_INCOMPLETE, BODY_TOO_LARGE, BODY_TOO_SLOW};
 pub use ledger_client::LedgerClient;
 pub use parent_requests::ParentRequest;
-pub(crate) use parent_requests::ParentRequests;
+pub(crate) use parent_requests::{CallShortage, ParentRequests};
 pub use slot::RunningRequest;
 
 /// `Endpoints` maps service and name of each registered backend server to its endpoint.
--- a/crates/shallothill-node/src/gate/slot.rs
+++ b/crates/shallothill-node/src/gate/slot.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use hyper::Response;
 use shallothill_core::hash::Fingerprint;
 use shallothill_policy::admit::{SlotOutcome, Ticket};
 use shallothill_policy::detect::Evidence;
@@ -62,6 +63,13 @@
         self.parent = Some(parent);
     }
 
+    /// `mark_response` marks the response if a call of the request lacked capacity.
+    pub(crate) fn mark_response<B>(&self, response: &mut Response<B>) {
+        if let Some(parent) = &self.parent {
+            parent.mark_response(response);
+        }
+    }
+
     /// `endpoint` returns the endpoint that the slot belongs to.
     pub(crate) fn endpoint(&self) -> &Arc<Endpoint> {
         &self.endpoint
--- a/crates/shallothill-node/src/node/mod.rs
+++ b/crates/shallothill-node/src/node/mod.rs
@@ -282,6 +282,7 @@
             endpoints: self.gate.endpoints().len() as u64,
             buffered_bytes: self.entry.buffered_bytes() as u64,
             claims: self.gate.ledger().in_flight_counts().0 as u64,
+            limited_routes: self.entry.limited_routes() as u64,
         }
     }
 
--- a/crates/shallothill-node/src/peer/codec.rs
+++ b/crates/shallothill-node/src/peer/codec.rs
@@ -24,6 +24,7 @@
 use crate::attempt;
 use crate::attempt::{Attempt, AttemptReply, Call, RequestHead};
 use crate::body::Body;
+use crate::gate::CallShortage;
 use crate::header_filter;
 use crate::peer::{AttemptId, question};
 use crate::reply_by::ReplyBy;
@@ -203,6 +204,7 @@
 /// `write_reply` builds the response that a gate sends to an entry node. `version` is the
 /// configuration version of this node.
 pub fn write_reply(reply: AttemptReply, version: ConfigVersion) -> Response<Body> {
+    let call_shortage = reply.call_shortage();
     let mut response = reply.response;
     let map = response.headers_mut();
     set_header(map, headers::OUTCOME, reply.outcome.as_str());
@@ -210,6 +212,9 @@
     if let Some(load) = reply.load {
         set_header(map, headers::LOAD, &attempt::format_load_header(load));
     }
+    if call_shortage {
+        set_header(map, headers::CALL_SHORTAGE, "true");
+    }
     if reply.reached_backend {
         set_header(map, headers::REACHED, "true");
     }
@@ -232,6 +237,9 @@
     let load = text(headers::LOAD).and_then(attempt::parse_load_header);
     let crash = text(headers::CRASH).and_then(|v| v.parse().ok());
     let reached = text(headers::REACHED).is_some();
+    if text(headers::CALL_SHORTAGE).is_some() {
+        parts.extensions.insert(CallShortage);
+    }
     let kept = [headers::REASON, headers::RETRY_AFTER_MS];
     let kept = kept.map(|name| (name, parts.headers.get(name).cloned()));
     header_filter::strip_shallothill_headers(&mut parts.headers);
--- a/crates/shallothill-node/tests/support/nested.rs
+++ b/crates/shallothill-node/tests/support/nested.rs
@@ -54,6 +54,8 @@
     for route in cfg.routes.values_mut() {
         route.deadline = deadline;
     }
+    let stock = RouteName::try_new("stock").unwrap();
+    cfg.routes.get_mut(&stock).unwrap().rank = 2;
     cfg
 }
 
--- a/crates/shallothill-policy/src/lib.rs
+++ b/crates/shallothill-policy/src/lib.rs
@@ -3,6 +3,7 @@
 //! I/O.
 
 pub mod admit;
+pub mod backpressure;
 pub mod calls;
 pub mod detect;
 pub mod eject;
--- a/crates/shallothill-policy/src/retry/attempts.rs
+++ b/crates/shallothill-policy/src/retry/attempts.rs
@@ -113,6 +113,11 @@
         }
     }
 
+    /// `is_call` tells whether a backend server makes the request while it runs another one.
+    pub fn is_call(&self) -> bool {
+        self.call
+    }
+
     /// `record_start` records that an attempt is sent; the first one of a request makes a deposit
     /// into the service's retry budget.
     pub fn record_start(
--- a/crates/shallothill-policy/tests/calls.rs
+++ b/crates/shallothill-policy/tests/calls.rs
@@ -12,7 +12,7 @@
 use shallothill_policy::calls::RunningRequests;
 use shallothill_policy::pick::EndpointKey;
 use shallothill_policy::retry::{Attempts, NextStep, RefusedBy, RetryBudget, RetryOptions};
-use support::{Kind, Plan, Simulation, Tally};
+use support::{Plan, Tally};
 
 const SEEDS: [u64; 4] = [1, 2, 3, 4];
 
@@ -134,58 +134,17 @@
     }
 }
 
-/// The service `bookings` of deployment A with three of ten servers in an episode: bookings,
-/// confirmations and the calls of registrations.
-fn bookings(recognised: bool) -> Plan {
-    let kind = |per_s, work_ms, rank, objective_ms, deadline_ms| Kind {
-        per_s,
-        work_ms,
-        rank,
-        objective_ms,
-        deadline_ms,
-        parent_work_ms: None,
-        call_timeout_ms: 0,
-    };
-    Plan {
-        gates: 10,
-        suspect: 3,
-        slots: 8,
-        queue: 10,
-        kinds: vec![
-            kind(46.6, 440, 0, 1_500, 10_000),
-            kind(17.8, 520, 1, 2_000, 12_000),
-            Kind {
-                parent_work_ms: Some(640),
-                call_timeout_ms: 2_000,
-                ..kind(145.0, 160, 1, 5_000, 15_000)
-            },
-        ],
-        load: 1.1,
-        run_ms: 60_000,
-        recognised,
-    }
-}
-
-fn total(recognised: bool) -> Vec<Tally> {
-    let mut sum = vec![Tally::default(); 3];
-    for seed in SEEDS {
-        let tallies = Simulation::run(bookings(recognised), seed);
-        for (sum, tally) in sum.iter_mut().zip(tallies) {
-            sum.sent += tally.sent;
-            sum.in_time += tally.in_time;
-            sum.late += tally.late;
-            sum.failed_after_work += tally.failed_after_work;
-        }
-    }
-    sum
-}
-
 /// Guards against registrations that fail after their own work is done, because the call that they
 /// make finds no capacity, and against bookings that pay for them.
 #[test]
 fn requests_rarely_fail_for_a_call_when_capacity_is_short() {
-    let before = total(false);
-    let after = total(true);
+    let plan = support::bookings(1.1);
+    let unrecognised = Plan {
+        recognised: false,
+        ..plan.clone()
+    };
+    let before = support::total(&unrecognised, &SEEDS);
+    let after = support::total(&plan, &SEEDS);
     println!("before {before:?}\nafter {after:?}");
 
     let failed = |t: &[Tally]| t[2].failed_after_work as f64 / t[2].sent as f64;
--- a/crates/shallothill-policy/tests/support/mod.rs
+++ b/crates/shallothill-policy/tests/support/mod.rs
@@ -13,6 +13,7 @@
 use shallothill_policy::admit::{
     Admission, Gate, GateOptions, GateRequest, QueueDecision, RequestKind, SlotOutcome, Ticket,
 };
+use shallothill_policy::backpressure::{AdmissionController, LONG_WAIT};
 use shallothill_policy::pick::EndpointKey;
 use shallothill_policy::retry::{
     Attempts, NextStep, RefusedBy, RetryBudget, RetryOptions, UsualLatency,
@@ -43,6 +44,8 @@
     pub late: usize,
     /// Requests that failed after another service had worked for them.
     pub failed_after_work: usize,
+    /// Requests that their entry refused at once, because calls of their kind were refused.
+    pub held_back: usize,
 }
 
 impl Tally {
@@ -51,6 +54,61 @@
     }
 }
 
+impl std::ops::AddAssign for Tally {
+    fn add_assign(&mut self, other: Self) {
+        self.sent += other.sent;
+        self.in_time += other.in_time;
+        self.late += other.late;
+        self.failed_after_work += other.failed_after_work;
+        self.held_back += other.held_back;
+    }
+}
+
+/// Returns the sums over all seeds of what the callers of each kind got.
+pub fn total(plan: &Plan, seeds: &[u64]) -> Vec<Tally> {
+    let mut sums = vec![Tally::default(); plan.kinds.len()];
+    for seed in seeds {
+        let tallies = Simulation::run(plan.clone(), *seed);
+        for (sum, tally) in sums.iter_mut().zip(tallies) {
+            *sum += tally;
+        }
+    }
+    sums
+}
+
+/// The service `bookings` of deployment A with three of ten servers in an episode: bookings,
+/// confirmations and the calls of registrations.
+pub fn bookings(load: f64) -> Plan {
+    let kind = |per_s, work_ms, rank, objective_ms, deadline_ms| Kind {
+        per_s,
+        work_ms,
+        rank,
+        objective_ms,
+        deadline_ms,
+        parent_work_ms: None,
+        call_timeout_ms: 0,
+    };
+    Plan {
+        gates: 10,
+        suspect: 3,
+        slots: 8,
+        queue: 10,
+        kinds: vec![
+            kind(46.6, 440, 0, 1_500, 10_000),
+            kind(17.8, 520, 1, 2_000, 12_000),
+            Kind {
+                parent_work_ms: Some(640),
+                call_timeout_ms: 2_000,
+                ..kind(145.0, 160, 1, 5_000, 15_000)
+            },
+        ],
+        load,
+        run_ms: 60_000,
+        recognised: true,
+        controlling_entries: 0,
+    }
+}
+
 /// The service and its load. `suspect` gates refuse every attempt.
 #[derive(Clone, Debug)]
 pub struct Plan {
@@ -63,6 +121,8 @@
     pub run_ms: u64,
     /// Whether calls are recognised.
     pub recognised: bool,
+    /// Entry nodes that admit fewer requests whose calls are refused; 0 for none that do.
+    pub controlling_entries: usize,
 }
 
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
@@ -77,11 +137,13 @@
 #[derive(Debug)]
 struct Request {
     kind: usize,
+    entry: usize,
     arrived: u64,
     /// When the request came to the simulated service.
     sent: u64,
     deadline: u64,
     attempts: Attempts,
+    paused: Duration,
 }
 
 pub struct Simulation {
@@ -94,6 +156,8 @@
     tickets: BTreeMap<(usize, Ticket), usize>,
     requests: Vec<Request>,
     usual: Vec<UsualLatency>,
+    /// By entry and kind.
+    controllers: BTreeMap<(usize, usize), AdmissionController>,
     budget: RetryBudget,
     pub tallies: Vec<Tally>,
 }
@@ -117,6 +181,7 @@
                 .collect(),
             tickets: BTreeMap::new(),
             requests: Vec::new(),
+            controllers: BTreeMap::new(),
             usual: vec![UsualLatency::default(); kinds],
             budget: RetryBudget::default(),
             tallies: vec![Tally::default(); kinds],
@@ -168,6 +233,17 @@
         self.schedule_arrival(kind);
         let k = self.plan.kinds[kind];
         self.tallies[kind].sent += 1;
+        let entry = self
+            .rng
+            .random_range(0..self.plan.controlling_entries.max(1));
+        if let Some(controller) = self.controllers.get(&(entry, kind)) {
+            let (draw, jitter) = (self.rng.random(), self.rng.random());
+            let now = Millis(self.now);
+            if controller.admit(now, k.rank, draw, jitter).is_err() {
+                self.tallies[kind].held_back += 1;
+                return;
+            }
+        }
         let end = self.now + k.deadline_ms;
         let sent = self.now + k.parent_work_ms.unwrap_or(0);
         let deadline = match k.parent_work_ms {
@@ -181,10 +257,12 @@
         };
         self.requests.push(Request {
             kind,
+            entry,
             arrived: self.now,
             sent,
             deadline,
             attempts,
+            paused: Duration::ZERO,
         });
         self.at(sent - self.now, Event::Send(self.requests.len() - 1));
     }
@@ -234,6 +312,7 @@
 
     fn retry_after(&mut self, req: usize, pause: Duration) {
         self.requests[req].attempts.forget_refusals();
+        self.requests[req].paused += pause;
         let jitter = self.rng.random_range(0.5..1.5);
         let pause = pause.mul_f64(jitter).as_millis() as u64;
         self.at(pause, Event::Send(req));
@@ -299,6 +378,9 @@
             self.usual[kind].record(took);
             self.tallies[kind].in_time += usize::from(in_time);
             self.tallies[kind].late += usize::from(!in_time);
+            if r.paused >= LONG_WAIT {
+                self.record_shortage(req);
+            }
             return;
         }
         let options = self.options(kind);
@@ -314,5 +396,17 @@
         let kind = self.requests[req].kind;
         let worked = self.plan.kinds[kind].parent_work_ms.is_some();
         self.tallies[kind].failed_after_work += usize::from(worked);
+        self.record_shortage(req);
+    }
+
+    fn record_shortage(&mut self, req: usize) {
+        let r = &self.requests[req];
+        if r.attempts.is_call() && self.plan.controlling_entries > 0 {
+            let now = Millis(self.now);
+            let key = (r.entry, r.kind);
+            let controller = self.controllers.entry(key);
+            let controller = controller.or_insert_with(|| AdmissionController::new(now));
+            controller.record_shortage(now);
+        }
     }
 }
