policy, node: one order decides starts, displacement and refusal

Cause: a less urgent request waited behind more urgent ones until its deadline; one caller could fill a queue; displaced requests were all told to return after 100 ms.

Change: `admit::Urgency` takes the rank, the objective with the work that the kind needs, the work already spent and the turn of the caller. Callers with keys take turns within a rank. A new request that would miss its objective while a more urgent new one waits is refused at once as `overload`. Refusals estimate when the queue has room, later for less urgent ranks and spread. In the order of arrival (`starts_per_oldest` 1) nothing is refused this way, which keeps the comparison of `tests/urgency.rs` as it was.

Ruled out: marks for requests beyond an equal part of the queue. The part shrinks with the queue, so that the small caller came last.

--- a/crates/shallothill-bench/src/scenarios/cost.rs
+++ b/crates/shallothill-bench/src/scenarios/cost.rs
@@ -118,6 +118,7 @@
             objective: None,
             rank: 0,
             spent: None,
+            caller: None,
             trial: false,
         };
         if let Admission::Run(ticket) = black_box(gate.admit(now, req)) {
--- a/crates/shallothill-bench/src/sim/fleet_request.rs
+++ b/crates/shallothill-bench/src/sim/fleet_request.rs
@@ -113,6 +113,7 @@
             objective: None,
             rank: 0,
             spent: None,
+            caller: None,
             trial: trial && request.call.idempotent,
         };
         let host = &mut self.hosts[server];
--- a/crates/shallothill-node/src/gate/endpoint.rs
+++ b/crates/shallothill-node/src/gate/endpoint.rs
@@ -13,7 +13,7 @@
 use shallothill_directory::ReleaseRequest;
 use shallothill_policy::admit;
 use shallothill_policy::admit::{
-    Admission, GateOptions, GateRequest, QueueDecision, RequestKind, SlotOutcome, Ticket,
+    Admission, CallerKey, GateOptions, GateRequest, QueueDecision, RequestKind, SlotOutcome, Ticket,
 };
 use shallothill_policy::detect::{DetectOptions, Evidence};
 use shallothill_policy::eject::EndpointHealth;
@@ -208,6 +208,10 @@
             objective: head.objective.map(to_millis),
             rank: head.rank,
             spent: head.call.map(|c| c.spent),
+            caller: head
+                .caller
+                .as_ref()
+                .map(|c| CallerKey(hash::hash64(c.as_str().as_bytes()))),
             trial,
         };
         let (ticket, rx) = {
@@ -232,7 +236,7 @@
             }
         };
         QueuedRequest::new(Arc::clone(self), ticket)
-            .wait(rx, deadline, reply_by)
+            .wait(rx, deadline, reply_by, head.rank)
             .await
     }
 
--- a/crates/shallothill-node/src/gate/queued_request.rs
+++ b/crates/shallothill-node/src/gate/queued_request.rs
@@ -42,6 +42,7 @@
         rx: oneshot::Receiver<Result<(), admit::Refusal>>,
         deadline: Instant,
         reply_by: &ReplyBy,
+        rank: u8,
     ) -> Result<Slot, Refusal> {
         let decision = time::timeout_at(deadline, self.decision(rx, reply_by)).await;
         match decision {
@@ -51,7 +52,9 @@
             }
             Ok(Ok(Err(reason))) => {
                 self.decided = true;
-                Err(admission_refusal(reason, Duration::from_millis(100)))
+                let now = self.endpoint.now();
+                let retry_after = self.endpoint.lock().gate.retry_after(now, rank);
+                Err(admission_refusal(reason, retry_after))
             }
             Ok(Err(_)) | Err(_) => Err(admission_refusal(admit::Refusal::Deadline, Duration::ZERO)),
         }
@@ -99,6 +102,7 @@
         admit::Refusal::Stopping => {
             "the node that took the request stops before it can be answered; send it to another"
         }
+        admit::Refusal::Overload => "more urgent requests fill the queue; send it later",
         admit::Refusal::Shed => "a more urgent request took the place; send it later",
     };
     Refusal {
--- a/crates/shallothill-policy/src/admit/gate.rs
+++ b/crates/shallothill-policy/src/admit/gate.rs
@@ -8,10 +8,12 @@
 
 use crate::admit::latency::LatencyEstimates;
 use crate::admit::options::GateOptions;
+use crate::admit::queue;
 use crate::admit::queue::{Queue, WaitingRequest};
 use crate::admit::request::{
     Admission, GateRequest, QueueDecision, Refusal, RequestKind, SlotOutcome, Ticket,
 };
+use crate::admit::retry_after;
 use crate::pick::ReportedLoad;
 
 /// `STOP_RESERVE` is how many times its usual duration a request may take at a stopping node. What
@@ -66,25 +68,30 @@
     /// `admit` decides whether an arriving request runs now, waits in the queue or is refused.
     pub fn admit(&mut self, now: Millis, req: GateRequest) -> Admission {
         if self.draining {
-            return self.refuse(Refusal::Draining);
+            return self.refuse(now, req.rank, Refusal::Draining);
         }
         if self.state == ServingState::Ejected {
-            return self.admit_trial(req);
+            return self.admit_trial(now, req);
         }
         let waiting = WaitingRequest {
             ticket: self.next_ticket(),
             deadline: req.deadline,
-            reply_by: earliest(req.reply_by, self.latest_answer(req.kind)),
+            reply_by: queue::earliest(req.reply_by, self.latest_answer(req.kind)),
             objective: req.objective,
             rank: req.rank,
             spent: req.spent,
+            caller: req.caller,
+            turn: self.queue.next_turn(req.caller),
             kind: req.kind,
             expected_duration: self.latencies.expected(req.kind),
         };
         let internal = req.class.is_internal();
         let Some(expected_duration) = self.check_end(now, internal, &waiting) else {
-            return self.refuse(waiting.late_reason());
+            return self.refuse(now, waiting.rank, waiting.late_reason());
         };
+        if !internal && self.is_hopeless(now, &waiting) {
+            return self.refuse(now, waiting.rank, Refusal::Overload);
+        }
         self.latencies.record_admitted(now, req.kind);
         if self.has_free_slot() && self.queue.len() == 0 {
             return self.run_now(waiting.ticket, req.kind);
@@ -100,9 +107,9 @@
     }
 
     // Requests that were running at the time of the ejection don't count towards `trial_slots`.
-    fn admit_trial(&mut self, req: GateRequest) -> Admission {
+    fn admit_trial(&mut self, now: Millis, req: GateRequest) -> Admission {
         if !req.trial || self.running_trials.len() >= usize::from(self.trial_slots) {
-            return self.refuse(Refusal::Ejected);
+            return self.refuse(now, req.rank, Refusal::Ejected);
         }
         let ticket = self.next_ticket();
         self.running_trials.push(ticket);
@@ -142,7 +149,7 @@
         let Some((internal, waiting)) = self.queue.find_mut(ticket) else {
             return;
         };
-        waiting.reply_by = earliest(waiting.reply_by, Some(reply_by));
+        waiting.reply_by = queue::earliest(waiting.reply_by, Some(reply_by));
         let waiting = *waiting;
         let left = waiting.end().saturating_since(now);
         let duration = self.latencies.expected(waiting.kind);
@@ -309,19 +316,19 @@
         if callers_full || self.queue.len() >= places {
             // A more urgent caller's request displaces the least urgent one. Internal requests that
             // occupy more than their reserved places are displaced by callers' requests.
-            let shed = match (internal, callers_full) {
-                (true, _) => None,
-                (false, true) => {
-                    let urgency = waiting.urgency(now);
-                    self.queue.shed_caller(now, urgency)
-                }
-                (false, false) => self.queue.shed_internal(),
+            let (shed, queued) = match (internal, callers_full) {
+                (true, _) => (None, false),
+                (false, true) => (self.queue.push_displacing(now, waiting), true),
+                (false, false) => (self.queue.shed_internal(), false),
             };
             let Some(shed) = shed else {
-                return self.refuse(Refusal::QueueFull);
+                return self.refuse(now, waiting.rank, Refusal::QueueFull);
             };
-            self.displaced
-                .push_back(QueueDecision::Refused(shed, Refusal::Shed));
+            let shed = QueueDecision::Refused(shed, Refusal::Shed);
+            self.displaced.push_back(shed);
+            if queued {
+                return Admission::Queued(waiting.ticket);
+            }
         }
         let ticket = waiting.ticket;
         self.queue.push(internal, waiting);
@@ -362,16 +369,32 @@
         self.latencies.mean().mul_f64(rounds)
     }
 
-    fn refuse(&self, reason: Refusal) -> Admission {
-        let rounds = (self.queue.len() as f64 + 1.0) / f64::from(self.slots());
-        let wait = self.latencies.mean().mul_f64(rounds);
+    // A new request that would miss its objective behind more urgent ones is refused at once, as long
+    // as it can be served elsewhere or later, instead of waiting for its deadline.
+    fn is_hopeless(&self, now: Millis, waiting: &WaitingRequest) -> bool {
+        let Some(objective) = waiting.objective.filter(|_| !waiting.is_call()) else {
+            return false;
+        };
+        // In the order of arrival no later request starts before it.
+        let by_urgency = self.options.starts_per_oldest > 1;
+        let wait = self.expected_wait(now, false, waiting);
+        now + wait + waiting.expected_duration > objective
+            && by_urgency
+            && self.queue.has_more_urgent_than(waiting.rank)
+    }
+
+    fn refuse(&self, now: Millis, rank: u8, reason: Refusal) -> Admission {
         Admission::Refused {
             reason,
-            retry_after: wait.max(Duration::from_millis(1)),
+            retry_after: self.retry_after(now, rank),
         }
     }
-}
 
-fn earliest(a: Option<Millis>, b: Option<Millis>) -> Option<Millis> {
-    a.into_iter().chain(b).min()
+    /// `retry_after` estimates when a refused request of `rank` should be sent again: once the queue
+    /// has room for it.
+    pub fn retry_after(&self, now: Millis, rank: u8) -> Duration {
+        let rounds = (self.queue.len() as f64 + 1.0) / f64::from(self.slots());
+        let drained_in = self.latencies.mean().mul_f64(rounds);
+        retry_after::estimate(drained_in, rank, now.0 ^ self.last_ticket.rotate_left(32))
+    }
 }
--- a/crates/shallothill-policy/src/admit/mod.rs
+++ b/crates/shallothill-policy/src/admit/mod.rs
@@ -5,9 +5,11 @@
 mod options;
 mod queue;
 mod request;
+mod retry_after;
+mod urgency;
 
 pub use gate::{Gate, STOP_RESERVE};
 pub use options::GateOptions;
 pub use request::{
-    Admission, GateRequest, QueueDecision, Refusal, RequestKind, SlotOutcome, Ticket,
+    Admission, CallerKey, GateRequest, QueueDecision, Refusal, RequestKind, SlotOutcome, Ticket,
 };
--- a/crates/shallothill-policy/src/admit/queue.rs
+++ b/crates/shallothill-policy/src/admit/queue.rs
@@ -4,7 +4,8 @@
 
 use shallothill_core::time::Millis;
 
-use crate::admit::request::{Refusal, RequestKind, Ticket};
+use crate::admit::request::{CallerKey, Refusal, RequestKind, Ticket};
+use crate::admit::urgency::{Urgency, UrgencyInput};
 
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct WaitingRequest {
@@ -17,25 +18,15 @@
     pub(crate) rank: u8,
     /// The work already spent on the request that this one is a call of; `None` for a new request.
     pub(crate) spent: Option<Duration>,
+    /// The caller that a key identified.
+    pub(crate) caller: Option<CallerKey>,
+    /// The round of the callers' turns in which the request starts, see [`Queue::next_turn`].
+    pub(crate) turn: u64,
     pub(crate) kind: RequestKind,
     /// How long the request is expected to run once it has started.
     pub(crate) expected_duration: Duration,
 }
 
-/// `Urgency` orders waiting requests: the smallest starts first, the largest is shed first.
-///
-/// A request that can still meet its objective precedes one that will miss it anyway, since running
-/// the late one first makes both late. Then the rank decides. Within a rank, calls of running
-/// requests precede new requests, since a call that is refused wastes the work already spent. Then
-/// the order of arrival decides.
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-pub(crate) struct Urgency {
-    late: bool,
-    rank: u8,
-    new: bool,
-    ticket: Ticket,
-}
-
 impl WaitingRequest {
     /// Returns until when a response is of use.
     pub(crate) fn end(&self) -> Millis {
@@ -56,16 +47,15 @@
     }
 
     pub(crate) fn urgency(&self, now: Millis) -> Urgency {
-        // A late call still completes a request that would fail without it.
-        let late = self
-            .objective
-            .is_some_and(|at| now + self.expected_duration > at);
-        Urgency {
-            late: late && !self.is_call(),
-            rank: self.rank,
-            new: !self.is_call(),
+        let input = UrgencyInput {
             ticket: self.ticket,
-        }
+            rank: self.rank,
+            objective: self.objective,
+            work: self.expected_duration,
+            spent: self.spent,
+            turn: self.turn,
+        };
+        Urgency::new(now, input)
     }
 }
 
@@ -75,6 +65,8 @@
 pub(crate) struct Queue {
     callers: Vec<WaitingRequest>,
     internal: Vec<WaitingRequest>,
+    /// The latest round of the callers' turns of which a request has started.
+    round: u64,
     starts_since_internal: u32,
     starts_since_oldest: u32,
 }
@@ -137,19 +129,44 @@
         }
     }
 
+    /// Returns the round in which a request of `caller` that arrives now starts: the one after the last
+    /// waiting request of the caller. A caller with many waiting requests thus has one start for each
+    /// start of another caller. Requests without an identified caller start in the current round.
+    pub(crate) fn next_turn(&self, caller: Option<CallerKey>) -> u64 {
+        let own = self.callers.iter().filter(|w| w.caller == caller);
+        let last = own.filter(|w| w.caller.is_some()).map(|w| w.turn).max();
+        last.map_or(self.round, |turn| self.round.max(turn + 1))
+    }
+
+    /// Returns whether a new request of a more urgent rank than `rank` waits.
+    pub(crate) fn has_more_urgent_than(&self, rank: u8) -> bool {
+        let mut new = self.callers.iter().filter(|w| !w.is_call());
+        new.any(|w| w.rank < rank)
+    }
+
     /// Removes the internal request that arrived last.
     pub(crate) fn shed_internal(&mut self) -> Option<Ticket> {
         self.internal.pop().map(|w| w.ticket)
     }
 
-    /// Removes the least urgent of the callers' requests if it is less urgent than `than`: a call of
+    /// Adds a caller's request and removes the least urgent one that is less urgent than it: a call of
     /// a running request only if there is no such new request, since a displaced call waits at its
-    /// entry node and is sent again.
-    pub(crate) fn shed_caller(&mut self, now: Millis, than: Urgency) -> Option<Ticket> {
+    /// entry node and is sent again. Returns `None`, and adds nothing, if there is none.
+    pub(crate) fn push_displacing(
+        &mut self,
+        now: Millis,
+        waiting: WaitingRequest,
+    ) -> Option<Ticket> {
+        self.push(false, waiting);
         let urgency = |w: &WaitingRequest| w.urgency(now);
-        let all = self.callers.iter().enumerate();
-        let less_urgent = all.filter(|(_, w)| urgency(w) > than);
-        let (i, _) = less_urgent.max_by_key(|(_, w)| (!w.is_call(), urgency(w)))?;
+        let (last, others) = self.callers.split_last()?;
+        let less_urgent = others.iter().enumerate();
+        let less_urgent = less_urgent.filter(|(_, w)| urgency(w) > urgency(last));
+        let displaced = less_urgent.max_by_key(|(_, w)| (!w.is_call(), urgency(w)));
+        let Some((i, _)) = displaced else {
+            self.remove(waiting.ticket);
+            return None;
+        };
         Some(self.callers.remove(i).ticket)
     }
 
@@ -164,21 +181,28 @@
         starts_per_oldest: u32,
     ) -> Option<WaitingRequest> {
         if self.callers.is_empty() {
-            return remove_most_urgent(&mut self.internal, now);
+            return self.remove_internal(now);
         }
         if !self.internal.is_empty() {
             self.starts_since_internal += 1;
             if self.starts_since_internal >= starts_per_internal {
                 self.starts_since_internal = 0;
-                return remove_most_urgent(&mut self.internal, now);
+                return self.remove_internal(now);
             }
         }
         self.starts_since_oldest += 1;
         if self.starts_since_oldest >= starts_per_oldest {
             self.starts_since_oldest = 0;
-            return Some(self.callers.remove(0));
+            return Some(self.start_caller(0));
         }
-        remove_most_urgent(&mut self.callers, now)
+        let i = most_urgent(&self.callers, now)?;
+        Some(self.start_caller(i))
+    }
+
+    fn start_caller(&mut self, i: usize) -> WaitingRequest {
+        let started = self.callers.remove(i);
+        self.round = self.round.max(started.turn);
+        started
     }
 
     /// Returns whether the request of `ticket` is an internal one, and the request itself.
@@ -201,10 +225,20 @@
     pub(crate) fn pop_any(&mut self) -> Option<WaitingRequest> {
         self.callers.pop().or_else(|| self.internal.pop())
     }
+
+    fn remove_internal(&mut self, now: Millis) -> Option<WaitingRequest> {
+        let i = most_urgent(&self.internal, now)?;
+        Some(self.internal.remove(i))
+    }
 }
 
-fn remove_most_urgent(queue: &mut Vec<WaitingRequest>, now: Millis) -> Option<WaitingRequest> {
+fn most_urgent(queue: &[WaitingRequest], now: Millis) -> Option<usize> {
     let all = queue.iter().enumerate();
     let (i, _) = all.min_by_key(|(_, w)| w.urgency(now))?;
-    Some(queue.remove(i))
+    Some(i)
+}
+
+/// Returns the earlier of two times, of which any may be unset.
+pub(crate) fn earliest(a: Option<Millis>, b: Option<Millis>) -> Option<Millis> {
+    a.into_iter().chain(b).min()
 }
--- a/crates/shallothill-policy/src/admit/request.rs
+++ b/crates/shallothill-policy/src/admit/request.rs
@@ -13,6 +13,10 @@
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct RequestKind(pub u64);
 
+/// `CallerKey` identifies a caller by a hash of its name.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct CallerKey(pub u64);
+
 /// `SlotOutcome` tells the gate how a request that held a slot ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum SlotOutcome {
@@ -43,6 +47,8 @@
     /// The time that backend servers have worked for the request that this one is a call of; `None`
     /// for a new request.
     pub spent: Option<Duration>,
+    /// The caller that a key identified.
+    pub caller: Option<CallerKey>,
     /// Whether the request may test an ejected endpoint: its sender marked it as a trial and it is
     /// idempotent.
     pub trial: bool,
@@ -63,6 +69,8 @@
     Stopping,
     /// A request of a higher class or greater urgency displaced it from the queue.
     Shed,
+    /// More urgent requests wait, and the request would miss its objective behind them.
+    Overload,
 }
 
 impl Refusal {
@@ -75,6 +83,7 @@
             Self::Deadline => "deadline",
             Self::Stopping => "stopping",
             Self::Shed => "shed",
+            Self::Overload => "overload",
         }
     }
 }
--- a/crates/shallothill-policy/tests/admit.rs
+++ b/crates/shallothill-policy/tests/admit.rs
@@ -43,6 +43,7 @@
         objective: None,
         rank: 0,
         spent: None,
+        caller: None,
         trial: false,
     }
 }
--- a/crates/shallothill-policy/tests/calls.rs
+++ b/crates/shallothill-policy/tests/calls.rs
@@ -80,6 +80,7 @@
         objective: None,
         rank,
         spent: spent.map(Duration::from_millis),
+        caller: None,
         trial: false,
     }
 }
--- a/crates/shallothill-policy/tests/kinds.rs
+++ b/crates/shallothill-policy/tests/kinds.rs
@@ -36,6 +36,7 @@
         objective: Some(Millis(now + 4000)),
         rank: 1,
         spent: None,
+        caller: None,
         trial: false,
     }
 }
--- a/crates/shallothill-policy/tests/stopping.rs
+++ b/crates/shallothill-policy/tests/stopping.rs
@@ -20,6 +20,7 @@
         objective: None,
         rank: 0,
         spent: None,
+        caller: None,
         trial: false,
     }
 }
--- a/crates/shallothill-policy/tests/support/mod.rs
+++ b/crates/shallothill-policy/tests/support/mod.rs
@@ -46,6 +46,8 @@
     pub failed_after_work: usize,
     /// Requests that their entry refused at once, because calls of their kind were refused.
     pub held_back: usize,
+    /// The time for which the callers of refused requests waited, in ms.
+    pub refused_after_ms: u64,
 }
 
 impl Tally {
@@ -61,6 +63,7 @@
         self.late += other.late;
         self.failed_after_work += other.failed_after_work;
         self.held_back += other.held_back;
+        self.refused_after_ms += other.refused_after_ms;
     }
 }
 
@@ -76,10 +79,8 @@
     sums
 }
 
-/// The service `bookings` of deployment A with three of ten servers in an episode: bookings,
-/// confirmations and the calls of registrations.
-pub fn bookings(load: f64) -> Plan {
-    let kind = |per_s, work_ms, rank, objective_ms, deadline_ms| Kind {
+fn kind(per_s: f64, work_ms: u64, rank: u8, objective_ms: u64, deadline_ms: u64) -> Kind {
+    Kind {
         per_s,
         work_ms,
         rank,
@@ -87,7 +88,27 @@
         deadline_ms,
         parent_work_ms: None,
         call_timeout_ms: 0,
-    };
+    }
+}
+
+/// The service `desk` of deployment B: lookups and the more urgent confirmations.
+pub fn desk(load: f64) -> Plan {
+    Plan {
+        gates: 56,
+        suspect: 0,
+        slots: 11,
+        kinds: vec![
+            kind(200.0, 640, 0, 2_500, 6_000),
+            kind(99.9, 510, 1, 2_500, 5_000),
+        ],
+        run_ms: 20_000,
+        ..bookings(load)
+    }
+}
+
+/// The service `bookings` of deployment A with three of ten servers in an episode: bookings,
+/// confirmations and the calls of registrations.
+pub fn bookings(load: f64) -> Plan {
     Plan {
         gates: 10,
         suspect: 3,
@@ -149,6 +170,8 @@
 pub struct Simulation {
     plan: Plan,
     rng: StdRng,
+    /// When the next request of each kind arrives, in milliseconds.
+    next_arrival: Vec<f64>,
     events: BinaryHeap<Reverse<(u64, u64, Event)>>,
     number: u64,
     now: u64,
@@ -173,6 +196,7 @@
         let kinds = plan.kinds.len();
         let mut simulation = Self {
             rng: StdRng::seed_from_u64(seed),
+            next_arrival: vec![0.0; kinds],
             events: BinaryHeap::new(),
             number: 0,
             now: 0,
@@ -206,9 +230,10 @@
     fn schedule_arrival(&mut self, kind: usize) {
         let per_ms = self.plan.kinds[kind].per_s * self.plan.load / 1000.0;
         let draw: f64 = self.rng.random_range(f64::EPSILON..1.0);
-        let after = (-draw.ln() / per_ms) as u64;
-        if self.now + after < self.plan.run_ms {
-            self.at(after, Event::Arrive(kind));
+        self.next_arrival[kind] += -draw.ln() / per_ms;
+        let at = self.next_arrival[kind] as u64;
+        if at < self.plan.run_ms {
+            self.at(at - self.now, Event::Arrive(kind));
         }
     }
 
@@ -330,6 +355,7 @@
             objective: Some(Millis(r.sent + k.objective_ms)),
             rank: k.rank,
             spent: spent.map(Duration::from_millis),
+            caller: None,
             trial: false,
         };
         if gate < self.plan.suspect {
@@ -396,6 +422,7 @@
         let kind = self.requests[req].kind;
         let worked = self.plan.kinds[kind].parent_work_ms.is_some();
         self.tallies[kind].failed_after_work += usize::from(worked);
+        self.tallies[kind].refused_after_ms += self.now - self.requests[req].arrived;
         self.record_shortage(req);
     }
 
--- a/crates/shallothill-policy/tests/urgency.rs
+++ b/crates/shallothill-policy/tests/urgency.rs
@@ -88,6 +88,7 @@
             objective: Some(Millis(now + OBJECTIVE_MS)),
             rank: arrival.rank,
             spent: None,
+            caller: None,
             trial: false,
         };
         match self.gate.admit(Millis(now), req) {
@@ -187,6 +188,7 @@
         objective: None,
         rank: 0,
         spent: None,
+        caller: None,
         trial: false,
     };
     gate.admit(Millis(0), request(DEADLINE_MS));
