policy, node: the last retries of a gate go to urgent ranks and to calls

Change: a retry leaves a quarter of the gate's budget to each more urgent rank of the window, at most a half; calls of running requests may use all of it. The check and the count of a retry are one step, as two requests could pass a check before either was counted.

With one rank nothing changes.

--- a/crates/shallothill-node/src/gate/attempt_limits.rs
+++ b/crates/shallothill-node/src/gate/attempt_limits.rs
@@ -2,7 +2,7 @@
 
 use shallothill_core::health::ServingState;
 use shallothill_policy::gray::Caution;
-use shallothill_policy::retry::{GateRetryBudget, GateRetryOptions};
+use shallothill_policy::retry::{GateRetryBudget, GateRetryOptions, RetryWorth};
 
 use crate::gate::Endpoint;
 use crate::refusal::Refusal;
@@ -36,10 +36,10 @@
     /// counting it.
     ///
     /// Fails with a refusal of outcome `RefusedNotRun`.
-    pub(crate) fn check_retry_allowance(&self) -> Result<(), Refusal> {
+    pub(crate) fn check_retry_allowance(&self, worth: RetryWorth) -> Result<(), Refusal> {
         let now = self.now();
         match &self.lock().retry_allowance {
-            Some(allowance) if !allowance.allows_retry(now) => Err(RETRIES_EXHAUSTED),
+            Some(allowance) if !allowance.allows_retry(now, worth) => Err(RETRIES_EXHAUSTED),
             _ => Ok(()),
         }
     }
@@ -47,21 +47,23 @@
     /// `consume_retry` counts a repeated request against the retry allowance.
     ///
     /// Fails with a refusal of outcome `RefusedNotRun` when the allowance is used up.
-    pub(crate) fn consume_retry(&self) -> Result<(), Refusal> {
-        self.check_retry_allowance()?;
+    pub(crate) fn consume_retry(&self, worth: RetryWorth) -> Result<(), Refusal> {
         let now = self.now();
-        if let Some(allowance) = &mut self.lock().retry_allowance {
-            allowance.record_retry(now);
+        let mut inner = self.lock();
+        let allowance = inner.retry_allowance.as_mut();
+        if allowance.is_none_or(|a| a.try_retry(now, worth)) {
+            Ok(())
+        } else {
+            Err(RETRIES_EXHAUSTED)
         }
-        Ok(())
     }
 
-    /// `count_first_attempt` counts a request that is passed on for the first time; retries are
+    /// `count_first_attempt` counts a request of `rank` that is passed on for the first time; retries are
     /// granted in proportion to these.
-    pub(crate) fn count_first_attempt(&self) {
+    pub(crate) fn count_first_attempt(&self, rank: u8) {
         let now = self.now();
         if let Some(allowance) = &mut self.lock().retry_allowance {
-            allowance.record_first(now);
+            allowance.record_first(now, rank);
         }
     }
 
--- a/crates/shallothill-node/src/gate/mod.rs
+++ b/crates/shallothill-node/src/gate/mod.rs
@@ -29,6 +29,7 @@
 use shallothill_core::incarnation::Incarnation;
 use shallothill_core::time::Millis;
 use shallothill_policy::pick::ReportedLoad;
+use shallothill_policy::retry::RetryWorth;
 use shallothill_runtime::timer::Timer;
 use tokio::sync::{Notify, watch};
 use tokio_util::task::TaskTracker;
@@ -193,13 +194,17 @@
             }
         };
         endpoint.check_gray_failure(attempt.caution)?;
+        let worth = RetryWorth {
+            rank: head.rank,
+            spent: head.call.map(|c| c.spent),
+        };
         if attempt.repeated {
-            endpoint.check_retry_allowance()?;
+            endpoint.check_retry_allowance(worth)?;
         }
         if head.idempotent {
             let trial = attempt.trial;
             let slot = endpoint.admit(&head, trial, &attempt.reply_by).await?;
-            let slot = slot.with_retry_allowance(attempt.repeated)?;
+            let slot = slot.with_retry_allowance(attempt.repeated, worth)?;
             return self.forward(slot, head, attempt.body, permit).await;
         }
         let key = match head.once_per {
@@ -211,13 +216,13 @@
         let reserved = self.reserve_buffer(expected, head.body_mode);
         if reserved.is_none() && head.body_mode == BodyMode::Streamed {
             let slot = endpoint.admit(&head, false, &attempt.reply_by).await?;
-            let slot = slot.with_retry_allowance(attempt.repeated)?;
+            let slot = slot.with_retry_allowance(attempt.repeated, worth)?;
             return self.forward(slot, head, attempt.body, permit).await;
         }
         let reserved = reserved.ok_or(BUFFERS_FULL)?;
         let body = exchange::read_body(&mut attempt.body, head.deadline).await?;
         let slot = endpoint.admit(&head, false, &attempt.reply_by).await?;
-        let slot = slot.with_retry_allowance(attempt.repeated)?;
+        let slot = slot.with_retry_allowance(attempt.repeated, worth)?;
         let reply = match key {
             Some(key) => self.run_with_claim(slot, head, key, body, permit).await,
             None => self.forward(slot, head, Body::full(body), permit).await,
--- a/crates/shallothill-node/src/gate/slot.rs
+++ b/crates/shallothill-node/src/gate/slot.rs
@@ -7,6 +7,7 @@
 use shallothill_core::hash::Fingerprint;
 use shallothill_policy::admit::{SlotOutcome, Ticket};
 use shallothill_policy::detect::Evidence;
+use shallothill_policy::retry::RetryWorth;
 use tokio::time::Instant;
 
 use crate::crashes::QuarantinePermit;
@@ -21,6 +22,7 @@
     endpoint: Arc<Endpoint>,
     ticket: Ticket,
     repeated: bool,
+    rank: u8,
     started: Option<Instant>,
     evidence_recorded: bool,
     served_latency: Option<Duration>,
@@ -34,6 +36,7 @@
             endpoint,
             ticket,
             repeated: false,
+            rank: 0,
             started: None,
             evidence_recorded: false,
             served_latency: None,
@@ -45,10 +48,15 @@
     /// and counts such a request as a retry.
     ///
     /// Fails with a refusal of outcome `RefusedNotRun` when the retry allowance is used up.
-    pub(crate) fn with_retry_allowance(mut self, repeated: bool) -> Result<Self, Refusal> {
+    pub(crate) fn with_retry_allowance(
+        mut self,
+        repeated: bool,
+        worth: RetryWorth,
+    ) -> Result<Self, Refusal> {
         self.repeated = repeated;
+        self.rank = worth.rank;
         if repeated {
-            self.endpoint.consume_retry()?;
+            self.endpoint.consume_retry(worth)?;
         }
         Ok(self)
     }
@@ -83,7 +91,7 @@
             self.endpoint
                 .record_start(self.ticket, fingerprint, objective);
             if !self.repeated {
-                self.endpoint.count_first_attempt();
+                self.endpoint.count_first_attempt(self.rank);
             }
         }
     }
--- a/crates/shallothill-policy/src/retry/gate_budget.rs
+++ b/crates/shallothill-policy/src/retry/gate_budget.rs
@@ -1,6 +1,7 @@
 //! The share of a service's retry budget that one gate enforces.
 
 use std::collections::VecDeque;
+use std::time::Duration;
 
 use shallothill_core::time::Millis;
 
@@ -9,12 +10,30 @@
 /// `SECOND_MS` is the width of one bucket of the sliding window, in milliseconds.
 const SECOND_MS: u64 = 1000;
 
+/// `RANK_RESERVE` is the part of the budget that each rank below the most urgent one leaves to the more
+/// urgent ranks.
+const RANK_RESERVE: f64 = 0.25;
+
+/// `MAX_RESERVE` is the largest part of the budget that a rank leaves to others.
+const MAX_RESERVE: f64 = 0.5;
+
+/// `RetryWorth` is what a retry is worth compared with others when the budget is short.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct RetryWorth {
+    /// The rank of the request; 0 is the most urgent.
+    pub rank: u8,
+    /// The work already spent on the request that this one is a call of; `None` for a new request.
+    pub spent: Option<Duration>,
+}
+
 /// `SecondCounts` counts the requests that were passed on in one second.
 #[derive(Clone, Copy, Debug, Default)]
 struct SecondCounts {
     second: u64,
     first: u32,
     repeated: u32,
+    /// The most urgent rank of the first requests.
+    rank: Option<u8>,
 }
 
 /// `GateRetryBudget` limits the retries that one gate passes on, over a sliding window.
@@ -50,13 +69,26 @@
         self.options = options;
     }
 
-    /// `record_first` counts a request that no backend server has received before.
-    pub fn record_first(&mut self, now: Millis) {
-        self.current_second(now).first += 1;
+    /// `record_first` counts a request of `rank` that no backend server has received before.
+    pub fn record_first(&mut self, now: Millis, rank: u8) {
+        let counts = self.current_second(now);
+        counts.first += 1;
+        counts.rank = Some(counts.rank.map_or(rank, |known| known.min(rank)));
+    }
+
+    /// `try_retry` counts a retry if it may be passed on, and returns whether it may.
+    pub fn try_retry(&mut self, now: Millis, worth: RetryWorth) -> bool {
+        let allowed = self.allows_retry(now, worth);
+        if allowed {
+            self.record_retry(now);
+        }
+        allowed
     }
 
-    /// `allows_retry` returns whether a retry may be passed on.
-    pub fn allows_retry(&self, now: Millis) -> bool {
+    /// `allows_retry` returns whether a retry of this worth may be passed on. The last part of the
+    /// budget is kept for calls of running requests and for the more urgent ranks among the requests
+    /// of the window.
+    pub fn allows_retry(&self, now: Millis, worth: RetryWorth) -> bool {
         let window_ms = self.options.window.as_millis() as u64;
         let oldest = now.0.saturating_sub(window_ms) / SECOND_MS;
         // The oldest second is only partly inside the window: its retries count, its first requests
@@ -67,7 +99,8 @@
         let elapsed_share = age_ms.min(window_ms) as f64 / window_ms.max(1) as f64;
         let ratio = f64::from(self.options.budget_percent) / 100.0;
         let limit = f64::from(first) * ratio + self.options.saved_retries * elapsed_share;
-        f64::from(repeated) + 1.0 <= limit
+        let usable = limit * (1.0 - self.reserve(oldest, worth));
+        f64::from(repeated) + 1.0 <= usable
     }
 
     /// `record_retry` counts a retry that is passed on.
@@ -75,6 +108,18 @@
         self.current_second(now).repeated += 1;
     }
 
+    // Returns the part of the budget that a retry leaves to those of greater worth.
+    fn reserve(&self, oldest: u64, worth: RetryWorth) -> f64 {
+        let most_urgent = self.counts_since(oldest).filter_map(|c| c.rank).min();
+        match (most_urgent, worth.spent) {
+            (Some(most_urgent), None) => {
+                let below = worth.rank.saturating_sub(most_urgent);
+                (f64::from(below) * RANK_RESERVE).min(MAX_RESERVE)
+            }
+            _ => 0.0,
+        }
+    }
+
     fn counts_since(&self, second: u64) -> impl Iterator<Item = &SecondCounts> {
         self.seconds.iter().filter(move |c| c.second >= second)
     }
--- a/crates/shallothill-policy/src/retry/mod.rs
+++ b/crates/shallothill-policy/src/retry/mod.rs
@@ -9,7 +9,7 @@
 
 pub use attempts::{Attempts, NextStep, RefusedBy};
 pub use budget::RetryBudget;
-pub use gate_budget::GateRetryBudget;
+pub use gate_budget::{GateRetryBudget, RetryWorth};
 pub use gate_options::GateRetryOptions;
 pub use options::RetryOptions;
 pub use usual_latency::UsualLatency;
--- a/crates/shallothill-policy/tests/allowance.rs
+++ b/crates/shallothill-policy/tests/allowance.rs
@@ -3,7 +3,7 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use shallothill_core::time::Millis;
-use shallothill_policy::retry::{GateRetryBudget, GateRetryOptions};
+use shallothill_policy::retry::{GateRetryBudget, GateRetryOptions, RetryWorth};
 
 const NODES: usize = 36;
 const GATES: usize = 12;
@@ -62,13 +62,13 @@
                 gates[gate] = GateRetryBudget::new(gate_share(), Millis(at));
             }
             if !quiet && rng.random_bool(0.2) {
-                gates[gate].record_first(Millis(at));
+                gates[gate].record_first(Millis(at), 0);
                 arrivals.push(Arrival {
                     at,
                     repeated: false,
                 });
             }
-            if gates[gate].allows_retry(Millis(at)) {
+            if gates[gate].allows_retry(Millis(at), RetryWorth::default()) {
                 gates[gate].record_retry(Millis(at));
                 arrivals.push(Arrival { at, repeated: true });
             }
@@ -111,14 +111,14 @@
     for at in (0..60_000).step_by(40) {
         let (node, gate) = (rng.random_range(0..NODES), rng.random_range(0..GATES));
         nodes[node].first();
-        gates[gate].record_first(Millis(at));
+        gates[gate].record_first(Millis(at), 0);
         if !rng.random_bool(0.12) {
             continue;
         }
         failed += 1;
         let other = (gate + rng.random_range(1..GATES)) % GATES;
         let again = if at_gates {
-            let allowed = gates[other].allows_retry(Millis(at));
+            let allowed = gates[other].allows_retry(Millis(at), RetryWorth::default());
             if allowed {
                 gates[other].record_retry(Millis(at));
             }
@@ -145,3 +145,47 @@
         );
     }
 }
+
+/// Returns how many retries of each of these worths pass, when they take turns against a budget of
+/// 100 in a window of first requests of the ranks 1 and 2.
+fn passed<const N: usize>(worths: [RetryWorth; N]) -> [u32; N] {
+    let options = GateRetryOptions {
+        budget_percent: 10,
+        saved_retries: 0.0,
+        ..GateRetryOptions::default()
+    };
+    let mut gate = GateRetryBudget::new(options, Millis(0));
+    for i in 0..1000 {
+        gate.record_first(Millis(5_000), 1 + (i % 2) as u8);
+    }
+    let mut passed = [0; N];
+    for _ in 0..100 {
+        for (passed, worth) in passed.iter_mut().zip(worths) {
+            *passed += u32::from(gate.try_retry(Millis(5_000), worth));
+        }
+    }
+    passed
+}
+
+/// Guards against less urgent retries, or those of new requests, that use up a short budget, and
+/// against a reserve where all requests have the same rank.
+#[test]
+fn the_last_retries_are_kept_for_urgent_ranks_and_calls() {
+    let new = |rank| RetryWorth { rank, spent: None };
+    let call = RetryWorth {
+        rank: 2,
+        spent: Some(std::time::Duration::from_millis(600)),
+    };
+
+    assert_eq!(passed([new(1)]), [100]);
+    assert_eq!(passed([new(2)]), [75]);
+    assert_eq!(passed([new(9)]), [50]);
+    assert_eq!(passed([call]), [100]);
+    let [urgent, other, call] = passed([new(1), new(2), call]);
+    // They take turns until the budget ends, so that one of them may have one more.
+    assert!(
+        urgent.abs_diff(call) <= 1 && call > other,
+        "{urgent} {other} {call}"
+    );
+    assert_eq!(urgent + other + call, 100);
+}
