policy, node, platform: the retry budget holds while gates start and end

Cause: when a gate ended, the others got its share of the saved retries at once, while what it had passed on was still in the window. A backend server that announced itself again began with an empty window.

Change: a larger share counts once it has been in force for a window. A gate keeps its counts when its backend server restarts on the same node.

Ruled out: no saved retries at all in the first window of a gate.

--- a/crates/shallothill-node/src/gate/attempt_limits.rs
+++ b/crates/shallothill-node/src/gate/attempt_limits.rs
@@ -27,7 +27,7 @@
         let mut inner = self.lock();
         match (options, &mut inner.retry_allowance) {
             (None, allowance) => *allowance = None,
-            (Some(options), Some(allowance)) => allowance.set_options(options),
+            (Some(options), Some(allowance)) => allowance.set_options(now, options),
             (Some(options), allowance) => *allowance = Some(GateRetryBudget::new(options, now)),
         }
     }
--- a/crates/shallothill-node/src/gate/lifecycle.rs
+++ b/crates/shallothill-node/src/gate/lifecycle.rs
@@ -202,6 +202,11 @@
         let max_idle = usize::from(a.slots.clamp(1, MAX_IDLE_CONNECTIONS));
         let pool = ConnectionPool::new(a.address, self.deps.bounds.connect_timeout(), max_idle);
         let endpoint = Endpoint::new(init, pool, self.deps.timer.clone());
+        // What was passed on before a restart of the backend server still counts.
+        if let Some(previous) = previous {
+            let allowance = previous.lock().retry_allowance.clone();
+            endpoint.lock().retry_allowance = allowance;
+        }
         if let Some(at) = self.stops_at.get() {
             endpoint.stop_at(*at);
         }
--- a/crates/shallothill-policy/src/retry/gate_budget.rs
+++ b/crates/shallothill-policy/src/retry/gate_budget.rs
@@ -34,6 +34,8 @@
     repeated: u32,
     /// The most urgent rank of the first requests.
     rank: Option<u8>,
+    /// The smallest share of the saved retries that was in force.
+    saved: Option<f64>,
 }
 
 /// `GateRetryBudget` limits the retries that one gate passes on, over a sliding window.
@@ -45,8 +47,10 @@
 ///
 /// In any window, all gates of a service together pass on at most `budget_percent` of the first
 /// requests plus the saved retries: each gate counts its own requests and gets an equal share of
-/// the saved retries. A gate that has just started does not know what was passed on before, so its
-/// share grows over the first window.
+/// the saved retries. A change of the number of gates adds nothing to their sum. A gate that has just
+/// started does not know what was passed on before, so its share grows over the first window. A
+/// larger share, after another gate has ended, counts once what that gate passed on has left the
+/// window.
 #[derive(Clone, Debug)]
 pub struct GateRetryBudget {
     options: GateRetryOptions,
@@ -64,9 +68,13 @@
         }
     }
 
-    /// `set_options` applies a changed configuration or number of gates.
-    pub fn set_options(&mut self, options: GateRetryOptions) {
+    /// `set_options` applies a changed configuration or number of gates; call it at least once a
+    /// second.
+    pub fn set_options(&mut self, now: Millis, options: GateRetryOptions) {
+        let saved = options.saved_retries.min(self.options.saved_retries);
         self.options = options;
+        let counts = self.current_second(now);
+        counts.saved = Some(counts.saved.map_or(saved, |known| known.min(saved)));
     }
 
     /// `record_first` counts a request of `rank` that no backend server has received before.
@@ -95,10 +103,8 @@
         // don't.
         let repeated: u32 = self.counts_since(oldest).map(|c| c.repeated).sum();
         let first: u32 = self.counts_since(oldest + 1).map(|c| c.first).sum();
-        let age_ms = now.saturating_since(self.started_at).as_millis() as u64;
-        let elapsed_share = age_ms.min(window_ms) as f64 / window_ms.max(1) as f64;
         let ratio = f64::from(self.options.budget_percent) / 100.0;
-        let limit = f64::from(first) * ratio + self.options.saved_retries * elapsed_share;
+        let limit = f64::from(first) * ratio + self.saved_share(now, oldest);
         let usable = limit * (1.0 - self.reserve(oldest, worth));
         f64::from(repeated) + 1.0 <= usable
     }
@@ -108,6 +114,16 @@
         self.current_second(now).repeated += 1;
     }
 
+    // Returns the share of the saved retries: the smallest one of the window, and a part of it in the
+    // first window.
+    fn saved_share(&self, now: Millis, oldest: u64) -> f64 {
+        let window_ms = self.options.window.as_millis() as u64;
+        let age_ms = now.saturating_since(self.started_at).as_millis() as u64;
+        let elapsed_share = age_ms.min(window_ms) as f64 / window_ms.max(1) as f64;
+        let known = self.counts_since(oldest).filter_map(|c| c.saved);
+        known.fold(self.options.saved_retries, f64::min) * elapsed_share
+    }
+
     // Returns the part of the budget that a retry leaves to those of greater worth.
     fn reserve(&self, oldest: u64, worth: RetryWorth) -> f64 {
         let most_urgent = self.counts_since(oldest).filter_map(|c| c.rank).min();
--- a/crates/shallothill-policy/tests/allowance.rs
+++ b/crates/shallothill-policy/tests/allowance.rs
@@ -189,3 +189,72 @@
     );
     assert_eq!(urgent + other + call, 100);
 }
+
+/// Like [`max_excess`], where the first requests are those of the window, of the one before it or of
+/// the one that begins half a window earlier, whichever has most.
+fn max_excess_of_stated_bound(arrivals: &[Arrival]) -> f64 {
+    let count = |from: u64, repeated: bool| {
+        let within = arrivals
+            .iter()
+            .filter(|a| a.at >= from && a.at < from + WINDOW_MS);
+        within.filter(|a| a.repeated == repeated).count() as f64
+    };
+    let last = arrivals.last().map_or(0, |a| a.at);
+    let excess = (WINDOW_MS..last).step_by(100).map(|from| {
+        let starts = [from, from - WINDOW_MS / 2, from - WINDOW_MS];
+        let first = starts.map(|from| count(from, false));
+        let first = first.into_iter().fold(0.0, f64::max);
+        count(from, true) - (first * f64::from(PERCENT) / 100.0 + SAVED)
+    });
+    excess.fold(f64::MIN, f64::max)
+}
+
+/// Guards against gates that pass on more retries together while their number changes: those that
+/// end leave what they passed on in the window, and those that start know nothing of it.
+#[test]
+fn holds_gates_that_start_and_end_add_nothing() {
+    for seed in SEEDS {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let mut gates: Vec<GateRetryBudget> = (0..GATES)
+            .map(|_| GateRetryBudget::new(gate_share(), Millis(0)))
+            .collect();
+        let mut arrivals = Vec::new();
+        for at in (0..120_000_u64).step_by(5) {
+            if at.is_multiple_of(3_000) && at > 20_000 {
+                if rng.random_bool(0.5) && gates.len() > 2 {
+                    gates.remove(rng.random_range(0..gates.len()));
+                } else {
+                    gates.push(GateRetryBudget::new(gate_share(), Millis(at)));
+                }
+            }
+            if at.is_multiple_of(250) {
+                let options = GateRetryOptions {
+                    saved_retries: SAVED / gates.len() as f64,
+                    ..gate_share()
+                };
+                for gate in &mut gates {
+                    gate.set_options(Millis(at), options.clone());
+                }
+            }
+            // Bursts of failures in every second window.
+            let burst = (at / WINDOW_MS).is_multiple_of(2);
+            let gate = rng.random_range(0..gates.len());
+            if rng.random_bool(0.05) {
+                gates[gate].record_first(Millis(at), 0);
+                arrivals.push(Arrival {
+                    at,
+                    repeated: false,
+                });
+            }
+            if burst && gates[gate].try_retry(Millis(at), RetryWorth::default()) {
+                arrivals.push(Arrival { at, repeated: true });
+            }
+        }
+
+        let max_excess = max_excess_of_stated_bound(&arrivals);
+
+        assert!(max_excess <= 0.0, "seed {seed}: {max_excess}");
+        let repeated = arrivals.iter().filter(|a| a.repeated).count();
+        assert!(repeated > 150, "seed {seed}: {repeated}");
+    }
+}
