policy, node: fixtures of the load tests in two files; the pause of a call in the entry's log line

Change: the plans and tallies of the simulated load stand in `tests/support/plans.rs`. `entry: attempt ended` carries `spent_ms` and `paused_ms`. No test or decision changes.

Evidence: `cargo test -p shallothill-policy`: 105 tests pass, as before.

--- a/crates/shallothill-node/src/entry/run_state.rs
+++ b/crates/shallothill-node/src/entry/run_state.rs
@@ -156,6 +156,8 @@
             status = reply.response.status().as_u16(),
             reason = header_filter::single_value(reply.response.headers(), headers::REASON),
             took_ms = now.saturating_since(self.sent_at).as_millis() as u64,
+            spent_ms = self.head.call.map(|c| c.spent.as_millis() as u64),
+            paused_ms = self.paused.as_millis() as u64,
             left_ms = left.as_millis() as u64,
             "entry: attempt ended"
         );
--- a/crates/shallothill-policy/tests/backpressure.rs
+++ b/crates/shallothill-policy/tests/backpressure.rs
@@ -6,7 +6,8 @@
 
 use shallothill_core::time::Millis;
 use shallothill_policy::backpressure::AdmissionController;
-use support::Plan;
+use support::plans;
+use support::plans::{Plan, Tally};
 
 const SEEDS: [u64; 2] = [1, 2];
 const ENTRIES: usize = 73;
@@ -16,7 +17,7 @@
 #[test]
 fn fewer_requests_fail_after_work_when_calls_exceed_capacity() {
     // Twice the rates: the calls and the more urgent bookings together exceed the capacity.
-    let plan = support::bookings(2.0);
+    let plan = plans::bookings(2.0);
     let limited = Plan {
         controlling_entries: ENTRIES,
         ..plan.clone()
@@ -26,7 +27,7 @@
     let after = support::total(&limited, &SEEDS);
     println!("before {before:?}\nafter {after:?}");
 
-    let failed = |t: &[support::Tally]| t[2].failed_after_work as f64 / t[2].sent as f64;
+    let failed = |t: &[Tally]| t[2].failed_after_work as f64 / t[2].sent as f64;
     assert!(failed(&before) > 0.1, "{before:?}");
     assert!(failed(&after) < failed(&before) / 2.0, "{after:?}");
     assert!(
@@ -40,7 +41,7 @@
 fn nothing_is_held_back_below_capacity() {
     let plan = Plan {
         controlling_entries: ENTRIES,
-        ..support::bookings(0.8)
+        ..plans::bookings(0.8)
     };
 
     let tallies = support::total(&plan, &SEEDS);
--- a/crates/shallothill-policy/tests/calls.rs
+++ b/crates/shallothill-policy/tests/calls.rs
@@ -12,7 +12,8 @@
 use shallothill_policy::calls::RunningRequests;
 use shallothill_policy::pick::EndpointKey;
 use shallothill_policy::retry::{Attempts, NextStep, RefusedBy, RetryBudget, RetryOptions};
-use support::{Plan, Tally};
+use support::plans;
+use support::plans::{Plan, Tally};
 
 const SEEDS: [u64; 4] = [1, 2, 3, 4];
 
@@ -139,7 +140,7 @@
 /// make finds no capacity, and against bookings that pay for them.
 #[test]
 fn requests_rarely_fail_for_a_call_when_capacity_is_short() {
-    let plan = support::bookings(1.1);
+    let plan = plans::bookings(1.1);
     let unrecognised = Plan {
         recognised: false,
         ..plan.clone()
--- a/crates/shallothill-policy/tests/overload.rs
+++ b/crates/shallothill-policy/tests/overload.rs
@@ -11,7 +11,8 @@
     Admission, CallerKey, Gate, GateOptions, GateRequest, QueueDecision, Refusal, RequestKind,
     SlotOutcome, Ticket,
 };
-use support::Tally;
+use support::plans;
+use support::plans::Tally;
 
 const SEEDS: [u64; 2] = [1, 2];
 
@@ -24,7 +25,7 @@
 #[test]
 fn the_more_urgent_kind_is_served_first_and_the_other_refused_soon() {
     for load in ABOVE_CAPACITY {
-        let [urgent, other] = support::total(&support::desk(load), &SEEDS)[..] else {
+        let [urgent, other] = support::total(&plans::desk(load), &SEEDS)[..] else {
             panic!("two kinds");
         };
         println!("{load}: {urgent:?} {other:?}");
@@ -39,7 +40,7 @@
 /// Guards against requests that are refused or late while there is capacity for all.
 #[test]
 fn everything_is_served_in_time_below_capacity() {
-    for tally in support::total(&support::desk(BELOW_CAPACITY), &SEEDS) {
+    for tally in support::total(&plans::desk(BELOW_CAPACITY), &SEEDS) {
         let Tally { sent, in_time, .. } = tally;
         assert_eq!(sent, in_time, "{tally:?}");
     }
