--- a/crates/shallothill-bench/src/sim/states/request.rs
+++ b/crates/shallothill-bench/src/sim/states/request.rs
@@ -108,6 +108,8 @@
             objective: Some(arrived + OBJECTIVE),
             rank: 0,
             trial: false,
+            caller: None,
+            spent: None,
         };
         match host.gate.admit(now, wanted) {
             Admission::Run(ticket) => {
--- a/crates/shallothill-core/src/headers.rs
+++ b/crates/shallothill-core/src/headers.rs
@@ -47,6 +47,9 @@
 /// `OBJECTIVE_MS` carries the time left until the request exceeds its target latency, in
 /// milliseconds, on hops between nodes.
 pub const OBJECTIVE_MS: &str = "x-shallothill-objective-ms";
+/// `SPENT_MS` marks a call that a backend server makes while it runs a request, on hops between
+/// nodes. It carries the time that backend servers have worked for that request, in milliseconds.
+pub const SPENT_MS: &str = "x-shallothill-spent-ms";
 /// `REPLY_BY_MS` carries the time left until the entry node of an attempt stops, in milliseconds, on
 /// hops between nodes.
 pub const REPLY_BY_MS: &str = "x-shallothill-reply-by-ms";
@@ -55,6 +58,9 @@
 pub const REPEATED: &str = "x-shallothill-repeated";
 /// `REACHED` marks responses between nodes when the request reached a backend server.
 pub const REACHED: &str = "x-shallothill-reached";
+/// `CALL_SHORTAGE` marks responses between nodes when a call that the backend server made for the
+/// request waited long for capacity or was refused.
+pub const CALL_SHORTAGE: &str = "x-shallothill-call-shortage";
 /// `PROCESS` carries the id of the sending process, on hops between nodes.
 pub const PROCESS: &str = "x-shallothill-process";
 /// `ATTEMPT_NUMBER` carries the number of the attempt among all those of the sending process.
--- a/crates/shallothill-node/src/attempt.rs
+++ b/crates/shallothill-node/src/attempt.rs
@@ -1,6 +1,7 @@
 //! Attempts and their replies, as entry nodes and gates exchange them.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use hyper::header::{HeaderMap, HeaderValue};
 use hyper::http::uri::PathAndQuery;
@@ -18,6 +19,7 @@
 use tokio::time::Instant;
 
 use crate::body::Body;
+use crate::gate::CallShortage;
 use crate::header_filter;
 use crate::reply_by::ReplyBy;
 
@@ -57,12 +59,23 @@
     pub objective: Option<Instant>,
     /// Identifies the request across resends, for the quarantine.
     pub fingerprint: Fingerprint,
+    /// Set if a backend server makes the request while it runs another one.
+    pub call: Option<Call>,
     /// The limit of the request body, in bytes.
     pub max_body_bytes: u64,
     /// Whether the request body may be passed on as it arrives.
     pub body_mode: BodyMode,
 }
 
+/// `Call` describes the running request for which a backend server makes a call.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Call {
+    /// The time that backend servers have worked for it.
+    pub spent: Duration,
+    /// Whether it may have run before, so that the call may have been made before.
+    pub repeated: bool,
+}
+
 /// `Attempt` is one try to run a request at one backend server.
 #[derive(Debug)]
 pub struct Attempt {
@@ -148,6 +161,11 @@
             && !self.response.status().is_server_error()
     }
 
+    /// `calls_refused` tells whether a call of the request lacked capacity.
+    pub(crate) fn call_shortage(&self) -> bool {
+        self.response.extensions().get::<CallShortage>().is_some()
+    }
+
     /// `refused_for` tells whether the reply states `reason`.
     pub(crate) fn refused_for(&self, reason: &str) -> bool {
         header_filter::single_value(self.response.headers(), headers::REASON) == Some(reason)
--- a/crates/shallothill-node/src/counters.rs
+++ b/crates/shallothill-node/src/counters.rs
@@ -7,7 +7,7 @@
 use serde_json::{Value, json};
 
 /// `TOTALS` is the number of totals that are sent as metrics.
-pub const TOTALS: usize = 14 + REFUSALS.len();
+pub(crate) const TOTALS: usize = 17 + REFUSALS.len();
 
 /// `REFUSALS` lists the reasons for which gates refuse attempts; the last one counts all others.
 const REFUSALS: [&str; 8] = [
@@ -31,6 +31,9 @@
     lost_leases: AtomicU64,
     stale_refusals: AtomicU64,
     credit: [AtomicU64; 4],
+    calls: AtomicU64,
+    call_pauses: AtomicU64,
+    call_shortages: AtomicU64,
 }
 
 /// `CreditResult` tells how a request of a caller with a quota got a token, or why it got none.
@@ -57,6 +60,8 @@
     pub buffered_bytes: u64,
     /// The number of ledger claims in flight.
     pub claims: u64,
+    /// The number of routes of which fewer requests are admitted.
+    pub limited_routes: u64,
 }
 
 impl Counters {
@@ -105,6 +110,21 @@
         self.refused[reason].fetch_add(1, Ordering::Relaxed);
     }
 
+    /// `count_call` counts a recognised call of a request that runs on this host.
+    pub fn count_call(&self) {
+        self.calls.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// `count_call_pause` counts a pause of a call that found no capacity.
+    pub fn count_call_pause(&self) {
+        self.call_pauses.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// `count_call_shortage` counts an attempt of which a call lacked capacity.
+    pub fn count_call_shortage(&self) {
+        self.call_shortages.fetch_add(1, Ordering::Relaxed);
+    }
+
     /// `dump` returns the totals for the state dump.
     pub fn dump(&self) -> Value {
         let n = |i: usize| self.responses[i].load(Ordering::Relaxed);
@@ -123,12 +143,15 @@
             "malformed": self.malformed.load(Ordering::Relaxed),
             "lost_leases": self.lost_leases.load(Ordering::Relaxed),
             "stale_refusals": self.stale_refusals.load(Ordering::Relaxed),
+            "calls": self.calls.load(Ordering::Relaxed),
+            "call_pauses": self.call_pauses.load(Ordering::Relaxed),
+            "call_shortages": self.call_shortages.load(Ordering::Relaxed),
         })
     }
 
     /// `send` sends the increase of each total since `last_sent`, which it updates, and the gauges.
     pub fn send(&self, client: &StatsdClient, last_sent: &mut [u64; TOTALS], gauges: Gauges) {
-        const NAMES: [&str; 14] = [
+        const NAMES: [&str; 17] = [
             "responses.other",
             "responses.1xx",
             "responses.2xx",
@@ -143,6 +166,9 @@
             "credit.waited",
             "credit.denied",
             "credit.no_answer",
+            "calls",
+            "call_pauses",
+            "call_shortages",
         ];
         // Not sent by nodes without a bound on the age of their configuration.
         const OPTIONAL: [&str; 2] = ["lost_leases", "stale_refusals"];
@@ -156,6 +182,7 @@
                 &self.stale_refusals,
             ])
             .chain(&self.credit)
+            .chain([&self.calls, &self.call_pauses, &self.call_shortages])
             .chain(&self.refused);
         let refusals = REFUSALS.map(|reason| format!("refused.{reason}"));
         let names = NAMES.into_iter().chain(refusals.iter().map(String::as_str));
@@ -172,5 +199,6 @@
         let _ = client.gauge("endpoints", gauges.endpoints);
         let _ = client.gauge("buffered_bytes", gauges.buffered_bytes);
         let _ = client.gauge("claims", gauges.claims);
+        let _ = client.gauge("limited_routes", gauges.limited_routes);
     }
 }
--- a/crates/shallothill-node/src/dump.rs
+++ b/crates/shallothill-node/src/dump.rs
@@ -31,6 +31,7 @@
             "picks": self.dump_picks(),
             "peers": self.links().addresses(),
             "open_requests": self.entry().open_requests().count(),
+            "limited_routes": self.entry().limited_routes(),
             "limited_callers": self.entry().limited_callers(),
             "credit": self.entry().credit().dump(),
             "buffered_bytes": self.entry().buffered_bytes(),
--- a/crates/shallothill-node/src/entry/mod.rs
+++ b/crates/shallothill-node/src/entry/mod.rs
@@ -1,7 +1,9 @@
 //! The entry role: takes callers' requests and sends them to gates.
 
 mod attempts;
+mod backpressure;
 mod caller;
+mod calls;
 mod credit;
 mod ended_attempt;
 mod fingerprint;
@@ -15,13 +17,13 @@
 
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, PoisonError, RwLock};
+use std::sync::{Arc, Mutex, PoisonError, RwLock};
 
 use hyper::header::HeaderValue;
-use shallothill_core::ids::ServiceName;
+use shallothill_core::ids::{RouteName, ServiceName};
 use shallothill_core::version::ConfigVersion;
 use shallothill_policy::limits::CallerLimits;
-use shallothill_policy::retry::RetryBudget;
+use shallothill_policy::retry::{RetryBudget, UsualLatency};
 use shallothill_runtime::timer::Timer;
 
 use crate::buffers::BufferBudget;
@@ -29,6 +31,7 @@
 use crate::counters::Counters;
 use crate::crashes::CrashTracker;
 use crate::currency::ConfigCurrency;
+use crate::entry::backpressure::Backpressure;
 use crate::gate::Gate;
 use crate::interface::HttpInterface;
 use crate::peer::PeerLinks;
@@ -85,6 +88,9 @@
     open: OpenRequests,
     /// Set when the node begins to stop.
     reply_by: ReplyBy,
+    /// The usual latency of the routes that serve calls.
+    latencies: Mutex<HashMap<RouteName, UsualLatency>>,
+    backpressure: Backpressure,
 }
 
 impl Entry {
@@ -96,6 +102,8 @@
             serving: AtomicBool::new(false),
             open: OpenRequests::default(),
             reply_by: ReplyBy::default(),
+            latencies: Mutex::default(),
+            backpressure: Backpressure::default(),
         }
     }
 
@@ -137,6 +145,11 @@
         self.deps.buffers.used_bytes()
     }
 
+    /// `limited_routes` returns the number of routes of which fewer requests are admitted.
+    pub fn limited_routes(&self) -> usize {
+        self.backpressure.limited_routes(self.deps.timer.now())
+    }
+
     fn retry_budget(&self, service: &ServiceName) -> Arc<RetryBudget> {
         let known = self.budgets.read().unwrap_or_else(PoisonError::into_inner);
         if let Some(budget) = known.get(service) {
--- a/crates/shallothill-node/src/entry/run_state.rs
+++ b/crates/shallothill-node/src/entry/run_state.rs
@@ -18,6 +18,7 @@
 use crate::body::Body;
 use crate::entry::prepare::Payload;
 use crate::gate;
+use crate::gate::ParentRequest;
 use crate::header_filter;
 use crate::interface::HttpInterface;
 use crate::peer;
@@ -46,6 +47,10 @@
     pub(super) attempts: retry::Attempts,
     pub(super) sent_at: Millis,
     pub(super) last_attempt: Option<LastAttempt>,
+    /// The running request that this one is a call of.
+    pub(super) parent: Option<Arc<ParentRequest>>,
+    /// The sum of the pauses for want of capacity.
+    pub(super) paused: Duration,
 }
 
 /// `LastAttempt` describes the last attempt: where it was sent, and why.
@@ -97,7 +102,9 @@
             // A refusal would be final, so only a suspected backend server may refuse.
             Caution::Settle
         };
-        let repeated = self.attempts.reached_count() > 0;
+        // The calls of a repeated request may have been made before as well.
+        let made_again = self.head.call.is_some_and(|c| c.repeated);
+        let repeated = made_again || self.attempts.reached_count() > 0;
         self.attempts
             .record_start(endpoint.key, &self.options, &self.budget);
         self.sent_at = now;
@@ -150,6 +157,8 @@
             status = reply.response.status().as_u16(),
             reason = header_filter::single_value(reply.response.headers(), headers::REASON),
             took_ms = now.saturating_since(self.sent_at).as_millis() as u64,
+            spent_ms = self.head.call.map(|c| c.spent.as_millis() as u64),
+            paused_ms = self.paused.as_millis() as u64,
             left_ms = left.as_millis() as u64,
             "entry: attempt ended"
         );
--- a/crates/shallothill-node/src/gate/mod.rs
+++ b/crates/shallothill-node/src/gate/mod.rs
@@ -12,6 +12,7 @@
 mod head_limit;
 mod ledger_client;
 mod lifecycle;
+mod parent_requests;
 mod queued_request;
 mod registration;
 mod response_check;
@@ -30,6 +31,7 @@
 use shallothill_core::time::Millis;
 use shallothill_policy::notices::RecentSenders;
 use shallothill_policy::pick::ReportedLoad;
+use shallothill_policy::retry::RetryWorth;
 use shallothill_runtime::timer::Timer;
 use tokio::sync::{Notify, watch};
 use tokio_util::task::TaskTracker;
@@ -54,6 +56,8 @@
 pub use endpoint::Endpoint;
 pub(crate) use exchange::{BODY_INCOMPLETE, BODY_TOO_LARGE, BODY_TOO_SLOW};
 pub use ledger_client::LedgerClient;
+pub use parent_requests::ParentRequest;
+pub(crate) use parent_requests::{CallShortage, ParentRequests};
 pub use slot::RunningRequest;
 
 /// `Endpoints` maps service and name of each registered backend server to its endpoint.
@@ -107,6 +111,8 @@
     /// Whether the gate takes no more attempts and announcements.
     closed: AtomicBool,
     next_incarnation: std::sync::atomic::AtomicU64,
+    /// The requests that run here, if their calls can be recognised.
+    parent_requests: ParentRequests,
 }
 
 impl Gate {
@@ -121,6 +127,7 @@
             stops_at: OnceLock::new(),
             closed: AtomicBool::new(false),
             next_incarnation: std::sync::atomic::AtomicU64::new(0),
+            parent_requests: ParentRequests::default(),
         }
     }
 
@@ -139,6 +146,11 @@
         &self.deps.ledger
     }
 
+    /// `parent_requests` returns the requests that run here and whose calls can be recognised.
+    pub(crate) fn parent_requests(&self) -> &ParentRequests {
+        &self.parent_requests
+    }
+
     /// `reported_loads` returns the load of each backend server as it is reported to entry nodes.
     pub fn reported_loads(&self) -> Vec<(EndpointId, ReportedLoad)> {
         let endpoints = self.endpoints.load();
@@ -210,13 +222,17 @@
             }
         };
         endpoint.check_gray_failure(attempt.caution)?;
+        let worth = RetryWorth {
+            rank: head.rank,
+            spent: head.call.map(|c| c.spent),
+        };
         if attempt.repeated {
-            endpoint.check_retry_allowance()?;
+            endpoint.check_retry_allowance(worth)?;
         }
         if head.idempotent {
             let trial = attempt.trial;
             let slot = endpoint.admit(&head, trial, &attempt.reply_by).await?;
-            let slot = slot.with_retry_allowance(attempt.repeated)?;
+            let slot = slot.with_retry_allowance(attempt.repeated, worth)?;
             return self.forward(slot, head, attempt.body, permit).await;
         }
         let key = match head.once_per {
@@ -228,13 +244,13 @@
         let reserved = self.reserve_buffer(expected, head.body_mode);
         if reserved.is_none() && head.body_mode == BodyMode::Streamed {
             let slot = endpoint.admit(&head, false, &attempt.reply_by).await?;
-            let slot = slot.with_retry_allowance(attempt.repeated)?;
+            let slot = slot.with_retry_allowance(attempt.repeated, worth)?;
             return self.forward(slot, head, attempt.body, permit).await;
         }
         let reserved = reserved.ok_or(BUFFERS_FULL)?;
         let body = exchange::read_body(&mut attempt.body, head.deadline).await?;
         let slot = endpoint.admit(&head, false, &attempt.reply_by).await?;
-        let slot = slot.with_retry_allowance(attempt.repeated)?;
+        let slot = slot.with_retry_allowance(attempt.repeated, worth)?;
         let reply = match key {
             Some(key) => self.run_with_claim(slot, head, key, body, permit).await,
             None => self.forward(slot, head, Body::full(body), permit).await,
--- a/crates/shallothill-node/src/gate/slot.rs
+++ b/crates/shallothill-node/src/gate/slot.rs
@@ -3,12 +3,15 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use hyper::Response;
 use shallothill_core::hash::Fingerprint;
 use shallothill_policy::admit::{SlotOutcome, Ticket};
 use shallothill_policy::detect::Evidence;
+use shallothill_policy::retry::RetryWorth;
 use tokio::time::Instant;
 
 use crate::crashes::QuarantinePermit;
+use crate::gate::parent_requests::TrackedParent;
 use crate::gate::{Connection, Endpoint};
 use crate::refusal::Refusal;
 
@@ -19,9 +22,12 @@
     endpoint: Arc<Endpoint>,
     ticket: Ticket,
     repeated: bool,
+    rank: u8,
     started: Option<Instant>,
     evidence_recorded: bool,
     served_latency: Option<Duration>,
+    /// Set while calls of the request can be recognised.
+    parent: Option<TrackedParent>,
 }
 
 impl Slot {
@@ -30,9 +36,11 @@
             endpoint,
             ticket,
             repeated: false,
+            rank: 0,
             started: None,
             evidence_recorded: false,
             served_latency: None,
+            parent: None,
         }
     }
 
@@ -40,14 +48,36 @@
     /// and counts such a request as a retry.
     ///
     /// Fails with a refusal of outcome `RefusedNotRun` when the retry allowance is used up.
-    pub(crate) fn with_retry_allowance(mut self, repeated: bool) -> Result<Self, Refusal> {
+    pub(crate) fn with_retry_allowance(
+        mut self,
+        repeated: bool,
+        worth: RetryWorth,
+    ) -> Result<Self, Refusal> {
         self.repeated = repeated;
+        self.rank = worth.rank;
         if repeated {
-            self.endpoint.consume_retry()?;
+            self.endpoint.consume_retry(worth)?;
         }
         Ok(self)
     }
 
+    /// `is_repeated` tells whether the request may have reached a backend server before.
+    pub(crate) fn is_repeated(&self) -> bool {
+        self.repeated
+    }
+
+    /// `track_calls` recognises the calls of the request until the slot is freed.
+    pub(crate) fn track_calls(&mut self, parent: TrackedParent) {
+        self.parent = Some(parent);
+    }
+
+    /// `mark_response` marks the response if a call of the request lacked capacity.
+    pub(crate) fn mark_response<B>(&self, response: &mut Response<B>) {
+        if let Some(parent) = &self.parent {
+            parent.mark_response(response);
+        }
+    }
+
     /// `endpoint` returns the endpoint that the slot belongs to.
     pub(crate) fn endpoint(&self) -> &Arc<Endpoint> {
         &self.endpoint
@@ -61,7 +91,7 @@
             self.endpoint
                 .record_start(self.ticket, fingerprint, objective);
             if !self.repeated {
-                self.endpoint.count_first_attempt();
+                self.endpoint.count_first_attempt(self.rank);
             }
         }
     }
--- a/crates/shallothill-node/src/node/mod.rs
+++ b/crates/shallothill-node/src/node/mod.rs
@@ -27,8 +27,7 @@
     ConfigFetcher, Discovery, KeeperFailover, KeeperSwitch, Keepers, Reporter, VersionProbe,
     Watcher, confirmed_version, highest_reported_version, recent_departures,
 };
-use crate::counters;
-use crate::counters::{Counters, Gauges};
+use crate::counters::{Counters, Gauges, TOTALS};
 use crate::crashes::CrashTracker;
 use crate::entry::Entry;
 use crate::errors;
@@ -262,7 +261,7 @@
         let mut refresh = self.timer.every(REFRESH_PERIOD);
         let mut close_idle = self.timer.every(IDLE_LINK_PERIOD);
         let mut metrics_due = self.timer.every(self.settings.process.metrics_period());
-        let mut totals_sent = [0; counters::TOTALS];
+        let mut totals_sent = [0; TOTALS];
         loop {
             tokio::select! {
                 () = self.end_tasks.cancelled() => return,
@@ -287,6 +286,7 @@
             endpoints: self.gate.endpoints().len() as u64,
             buffered_bytes: self.entry.buffered_bytes() as u64,
             claims: self.gate.ledger().in_flight_counts().0 as u64,
+            limited_routes: self.entry.limited_routes() as u64,
         }
     }
 
--- a/crates/shallothill-node/src/peer/codec.rs
+++ b/crates/shallothill-node/src/peer/codec.rs
@@ -22,8 +22,9 @@
 use tokio::time::Instant;
 
 use crate::attempt;
-use crate::attempt::{Attempt, AttemptReply, RequestHead};
+use crate::attempt::{Attempt, AttemptReply, Call, RequestHead};
 use crate::body::Body;
+use crate::gate::CallShortage;
 use crate::header_filter;
 use crate::peer::{AttemptId, question};
 use crate::reply_by::ReplyBy;
@@ -99,6 +100,9 @@
     if head.rank > 0 {
         set_header(map, headers::RANK, &head.rank.to_string());
     }
+    if let Some(call) = &head.call {
+        set_header(map, headers::SPENT_MS, &call.spent.as_millis().to_string());
+    }
     if let Some(objective) = head.objective {
         let left = objective.saturating_duration_since(Instant::now());
         set_header(map, headers::OBJECTIVE_MS, &left.as_millis().to_string());
@@ -164,6 +168,10 @@
     let arrived = Instant::now();
     let deadline = arrived + left;
     let objective = number(headers::OBJECTIVE_MS).map(|ms| arrived + Duration::from_millis(ms));
+    let call = number(headers::SPENT_MS).map(|ms| Call {
+        spent: Duration::from_millis(ms),
+        repeated,
+    });
     let head = RequestHead {
         method: parts.method,
         path: parts.uri.path_and_query().cloned().unwrap_or_else(root),
@@ -181,6 +189,7 @@
         deadline,
         objective,
         fingerprint,
+        call,
         max_body_bytes: rules.max_body_bytes,
         body_mode: rules.body_mode,
     };
@@ -205,6 +214,7 @@
 /// `write_reply` builds the response that a gate sends to an entry node. `version` is the
 /// configuration version of this node.
 pub fn write_reply(reply: AttemptReply, version: ConfigVersion) -> Response<Body> {
+    let call_shortage = reply.call_shortage();
     let mut response = reply.response;
     let map = response.headers_mut();
     set_header(map, headers::OUTCOME, reply.outcome.as_str());
@@ -212,6 +222,9 @@
     if let Some(load) = reply.load {
         set_header(map, headers::LOAD, &attempt::format_load_header(load));
     }
+    if call_shortage {
+        set_header(map, headers::CALL_SHORTAGE, "true");
+    }
     if reply.reached_backend {
         set_header(map, headers::REACHED, "true");
     }
@@ -234,6 +247,9 @@
     let load = text(headers::LOAD).and_then(attempt::parse_load_header);
     let crash = text(headers::CRASH).and_then(|v| v.parse().ok());
     let reached = text(headers::REACHED).is_some();
+    if text(headers::CALL_SHORTAGE).is_some() {
+        parts.extensions.insert(CallShortage);
+    }
     let kept = [headers::REASON, headers::RETRY_AFTER_MS];
     let kept = kept.map(|name| (name, parts.headers.get(name).cloned()));
     header_filter::strip_shallothill_headers(&mut parts.headers);
--- a/crates/shallothill-policy/src/lib.rs
+++ b/crates/shallothill-policy/src/lib.rs
@@ -3,6 +3,8 @@
 //! Callers pass the time in; nothing here does I/O.
 
 pub mod admit;
+pub mod backpressure;
+pub mod calls;
 pub mod currency;
 pub mod detect;
 pub mod eject;
--- a/crates/shallothill-policy/tests/admit.rs
+++ b/crates/shallothill-policy/tests/admit.rs
@@ -42,6 +42,8 @@
         reply_by: None,
         objective: None,
         rank: 0,
+        spent: None,
+        caller: None,
         trial: false,
     }
 }
--- a/crates/shallothill-policy/tests/allowance.rs
+++ b/crates/shallothill-policy/tests/allowance.rs
@@ -3,7 +3,7 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use shallothill_core::time::Millis;
-use shallothill_policy::retry::{GateRetryBudget, GateRetryOptions};
+use shallothill_policy::retry::{GateRetryBudget, GateRetryOptions, RetryWorth};
 
 const NODES: usize = 36;
 const GATES: usize = 12;
@@ -62,13 +62,13 @@
                 gates[gate] = GateRetryBudget::new(gate_share(), Millis(at));
             }
             if !quiet && rng.random_bool(0.2) {
-                gates[gate].record_first(Millis(at));
+                gates[gate].record_first(Millis(at), 0);
                 arrivals.push(Arrival {
                     at,
                     repeated: false,
                 });
             }
-            if gates[gate].allows_retry(Millis(at)) {
+            if gates[gate].allows_retry(Millis(at), RetryWorth::default()) {
                 gates[gate].record_retry(Millis(at));
                 arrivals.push(Arrival { at, repeated: true });
             }
@@ -111,14 +111,14 @@
     for at in (0..60_000).step_by(40) {
         let (node, gate) = (rng.random_range(0..NODES), rng.random_range(0..GATES));
         nodes[node].first();
-        gates[gate].record_first(Millis(at));
+        gates[gate].record_first(Millis(at), 0);
         if !rng.random_bool(0.12) {
             continue;
         }
         failed += 1;
         let other = (gate + rng.random_range(1..GATES)) % GATES;
         let again = if at_gates {
-            let allowed = gates[other].allows_retry(Millis(at));
+            let allowed = gates[other].allows_retry(Millis(at), RetryWorth::default());
             if allowed {
                 gates[other].record_retry(Millis(at));
             }
@@ -145,3 +145,116 @@
         );
     }
 }
+
+/// Returns how many retries of each of these worths pass, when they take turns against a budget of
+/// 100 in a window of first requests of the ranks 1 and 2.
+fn passed<const N: usize>(worths: [RetryWorth; N]) -> [u32; N] {
+    let options = GateRetryOptions {
+        budget_percent: 10,
+        saved_retries: 0.0,
+        ..GateRetryOptions::default()
+    };
+    let mut gate = GateRetryBudget::new(options, Millis(0));
+    for i in 0..1000 {
+        gate.record_first(Millis(5_000), 1 + (i % 2) as u8);
+    }
+    let mut passed = [0; N];
+    for _ in 0..100 {
+        for (passed, worth) in passed.iter_mut().zip(worths) {
+            *passed += u32::from(gate.try_retry(Millis(5_000), worth));
+        }
+    }
+    passed
+}
+
+/// Guards against less urgent retries, or those of new requests, that use up a short budget, and
+/// against a reserve where all requests have the same rank.
+#[test]
+fn the_last_retries_are_kept_for_urgent_ranks_and_calls() {
+    let new = |rank| RetryWorth { rank, spent: None };
+    let call = RetryWorth {
+        rank: 2,
+        spent: Some(std::time::Duration::from_millis(600)),
+    };
+
+    assert_eq!(passed([new(1)]), [100]);
+    assert_eq!(passed([new(2)]), [75]);
+    assert_eq!(passed([new(9)]), [50]);
+    assert_eq!(passed([call]), [100]);
+    let [urgent, other, call] = passed([new(1), new(2), call]);
+    // They take turns until the budget ends, so that one of them may have one more.
+    assert!(
+        urgent.abs_diff(call) <= 1 && call > other,
+        "{urgent} {other} {call}"
+    );
+    assert_eq!(urgent + other + call, 100);
+}
+
+/// Like [`max_excess`], where the first requests are those of the window, of the one before it or of
+/// the one that begins half a window earlier, whichever has most.
+fn max_excess_of_stated_bound(arrivals: &[Arrival]) -> f64 {
+    let count = |from: u64, repeated: bool| {
+        let within = arrivals
+            .iter()
+            .filter(|a| a.at >= from && a.at < from + WINDOW_MS);
+        within.filter(|a| a.repeated == repeated).count() as f64
+    };
+    let last = arrivals.last().map_or(0, |a| a.at);
+    let excess = (WINDOW_MS..last).step_by(100).map(|from| {
+        let starts = [from, from - WINDOW_MS / 2, from - WINDOW_MS];
+        let first = starts.map(|from| count(from, false));
+        let first = first.into_iter().fold(0.0, f64::max);
+        count(from, true) - (first * f64::from(PERCENT) / 100.0 + SAVED)
+    });
+    excess.fold(f64::MIN, f64::max)
+}
+
+/// Guards against gates that pass on more retries together while their number changes: those that
+/// end leave what they passed on in the window, and those that start know nothing of it.
+#[test]
+fn holds_gates_that_start_and_end_add_nothing() {
+    for seed in SEEDS {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let mut gates: Vec<GateRetryBudget> = (0..GATES)
+            .map(|_| GateRetryBudget::new(gate_share(), Millis(0)))
+            .collect();
+        let mut arrivals = Vec::new();
+        for at in (0..120_000_u64).step_by(5) {
+            if at.is_multiple_of(3_000) && at > 20_000 {
+                if rng.random_bool(0.5) && gates.len() > 2 {
+                    gates.remove(rng.random_range(0..gates.len()));
+                } else {
+                    gates.push(GateRetryBudget::new(gate_share(), Millis(at)));
+                }
+            }
+            if at.is_multiple_of(250) {
+                let options = GateRetryOptions {
+                    saved_retries: SAVED / gates.len() as f64,
+                    ..gate_share()
+                };
+                for gate in &mut gates {
+                    gate.set_options(Millis(at), options.clone());
+                }
+            }
+            // Bursts of failures in every second window.
+            let burst = (at / WINDOW_MS).is_multiple_of(2);
+            let gate = rng.random_range(0..gates.len());
+            if rng.random_bool(0.05) {
+                gates[gate].record_first(Millis(at), 0);
+                arrivals.push(Arrival {
+                    at,
+                    repeated: false,
+                });
+            }
+            if burst && gates[gate].try_retry(Millis(at), RetryWorth::default()) {
+                arrivals.push(Arrival { at, repeated: true });
+            }
+        }
+
+        let max_excess = max_excess_of_stated_bound(&arrivals);
+
+        assert!(max_excess <= 0.0, "seed {seed}: {max_excess}");
+        let repeated = arrivals.iter().filter(|a| a.repeated).count();
+        assert!(repeated > 150, "seed {seed}: {repeated}");
+    }
+}
--- a/crates/shallothill-policy/tests/stopping.rs
+++ b/crates/shallothill-policy/tests/stopping.rs
@@ -19,6 +19,8 @@
         reply_by: None,
         objective: None,
         rank: 0,
+        spent: None,
+        caller: None,
         trial: false,
     }
 }
