--- a/crates/shallothill-config/tests/properties.rs
+++ b/crates/shallothill-config/tests/properties.rs
@@ -135,3 +135,17 @@
         .seed(seed);
     }
 }
+
+/// Guards against a short text whose nesting or aliases exhaust the stack or the memory of a keeper.
+#[test]
+fn nested_and_repeated_texts_are_refused() {
+    let nested = format!("regions: {}", "[".repeat(100_000));
+    assert!(parse(&nested).is_err());
+
+    let mut aliases = "regions:\n  - &a0 [x, x, x, x, x, x, x, x, x, x]\n".to_owned();
+    for n in 1..12 {
+        let list = vec![format!("*a{}", n - 1); 10].join(", ");
+        aliases.push_str(&format!("  - &a{n} [{list}]\n"));
+    }
+    assert!(parse(&aliases).is_err());
+}
