node: an idle connection is not within a message

Cause: the bytes of a request's body counted as the start of the next head until the next request, so a connection that idled after a request with a body was closed after 20 s, or when connections ran short.

Change: what was read is recorded as consumed once the request is answered.

Evidence: cargo test of runtime, wire, config, node, platform, keeper and cli passes; the fault was found by reading and has no test of its own.

--- a/crates/shallothill-node/src/pipeline.rs
+++ b/crates/shallothill-node/src/pipeline.rs
@@ -98,9 +98,7 @@
     /// already.
     pub async fn handle(&self, req: Request<UnreadBody>) -> Response<Body> {
         let index = self.begun.fetch_add(1, Ordering::Relaxed);
-        if index + 1 >= self.read.load(Ordering::Relaxed) {
-            self.meter.consumed(0);
-        }
+        self.record_consumed(index);
         let connection = self.meter.holder();
         if !connection.is_writing() {
             connection.stop_waiting();
@@ -123,6 +121,8 @@
             response.headers_mut().remove(header::CONNECTION);
         }
         self.answered.fetch_add(1, Ordering::Relaxed);
+        // The body was read or is discarded, so that an idle connection is not within a message.
+        self.record_consumed(index);
         response
     }
 
@@ -144,6 +144,13 @@
         self.meter.holder().ended().await;
     }
 
+    // Records that nothing is kept of what was read, if no request waits behind the one at `index`.
+    fn record_consumed(&self, index: u64) {
+        if index + 1 >= self.read.load(Ordering::Relaxed) {
+            self.meter.consumed(0);
+        }
+    }
+
     // Waits for the caller, unless a request runs. The body of a running request waits by itself.
     fn wait_for_head(&self) {
         let answered = self.answered.load(Ordering::Relaxed);
