--- a/crates/shallothill-node/src/counters.rs
+++ b/crates/shallothill-node/src/counters.rs
@@ -5,6 +5,7 @@
 
 use cadence::{Counted, Gauged, StatsdClient};
 use serde_json::{Value, json};
+use shallothill_runtime::memory::MemoryCounts;
 
 /// `TOTALS` is the number of totals that are sent as metrics.
 pub(crate) const TOTALS: usize = 17 + REFUSALS.len();
@@ -56,8 +57,10 @@
     pub config_version: u64,
     /// The number of announced backend servers.
     pub endpoints: u64,
-    /// The bytes of request bodies in memory.
-    pub buffered_bytes: u64,
+    /// The bytes of heads, bodies and unread responses in memory.
+    pub held_bytes: u64,
+    /// What happened to clients without progress.
+    pub memory: MemoryCounts,
     /// The number of ledger claims in flight.
     pub claims: u64,
     /// The number of routes of which fewer requests are admitted.
@@ -197,7 +200,10 @@
         }
         let _ = client.gauge("config_version", gauges.config_version);
         let _ = client.gauge("endpoints", gauges.endpoints);
-        let _ = client.gauge("buffered_bytes", gauges.buffered_bytes);
+        let _ = client.gauge("buffered_bytes", gauges.held_bytes);
+        let _ = client.gauge("memory.evicted", gauges.memory.evicted);
+        let _ = client.gauge("memory.too_slow", gauges.memory.too_slow);
+        let _ = client.gauge("memory.refused", gauges.memory.refused);
         let _ = client.gauge("claims", gauges.claims);
         let _ = client.gauge("limited_routes", gauges.limited_routes);
     }
--- a/crates/shallothill-node/src/dump.rs
+++ b/crates/shallothill-node/src/dump.rs
@@ -34,7 +34,7 @@
             "limited_routes": self.entry().limited_routes(),
             "limited_callers": self.entry().limited_callers(),
             "credit": self.entry().credit().dump(),
-            "buffered_bytes": self.entry().buffered_bytes(),
+            "buffered_bytes": self.entry().memory().used_bytes(),
             "counters": self.counters().dump(),
         })
     }
--- a/crates/shallothill-node/src/node/build.rs
+++ b/crates/shallothill-node/src/node/build.rs
@@ -9,12 +9,12 @@
 use shallothill_core::incarnation::Incarnation;
 use shallothill_policy::limits::{CallerLimits, LimitOptions};
 use shallothill_policy::quarantine::QuarantineOptions;
+use shallothill_runtime::memory::MemoryAccount;
 use shallothill_runtime::timer::Timer;
 use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
-use crate::buffers::BufferBudget;
 use crate::config::ConfigStore;
 use crate::control::{CreditClient, Keepers};
 use crate::counters::Counters;
@@ -55,7 +55,7 @@
         let options = QuarantineOptions::default();
         let crashes = Arc::new(CrashTracker::new(options, Arc::clone(&changed)));
         let counters = Arc::new(Counters::default());
-        let buffers = BufferBudget::new(bounds.buffered_total_bytes);
+        let memory = MemoryAccount::new(bounds.memory_options());
         let incarnation = incarnation_now();
         let ledger = Arc::new(LedgerClient::new(
             settings.node.clone(),
@@ -78,7 +78,7 @@
             crashes: Arc::clone(&crashes),
             ledger,
             changed: Arc::clone(&changed),
-            buffers,
+            memory,
             counters: Arc::clone(&counters),
             tasks: background.clone(),
         }));
@@ -138,7 +138,7 @@
         node: deps.node.clone(),
         interface: Arc::clone(&deps.interface),
         origin_service: origin.and_then(|s| HeaderValue::from_str(s.as_str()).ok()),
-        buffers: deps.buffers.clone(),
+        memory: deps.memory.clone(),
         bounds: deps.bounds.clone(),
         timer: deps.timer.clone(),
         store: Arc::clone(&deps.store),
--- a/crates/shallothill-node/src/peer/codec.rs
+++ b/crates/shallothill-node/src/peer/codec.rs
@@ -166,8 +166,9 @@
     forwarded.remove(header::HOST);
     let root = || PathAndQuery::from_static("/");
     let arrived = Instant::now();
-    let deadline = arrived + left;
-    let objective = number(headers::OBJECTIVE_MS).map(|ms| arrived + Duration::from_millis(ms));
+    let deadline = arrived.checked_add(left)?;
+    let objective =
+        number(headers::OBJECTIVE_MS).and_then(|ms| arrived.checked_add(Duration::from_millis(ms)));
     let call = number(headers::SPENT_MS).map(|ms| Call {
         spent: Duration::from_millis(ms),
         repeated,
--- a/crates/shallothill-wire/src/lib.rs
+++ b/crates/shallothill-wire/src/lib.rs
@@ -6,6 +6,8 @@
 pub mod credit;
 pub mod departures;
 pub mod errors;
+pub mod frame_codec;
+pub mod frame_meter;
 pub mod keeper_info;
 pub mod operator;
 pub mod received_bytes;
