--- a/crates/shallothill-node/src/entry/mod.rs
+++ b/crates/shallothill-node/src/entry/mod.rs
@@ -11,6 +11,7 @@
 mod in_flight;
 mod open_requests;
 mod prepare;
+mod priority;
 mod run_state;
 mod send;
 mod stop;
--- a/crates/shallothill-node/src/entry/prepare.rs
+++ b/crates/shallothill-node/src/entry/prepare.rs
@@ -12,7 +12,7 @@
 use hyper::http::uri::PathAndQuery;
 use rand::Rng;
 use shallothill_core::class::Class;
-use shallothill_core::config::{ApiKey, Caller, OncePer, Route, Target};
+use shallothill_core::config::{ApiKey, OncePer, Route, Target};
 use shallothill_core::hash;
 use shallothill_core::hash::Fingerprint;
 use shallothill_core::headers;
@@ -27,7 +27,6 @@
 use crate::attempt::{Call, RequestHead};
 use crate::body::Body;
 use crate::config::{NamedRoute, RouteLookup};
-use crate::entry::caller::IdentifiedCaller;
 use crate::entry::credit::CreditToken;
 use crate::entry::{Entry, fingerprint};
 use crate::gate::{
@@ -143,30 +142,6 @@
         })
     }
 
-    // Returns the priority of a request: that of the running request that it is a call of, else that
-    // of its caller, else that of its route.
-    fn priority(
-        &self,
-        map: &HeaderMap,
-        route: &Route,
-        caller: &IdentifiedCaller<'_>,
-    ) -> RequestPriority {
-        // Calls between services carry no key.
-        let parent = match caller.keyed_name() {
-            Some(_) => None,
-            None => self.parent_of(map),
-        };
-        let own_rank = caller.settings.and_then(|c| c.rank).unwrap_or(route.rank);
-        RequestPriority {
-            class: match &parent {
-                Some(parent) => parent.class,
-                None => request_class(map, route, caller.settings),
-            },
-            rank: parent.as_ref().map_or(own_rank, |p| p.rank),
-            parent,
-        }
-    }
-
     fn check_parts(&self, parts: &request::Parts) -> Result<(), Refusal> {
         let path_bytes = parts.uri.path_and_query().map_or(0, |p| p.as_str().len());
         if header_filter::encoded_size(&parts.headers) + path_bytes > self.deps.bounds.header_bytes
@@ -294,13 +269,6 @@
     target.choose(point).cloned()
 }
 
-/// `RequestPriority` is the priority of a request, and the running request that it is a call of.
-struct RequestPriority {
-    class: Class,
-    rank: u8,
-    parent: Option<Arc<ParentRequest>>,
-}
-
 /// `HeadFields` contains the values that `prepare` determines for a request head.
 struct HeadFields {
     host: Option<HeaderValue>,
@@ -358,18 +326,6 @@
         .map_err(|_| BAD_KEY)
 }
 
-// Only internal callers may pass on the class of the request that they work for; other callers
-// cannot raise their own class.
-fn request_class(map: &HeaderMap, route: &Route, caller: Option<&Caller>) -> Class {
-    let own = caller.map_or(route.class, |c| c.class);
-    if !own.is_internal() {
-        return own;
-    }
-    header_filter::single_value(map, headers::CLASS)
-        .and_then(|v| v.parse().ok())
-        .unwrap_or(own)
-}
-
 /// `NOT_READY` refuses requests until the node serves with a current configuration.
 pub(crate) const NOT_READY: Refusal = Refusal::not_run(
     "no-config",
