--- a/crates/shallothill-policy/src/quota/options.rs
+++ b/crates/shallothill-policy/src/quota/options.rs
@@ -21,7 +21,7 @@
 /// `GAIN_PERCENT` is the part of the tolerated excess that buckets gain in a window beyond the rate. A
 /// caller that sends its rate and a burst in each window is served then, which the rate alone does not
 /// allow.
-const GAIN_PERCENT: u64 = 35;
+const GAIN_PERCENT: u64 = 50;
 
 /// `TAKEOVER_PERCENT` is the part of the tolerated excess that a new issuer grants while tokens of
 /// the former one may be in use. The rest covers requests that arrive at backend servers in another
