policy, node, wire, runtime: corrections after a reading of the change

Cause, all found by reading: a request for tokens asked again for requests that the last reply had woken; numbers in credit requests were not bounded; a call that a backend server failed counted as one without capacity; an answer of a keeper that does not count ended the question to the others; the gauge of limited routes removed their state without its log line; some comments were wrong. Change: those, the gauges and a constant in other files, and plainer names (progress_until_ms, ReceiverState). Not changed: a relay counts a node's request as waiting until all its callers are answered, so it may ask for a few tokens twice.

--- a/crates/shallothill-config/src/caller.rs
+++ b/crates/shallothill-config/src/caller.rs
@@ -51,7 +51,7 @@
     for item in items {
         match scalars::text(&item.value).map(ApiKey::try_new) {
             Ok(Ok(key)) if keys.contains(&key) => {
-                faults.push(item.at, &field, "a key stands twice; remove one of them");
+                faults.push(item.at, &field, "a key is listed twice; remove one of them");
             }
             Ok(Ok(key)) => keys.push(key),
             Ok(Err(e)) => faults.push(item.at, &field, e.to_string()),
--- a/crates/shallothill-keeper/src/credit.rs
+++ b/crates/shallothill-keeper/src/credit.rs
@@ -170,7 +170,7 @@
 ) -> Result<Option<CreditReply>, LogCallError> {
     let unavailable = |reason: &str| Err(LogCallError::Unavailable(reason.to_owned()));
     if !credit::is_valid(req) {
-        return unavailable("the request is too large");
+        return unavailable("the request is too large or its numbers are not in order");
     }
     let lease = keeper.log.read_lease().await?;
     let service = &keeper.credit;
--- a/crates/shallothill-node/src/control/renewal.rs
+++ b/crates/shallothill-node/src/control/renewal.rs
@@ -88,8 +88,10 @@
     async fn ask(&self, keepers: impl Iterator<Item = Arc<Keeper>>) -> bool {
         let mut calls: FuturesUnordered<_> = keepers.map(|k| self.confirmed_version(k)).collect();
         while let Some(answer) = calls.next().await {
-            if let Some((sent, version)) = answer {
-                return self.currency.record(sent, version, 0);
+            if let Some((sent, version)) = answer
+                && self.currency.record(sent, version, 0)
+            {
+                return true;
             }
         }
         false
--- a/crates/shallothill-node/src/counters.rs
+++ b/crates/shallothill-node/src/counters.rs
@@ -200,6 +200,7 @@
         }
         let _ = client.gauge("config_version", gauges.config_version);
         let _ = client.gauge("endpoints", gauges.endpoints);
+        // The name that earlier releases used.
         let _ = client.gauge("buffered_bytes", gauges.held_bytes);
         let _ = client.gauge("memory.evicted", gauges.memory.evicted);
         let _ = client.gauge("memory.too_slow", gauges.memory.too_slow);
--- a/crates/shallothill-node/src/entry/attempts.rs
+++ b/crates/shallothill-node/src/entry/attempts.rs
@@ -72,7 +72,7 @@
         let (reply, in_flight) = self.run_all(r, permit).await;
         started.into_iter().for_each(|s| s.end(reply.outcome));
         if let Some(call) = call {
-            call.end(reply.outcome == Outcome::Answered);
+            call.end(reply.outcome);
         }
         (reply, in_flight)
     }
--- a/crates/shallothill-node/src/entry/backpressure.rs
+++ b/crates/shallothill-node/src/entry/backpressure.rs
@@ -5,6 +5,7 @@
 
 use rand::Rng;
 use shallothill_core::ids::RouteName;
+use shallothill_core::outcome::Outcome;
 use shallothill_core::time::Millis;
 use shallothill_policy::backpressure::AdmissionController;
 
@@ -59,9 +60,8 @@
 
     /// `limited_routes` returns the number of routes that admit fewer requests.
     pub(super) fn limited_routes(&self, now: Millis) -> usize {
-        let mut routes = self.lock();
-        routes.retain(|_, controller| !controller.is_idle(now));
-        routes.len()
+        let routes = self.lock();
+        routes.values().filter(|c| !c.is_idle(now)).count()
     }
 
     fn lock(&self) -> MutexGuard<'_, HashMap<RouteName, AdmissionController>> {
@@ -69,12 +69,12 @@
     }
 }
 
-/// `CallInProgress` is a call of a running request. Unless it is answered, it marks that request as
-/// one whose call was refused, also when the backend server stops waiting for it.
+/// `CallInProgress` is a call of a running request. It marks that request as one whose call lacked
+/// capacity if the call is refused, or if the backend server stops waiting for it.
 #[derive(Debug)]
 pub(super) struct CallInProgress {
     parent: Arc<ParentRequest>,
-    answered: bool,
+    lacked_capacity: bool,
 }
 
 impl CallInProgress {
@@ -82,19 +82,19 @@
     pub(super) fn new(parent: Arc<ParentRequest>) -> Self {
         Self {
             parent,
-            answered: false,
+            lacked_capacity: true,
         }
     }
 
-    /// `end` ends the call; `answered` tells whether a backend server has answered it.
-    pub(super) fn end(mut self, answered: bool) {
-        self.answered = answered;
+    /// `end` ends the call with `outcome`. A call that a backend server failed found capacity.
+    pub(super) fn end(mut self, outcome: Outcome) {
+        self.lacked_capacity = outcome == Outcome::RefusedNotRun;
     }
 }
 
 impl Drop for CallInProgress {
     fn drop(&mut self) {
-        if !self.answered {
+        if self.lacked_capacity {
             self.parent.record_shortage();
         }
     }
--- a/crates/shallothill-node/src/node/access.rs
+++ b/crates/shallothill-node/src/node/access.rs
@@ -8,6 +8,7 @@
 use crate::config::ConfigStore;
 use crate::control::Keepers;
 use crate::counters::Counters;
+use crate::counters::Gauges;
 use crate::crashes::CrashTracker;
 use crate::entry::Entry;
 use crate::gate::Gate;
@@ -82,4 +83,16 @@
     pub fn addresses(&self) -> ListenAddresses {
         self.addresses
     }
+
+    /// `gauges` returns the current values that are sent as metrics.
+    pub(super) fn gauges(&self) -> Gauges {
+        Gauges {
+            config_version: self.store.version().0,
+            endpoints: self.gate.endpoints().len() as u64,
+            memory: self.entry.memory().counts(),
+            held_bytes: self.entry.memory().used_bytes() as u64,
+            claims: self.gate.ledger().in_flight_counts().0 as u64,
+            limited_routes: self.entry.limited_routes() as u64,
+        }
+    }
 }
--- a/crates/shallothill-node/src/node/mod.rs
+++ b/crates/shallothill-node/src/node/mod.rs
@@ -28,7 +28,7 @@
     ConfigFetcher, Discovery, KeeperFailover, KeeperSwitch, Keepers, Reporter, VersionProbe,
     Watcher, confirmed_version, highest_reported_version, recent_departures,
 };
-use crate::counters::{Counters, Gauges, TOTALS};
+use crate::counters::{Counters, TOTALS};
 use crate::crashes::CrashTracker;
 use crate::entry::Entry;
 use crate::errors;
@@ -284,17 +284,6 @@
         }
     }
 
-    fn gauges(&self) -> Gauges {
-        Gauges {
-            config_version: self.store.version().0,
-            endpoints: self.gate.endpoints().len() as u64,
-            memory: self.entry.memory().counts(),
-            held_bytes: self.entry.memory().used_bytes() as u64,
-            claims: self.gate.ledger().in_flight_counts().0 as u64,
-            limited_routes: self.entry.limited_routes() as u64,
-        }
-    }
-
     // A node serves only at or above the highest version that the keepers have, so that a restart
     // never puts an old configuration back in force.
     async fn serve_when_current(self: Arc<Self>) {
--- a/crates/shallothill-policy/src/admit/gate.rs
+++ b/crates/shallothill-policy/src/admit/gate.rs
@@ -7,7 +7,7 @@
 use shallothill_core::time::Millis;
 
 use crate::admit::latency::LatencyEstimates;
-use crate::admit::options::GateOptions;
+use crate::admit::options::{GateOptions, STOP_RESERVE};
 use crate::admit::queue;
 use crate::admit::queue::{Queue, WaitingRequest};
 use crate::admit::request::{
@@ -16,10 +16,6 @@
 use crate::admit::retry_after;
 use crate::pick::ReportedLoad;
 
-/// `STOP_RESERVE` is how many times its usual duration a request may take at a stopping node. What
-/// still runs at the end is cut off, and its caller does not learn whether it has run.
-pub const STOP_RESERVE: u32 = 3;
-
 /// `Gate` limits the load on one endpoint: concurrent requests (slots), a bounded queue that
 /// honours deadlines and class priority, connections, the ramp of a cold start, draining and
 /// ejection.
@@ -385,9 +381,10 @@
     }
 
     fn refuse(&self, now: Millis, rank: u8, reason: Refusal) -> Admission {
+        let retry_after = self.retry_after(now, rank);
         Admission::Refused {
             reason,
-            retry_after: self.retry_after(now, rank),
+            retry_after,
         }
     }
 
--- a/crates/shallothill-policy/src/admit/mod.rs
+++ b/crates/shallothill-policy/src/admit/mod.rs
@@ -8,8 +8,8 @@
 mod retry_after;
 mod urgency;
 
-pub use gate::{Gate, STOP_RESERVE};
-pub use options::GateOptions;
+pub use gate::Gate;
+pub use options::{GateOptions, STOP_RESERVE};
 pub use request::{
     Admission, CallerKey, GateRequest, QueueDecision, Refusal, RequestKind, SlotOutcome, Ticket,
 };
--- a/crates/shallothill-policy/src/admit/options.rs
+++ b/crates/shallothill-policy/src/admit/options.rs
@@ -4,6 +4,10 @@
 
 use shallothill_core::config::Service;
 
+/// `STOP_RESERVE` is how many times its usual duration a request may take at a stopping node. What
+/// still runs at the end is cut off, and its caller does not learn whether it has run.
+pub const STOP_RESERVE: u32 = 3;
+
 /// `GateOptions` holds the limits of one endpoint's gate.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct GateOptions {
--- a/crates/shallothill-policy/src/backpressure/admission_controller.rs
+++ b/crates/shallothill-policy/src/backpressure/admission_controller.rs
@@ -19,11 +19,11 @@
 /// `MIN_SHARE` keeps some requests running, without which the end of a shortage is not noticed.
 const MIN_SHARE: f64 = 0.1;
 
-/// `MIN_RETRY_AFTER` is the least time after which a refused request may return.
+/// `MIN_RETRY_AFTER` is the time after which a refused request of rank 0 may return when nearly all
+/// are admitted, before the jitter.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(500);
 
-/// `MAX_RETRY_AFTER` is the largest such time of the most urgent rank, before the jitter; requests
-/// have 5 to 15 s.
+/// `MAX_RETRY_AFTER` is the same when none is admitted. Requests have 5 to 15 s.
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(4);
 
 /// `AdmissionController` limits the new requests of one route at one entry node while calls that
--- a/crates/shallothill-policy/src/pick/choose.rs
+++ b/crates/shallothill-policy/src/pick/choose.rs
@@ -241,11 +241,8 @@
             l.state != ServingState::Draining
                 && match standard {
                     Standard::Room => l.in_flight < l.slots && l.queued == 0,
-                    // The wait costs less than the bytes of a request that crosses regions.
-                    Standard::ShortQueue => l.in_flight < l.slots || l.queued < l.slots,
-                    Standard::Accepting | Standard::Any => {
-                        l.in_flight < l.slots || l.queued < l.slots
-                    }
+                    // A wait of one round costs less than the bytes of a request that crosses regions.
+                    _ => l.in_flight < l.slots || l.queued < l.slots,
                 }
         })
     }
--- a/crates/shallothill-policy/src/quota/holder.rs
+++ b/crates/shallothill-policy/src/quota/holder.rs
@@ -15,7 +15,7 @@
 const DENIAL_KEPT_MIN: Duration = Duration::from_millis(50);
 const DENIAL_KEPT_MAX: Duration = Duration::from_millis(300);
 
-/// `ASKS_MAX` bounds the callers in one request; the others follow in the next ones.
+/// `ASKS_MAX` bounds the callers in one request, at half of what a granter accepts.
 const ASKS_MAX: usize = 10_000;
 
 /// `Take` is the answer to a request for a token.
@@ -211,14 +211,17 @@
             self.trim(now, target);
         }
         let denied = self.denial(now).is_some();
-        let missing = target.saturating_sub(self.local(now));
+        let local = self.local(now);
+        let missing = target.saturating_sub(local);
+        // Requests that were woken by the last reply still count as waiting until they have run.
+        let unmet_needs = self.waiting.saturating_sub(local);
         let wanted = missing + std::mem::take(&mut self.unmet);
         self.used_sent = self.used;
         CreditAsk {
             caller,
             used: self.used,
             held: self.held(now),
-            needed: if denied { 0 } else { self.waiting },
+            needed: if denied { 0 } else { unmet_needs },
             wanted: if denied { 0 } else { wanted },
         }
     }
--- a/crates/shallothill-policy/src/quota/receivers.rs
+++ b/crates/shallothill-policy/src/quota/receivers.rs
@@ -7,9 +7,9 @@
 use super::messages::{CreditAsk, CreditRequest};
 use super::options::REPORT_GRACE;
 
-/// `Receipt` records what one receiver has.
+/// `ReceiverState` records what one receiver has.
 #[derive(Debug, Default)]
-struct Receipt {
+struct ReceiverState {
     outstanding: u32,
     /// When the last of the tokens expires.
     expires: Millis,
@@ -21,7 +21,7 @@
 /// `Receivers` records the tokens that receivers hold or have used and not reported yet.
 #[derive(Debug, Default)]
 pub(super) struct Receivers {
-    receipts: HashMap<u64, Receipt>,
+    receipts: HashMap<u64, ReceiverState>,
     /// Tokens of receivers that no longer report them, with the time of their expiry.
     lost: Vec<(Millis, u32)>,
     outstanding: u32,
--- a/crates/shallothill-policy/src/quota/relay.rs
+++ b/crates/shallothill-policy/src/quota/relay.rs
@@ -81,7 +81,8 @@
             let quota = quota_of(ask.caller).unwrap_or_default();
             let granted = self.lend(now, Some(req.sender), ask.caller, quota, ask.wanted);
             let pool = self.holder.pool(now, ask.caller, quota);
-            pool.unmet += ask.wanted - granted.as_ref().map_or(0, |g| g.tokens);
+            let missing = ask.wanted - granted.as_ref().map_or(0, |g| g.tokens);
+            pool.unmet = pool.unmet.saturating_add(missing);
             answer.reply.grants.extend(granted);
         }
         Some(answer)
@@ -121,7 +122,7 @@
     pub fn start_waiting(&mut self, now: Millis, answer: &RelayReply) {
         for (caller, missing) in &answer.missing {
             if let Some(pool) = self.holder.known_pool(*caller) {
-                pool.waiting += missing;
+                pool.waiting = pool.waiting.saturating_add(*missing);
                 pool.seen = now;
             }
         }
--- a/crates/shallothill-runtime/src/admin.rs
+++ b/crates/shallothill-runtime/src/admin.rs
@@ -25,8 +25,8 @@
 /// `BODY_MAX_BYTES` bounds the body of an admin request, which may hold a configuration text.
 pub const BODY_MAX_BYTES: usize = 32 * 1024 * 1024;
 
-/// `TOTAL_BODY_BYTES` bounds the bodies of all requests to one address. Eight of the largest
-/// configurations fit.
+/// `TOTAL_BODY_BYTES` bounds the bodies of all requests to one address. Two of the
+/// largest bodies fit, or eight configurations of 8 MB.
 pub const TOTAL_BODY_BYTES: usize = 64 * 1024 * 1024;
 
 /// `HEAD_BYTES` bounds the head of a request and what is read of its body at a time.
--- a/crates/shallothill-runtime/src/memory/holder.rs
+++ b/crates/shallothill-runtime/src/memory/holder.rs
@@ -24,7 +24,7 @@
     bytes: AtomicUsize,
     /// The time up to which the client made enough progress, in milliseconds of the account's clock;
     /// 0 while the process waits neither for the client nor for memory.
-    paid_until_ms: AtomicU64,
+    progress_until_ms: AtomicU64,
     waits_for_memory: AtomicBool,
     /// Whether the client does not take what the process writes.
     writes: AtomicBool,
@@ -37,7 +37,7 @@
             id,
             listener,
             bytes: AtomicUsize::new(0),
-            paid_until_ms: AtomicU64::new(0),
+            progress_until_ms: AtomicU64::new(0),
             waits_for_memory: AtomicBool::new(false),
             writes: AtomicBool::new(false),
             ended: CancellationToken::new(),
@@ -74,9 +74,9 @@
 
     /// `can_be_ended` tells whether the holder has not ended and made no progress for `stall`.
     pub(super) fn can_be_ended(&self, now_ms: u64, stall: Duration) -> bool {
-        let paid_until = self.paid_until_ms.load(Ordering::Relaxed);
-        let behind = now_ms.saturating_sub(paid_until);
-        paid_until > 0 && u128::from(behind) >= stall.as_millis() && !self.ended.is_cancelled()
+        let progress_until = self.progress_until_ms.load(Ordering::Relaxed);
+        let behind = now_ms.saturating_sub(progress_until);
+        progress_until > 0 && u128::from(behind) >= stall.as_millis() && !self.ended.is_cancelled()
     }
 }
 
@@ -101,8 +101,8 @@
     /// `start_waiting` marks that the process waits for the client from now on.
     pub fn start_waiting(&self) {
         let now = self.account.0.now_ms();
-        let paid = &self.state.paid_until_ms;
-        let _ = paid.compare_exchange(0, now, Ordering::Relaxed, Ordering::Relaxed);
+        let progress = &self.state.progress_until_ms;
+        let _ = progress.compare_exchange(0, now, Ordering::Relaxed, Ordering::Relaxed);
     }
 
     /// `start_writing` marks that the process waits until the client takes more bytes.
@@ -119,7 +119,7 @@
     /// `stop_waiting` marks that the process does not wait for the client.
     pub fn stop_waiting(&self) {
         self.state.writes.store(false, Ordering::Relaxed);
-        self.state.paid_until_ms.store(0, Ordering::Relaxed);
+        self.state.progress_until_ms.store(0, Ordering::Relaxed);
     }
 
     /// `record_progress` records that the client sent or took `bytes`.
@@ -127,9 +127,9 @@
         let now = self.account.0.now_ms();
         let rate = self.account.0.min_bytes_per_s().max(1);
         let ms = (bytes as u64).saturating_mul(1000) / rate;
-        let advance = |paid: u64| (paid > 0).then(|| paid.saturating_add(ms).min(now));
-        let paid = &self.state.paid_until_ms;
-        let _ = paid.fetch_update(Ordering::Relaxed, Ordering::Relaxed, advance);
+        let advance = |until: u64| (until > 0).then(|| until.saturating_add(ms).min(now));
+        let progress = &self.state.progress_until_ms;
+        let _ = progress.fetch_update(Ordering::Relaxed, Ordering::Relaxed, advance);
     }
 
     /// `end_token` is cancelled when the account ends the holder.
@@ -181,11 +181,11 @@
         if let Some(reservation) = self.try_reserve(bytes) {
             return Some(reservation);
         }
-        let waited_for_client = self.state.paid_until_ms.load(Ordering::Relaxed) > 0;
+        let waited_for_client = self.state.progress_until_ms.load(Ordering::Relaxed) > 0;
         let reserve = future::poll_fn(|cx| self.poll_reserve(cx, bytes));
         let reserved = time::timeout(limit, reserve).await;
         // The time of the wait does not count as silence of the client.
-        self.state.paid_until_ms.store(0, Ordering::Relaxed);
+        self.state.progress_until_ms.store(0, Ordering::Relaxed);
         if waited_for_client {
             self.start_waiting();
         }
