--- a/crates/shallothill-policy/src/pick/choose.rs
+++ b/crates/shallothill-policy/src/pick/choose.rs
@@ -20,7 +20,7 @@
 enum Standard {
     /// It has a free slot, and requests that must run at most once are not refused there.
     Room,
-    /// Likewise, but a request may have to wait for a slot for about the usual latency.
+    /// Likewise, but a request may have to wait for a slot for a part of the usual latency.
     ShortQueue,
     /// It is not suspected, and its queue has places.
     Accepting,
@@ -241,7 +241,8 @@
             l.state != ServingState::Draining
                 && match standard {
                     Standard::Room => l.in_flight < l.slots && l.queued == 0,
-                    // A wait of one round costs less than the bytes of a request that crosses regions.
+                    // Such a wait costs less than the bytes of a request that crosses regions.
+                    Standard::ShortQueue => l.queued < l.slots * 3 / 4,
                     _ => l.in_flight < l.slots || l.queued < l.slots,
                 }
         })
