review: changes that replace many routes end all keepers for good

Cause: a log entry stays in memory and on disk until 1,000 of them, whatever its size, and a change that replaces the routes carries them all. What it adds: review/6 with a script; the other cases move on by one, the gravest first, and the crowd that takes all descriptors gives way to this one (its stand-in stays).

--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -1,3 +1,3 @@
 #!/usr/bin/env bash
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run; see claim.txt.
-exec "$(dirname "$0")/../stand-ins-2/play.sh" memory 8
+exec "$(dirname "$0")/../stand-ins-2/play.sh" replacement 8
--- a/review/stand-ins-2/crowd_cases.rs
+++ b/review/stand-ins-2/crowd_cases.rs
@@ -8,7 +8,7 @@
 use std::time::{Duration, Instant};
 
 use crate::departure_case::{send_one, start_endpoints};
-use crate::fleet::{Fleet, Machine, READY, note_pid};
+use crate::fleet::{Fleet, Machine, READY, anonymous_kb, note_pid};
 use crate::http::Client;
 use crate::record::Record;
 use crate::{CaseResult, Verdict, trouble};
@@ -145,14 +145,6 @@
     })
 }
 
-// Returns the anonymous memory of a process in kB, which leaves out the pages of its program.
-fn anonymous_kb(pid: u32) -> u64 {
-    let status = fs::read_to_string(format!("/proc/{pid}/status")).unwrap_or_default();
-    let line = status.lines().find_map(|l| l.strip_prefix("RssAnon:"));
-    let number = line.and_then(|l| l.split_whitespace().next()?.parse().ok());
-    number.unwrap_or(0)
-}
-
 /// `play_descriptors` plays heads that stop half-way, on as many connections as the machine has
 /// descriptors, and lets ten ordinary consumers try to connect all the while.
 pub fn play_descriptors(record: &Record) -> CaseResult {
--- a/review/stand-ins-2/fleet.rs
+++ b/review/stand-ins-2/fleet.rs
@@ -223,7 +223,14 @@
 
     /// `put_config` sends the operator's configuration to one machine; `None` is no answer.
     pub fn put_config(&self, m: &Machine, base: u32, version: u32) -> Option<u16> {
-        let body = config(version);
+        let status = self.put_document(m, base, &config(version));
+        let line = format!("config.put {version} on {base} at {} -> {status:?}", m.name);
+        self.record.line(&line);
+        status
+    }
+
+    /// `put_document` sends a configuration that builds on version `base`.
+    pub fn put_document(&self, m: &Machine, base: u32, body: &str) -> Option<u16> {
         let base = format!("{base:08x}");
         let call = Call {
             method: "POST",
@@ -234,12 +241,9 @@
             ],
             body: body.as_bytes(),
         };
-        let status = http::call(self.control(m), &call, CALL_LIMIT)
-            .ok()
-            .map(|r| r.status);
-        let line = format!("config.put {version} on {base} at {} -> {status:?}", m.name);
-        self.record.line(&line);
-        status
+        // More than a second, for large bodies.
+        let reply = http::call(self.control(m), &call, CALL_LIMIT * 5);
+        reply.ok().map(|r| r.status)
     }
 
     /// `get_config` reads the configuration from one machine: the status and the version.
@@ -412,3 +416,12 @@
     let file = OpenOptions::new().create(true).append(true).open(path);
     let _ = file.and_then(|mut f| writeln!(f, "{pid}"));
 }
+
+/// `anonymous_kb` returns the anonymous memory of a process in kB, which leaves out the pages of its
+/// program.
+pub fn anonymous_kb(pid: u32) -> u64 {
+    let status = fs::read_to_string(format!("/proc/{pid}/status")).unwrap_or_default();
+    let line = status.lines().find_map(|l| l.strip_prefix("RssAnon:"));
+    let number = line.and_then(|l| l.split_whitespace().next()?.parse().ok());
+    number.unwrap_or(0)
+}
--- a/review/stand-ins-2/main.rs
+++ b/review/stand-ins-2/main.rs
@@ -3,6 +3,7 @@
 //! `stand-ins CASE FOLDER` plays a case, writes `FOLDER/record.txt` and exits with 1 if the rule was
 //! broken, 0 if it held and 2 if the case could not run. `TROUBLE=0` leaves the disruption out.
 
+mod changes_case;
 mod crowd;
 mod crowd_cases;
 mod departure_case;
@@ -53,6 +54,7 @@
     let result = match text(1) {
         "departure" => departure_case::play(&record),
         "replacement" => replacement_case::play(&record),
+        "changes" => changes_case::play(&record),
         "readers" => readers_case::play(&record),
         "memory" => crowd_cases::play_memory(&record),
         "descriptors" => crowd_cases::play_descriptors(&record),
--- a/review/stand-ins-2/play.sh
+++ b/review/stand-ins-2/play.sh
@@ -20,7 +20,7 @@
 }
 trap cleanup EXIT
 trap 'exit 2' INT TERM
-timeout 112 "$program" "$1" "review/$2" &
+timeout 116 "$program" "$1" "review/$2" &
 wait $!
 code=$?
 case $code in
