--- /dev/null
+++ b/review/build-3.sh
@@ -0,0 +1,6 @@
+#!/usr/bin/env bash
+# Builds the stand-ins that the scripts of the cases 11 and above start.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+mkdir -p target/review-3
+rustc --edition 2024 -O -o target/review-3/stand-ins review/stand-ins-3/main.rs
