review: case 13, unfinished heads of a crowd exceed a node's memory

The cause: a head that is not complete is held twice, and most of it is not counted.

Adds the case and its stand-in. Nothing is mended.

--- a/review/stand-ins-3/cases.rs
+++ b/review/stand-ins-3/cases.rs
@@ -2,6 +2,7 @@
 
 mod foreign_check_in;
 mod frozen_upload;
+mod unfinished_heads;
 
 use std::io;
 use std::path::Path;
@@ -15,6 +16,7 @@
     match name {
         "foreign-check-in" => foreign_check_in::run(root, trouble, record),
         "frozen-upload" => frozen_upload::run(root, trouble, record),
+        "unfinished-heads" => unfinished_heads::run(root, trouble, record),
         _ => Err(io::Error::other("no such case")),
     }
 }
