keeper: a silent member is removed wherever its replacement is

Cause: the primary removed a silent member only if another responsive member was in its data centre. The one that was gone stayed, and a group of six needs four answers; three were left. A stopping keeper asked to leave by the same rule. Evidence: the primary's log has the join of the sixth member and no removal in 20 s. Ruled out: that the successor does not join, and that no primary is elected for another reason. Change: a silent member is removed if the majority gets smaller without it, a member that asks to leave if the group is large enough without it. Of several, the one that has been silent for longest goes first. Why it works: the removals no longer depend on a sign of a replacement, and each one leaves a group that survives at least as many losses, of `min_members` at least. Groups of the smallest size keep their silent members as before.

--- a/crates/shallothill-keeper/src/departure.rs
+++ b/crates/shallothill-keeper/src/departure.rs
@@ -19,8 +19,8 @@
 
 /// `leave` requests that the primary remove this keeper and waits up to [`LEAVE_TIMEOUT`] for that.
 ///
-/// A keeper is replaced if another member is in its data centre. Once it stops, the group survives
-/// one loss less until it is removed. A keeper without a replacement stays a member.
+/// A group that is large enough without this keeper would survive one loss less from its stop until
+/// its removal. In a smaller group the keeper stays a member.
 pub async fn leave(keeper: &Keeper) {
     let me = keeper.settings.id;
     let mut end = keeper.timer.after(LEAVE_TIMEOUT);
@@ -41,45 +41,36 @@
 // Sends one request; returns whether the removal is still to be expected.
 async fn request_removal(keeper: &Keeper, me: KeeperId) -> bool {
     let Some(primary) = keeper.log.status().primary else {
-        return is_replaceable(keeper, me);
+        return is_removable(keeper, me);
     };
     if primary == me {
         return record_leave_request(keeper, me);
     }
     let Some(peer) = keeper.peers.get(primary) else {
-        return is_replaceable(keeper, me);
+        return is_removable(keeper, me);
     };
     let call = peer
         .peer_rpc
         .call(REQUEST_TIMEOUT, |client, cx| async move {
             client.leave(cx, me).await
         });
-    call.await.unwrap_or_else(|_| is_replaceable(keeper, me))
+    call.await.unwrap_or_else(|_| is_removable(keeper, me))
 }
 
 /// `record_leave_request` records at the primary that `from` is about to stop. It returns whether
-/// `from` is a member that another one in its data centre can replace.
+/// the removal of `from` is to be expected.
 pub fn record_leave_request(keeper: &Keeper, from: KeeperId) -> bool {
-    let replaceable = is_replaceable(keeper, from);
-    if replaceable {
+    let removable = is_removable(keeper, from);
+    if removable {
         lock(&keeper.membership_planner).request_leave(keeper.timer.now(), from);
     }
-    replaceable
+    removable
 }
 
-// Whether `id` is a member of a group that is large enough without it, and another member is or may
-// be in its data centre: the data centre of one that has just joined is not known yet.
-fn is_replaceable(keeper: &Keeper, id: KeeperId) -> bool {
+// Whether `id` is a member of a group that is large enough without it.
+fn is_removable(keeper: &Keeper, id: KeeperId) -> bool {
     let replica = keeper.log.status().replica;
     let members = replica.map_or_else(Vec::new, |r| r.members);
-    let keepers = keeper.known_keepers();
-    let data_centre_of = |id: KeeperId| {
-        let info = keepers.iter().find(|info| info.id == id);
-        info.map(|info| &info.zone.data_centre)
-    };
-    let own = data_centre_of(id);
-    let replaces = |other: &KeeperId| data_centre_of(*other).is_none_or(|at| Some(at) == own);
-    let min_members = lock(&keeper.membership_planner).options().min_members();
-    let mut others = members.iter().filter(|other| **other != id);
-    members.contains(&id) && members.len() > min_members && others.any(replaces)
+    let planner = lock(&keeper.membership_planner);
+    members.contains(&id) && planner.options().can_leave(members.len())
 }
--- a/crates/shallothill-keeper/src/group.rs
+++ b/crates/shallothill-keeper/src/group.rs
@@ -177,17 +177,16 @@
             let joins = id.host_ip().to_string();
             info!(joins, "group: changing the members to {members}");
         }
-        Reason::Replaced {
-            removed_member,
-            silent_for,
-            successor,
-        } => {
-            let leaves = removed_member.host_ip().to_string();
+        Reason::LeaveRequested(id) => {
+            let leaves = id.host_ip().to_string();
+            info!(leaves, "group: changing the members to {members}");
+        }
+        Reason::Silent { member, silent_for } => {
+            let leaves = member.host_ip().to_string();
             let silent_ms = silent_for.map(|d| d.as_millis() as u64);
-            let successor = successor.map(|k| k.host_ip().to_string());
             info!(
                 leaves,
-                silent_ms, successor, "group: changing the members to {members}"
+                silent_ms, "group: changing the members to {members}"
             );
         }
     }
@@ -235,7 +234,6 @@
         // This keeper itself, or a member that is not polled yet.
         let is_me = id == keeper.settings.id;
         return MemberObservation {
-            data_centre: is_me.then(|| keeper.settings.data_centre.clone()),
             last_answer: is_me.then_some(now),
             polled_since,
             heartbeats_since,
@@ -243,7 +241,6 @@
     };
     let last_answer = *lock(&peer.last_answer);
     MemberObservation {
-        data_centre: lock(&peer.zone).as_ref().map(|z| z.data_centre.clone()),
         last_answer: last_answer.max(*lock(&peer.last_heartbeat_answer)),
         polled_since,
         heartbeats_since,
--- a/crates/shallothill-keeper/src/membership_planner.rs
+++ b/crates/shallothill-keeper/src/membership_planner.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use shallothill_core::ids::{DataCentre, KeeperId};
+use shallothill_core::ids::KeeperId;
 use shallothill_core::time::Millis;
 
 /// `MEMBERS_MAX` is the largest number of members.
@@ -43,13 +43,29 @@
     pub fn min_members(&self) -> usize {
         2 * self.tolerated_losses + 1
     }
+
+    /// `can_leave` tells whether a group of `members` members is large enough without one of them.
+    pub fn can_leave(&self, members: usize) -> bool {
+        members > self.min_members()
+    }
+
+    // Whether a group of `members` members needs fewer answers for a majority once `departing` of
+    // them are removed, as far as it is large enough without them. Elsewhere a silent member that
+    // returns helps more than its removal does: of an odd number of members, the removal of one
+    // leaves the size of a majority as it is.
+    fn can_shrink(&self, members: usize, departing: usize) -> bool {
+        let rest = members.saturating_sub(departing).max(self.min_members());
+        majority(rest) < majority(members)
+    }
+}
+
+fn majority(members: usize) -> usize {
+    members / 2 + 1
 }
 
 /// `MemberObservation` tells when the primary had contact with a member.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct MemberObservation {
-    /// Data centre of the member; `None` until it is known.
-    pub data_centre: Option<DataCentre>,
     /// Time of its last answer; `None` before the first one.
     pub last_answer: Option<Millis>,
     /// Time of the first poll.
@@ -63,15 +79,14 @@
 pub enum Reason {
     /// The keeper requested to join.
     JoinRequested(KeeperId),
-    /// The member is silent or requested to leave, and another member replaces it.
-    Replaced {
+    /// The member requested to leave, and the group is large enough without it.
+    LeaveRequested(KeeperId),
+    /// The member is silent, and the group is large enough without it.
+    Silent {
         /// The member to remove.
-        removed_member: KeeperId,
+        member: KeeperId,
         /// Time since its last answer; `None` if it never answered.
         silent_for: Option<Duration>,
-        /// The responsive member in the same data centre; `None` if the data centre of the removed
-        /// member is unknown.
-        successor: Option<KeeperId>,
     },
 }
 
@@ -119,21 +134,18 @@
 
     /// `next_change` returns the next change, or `None` when the members stay as they are.
     ///
-    /// Pending joins come first. A member is removed only when it is silent or requested to leave,
-    /// another responsive member is in its data centre, and the remaining members are at least
-    /// `min_members` with a responsive majority. Other members may be silent meanwhile: without the
-    /// removed member, the group survives as many of their losses as before, or one more.
+    /// Pending joins come first. A member is removed only when it requested to leave, or is silent
+    /// and the majority gets smaller without it; a majority of the remaining members is responsive,
+    /// and they are at least `min_members`. In which data centre a replacement is does not matter:
+    /// nothing else tells a member that is gone for good from one that returns, and the second one
+    /// joins again. Of several, the one that has been silent for longest is removed first.
     pub fn next_change(
         &mut self,
         now: Millis,
         members: &[KeeperId],
         observations: &BTreeMap<KeeperId, MemberObservation>,
     ) -> Option<MembershipChange> {
-        let valid = |at: Millis| now.saturating_since(at) < self.options.request_ttl;
-        self.join_requests
-            .retain(|id, at| !members.contains(id) && valid(*at));
-        self.leave_requests
-            .retain(|id, at| members.contains(id) && valid(*at));
+        self.drop_old_requests(now, members);
         if let Some(id) = self.join_requests.keys().next()
             && members.len() < MEMBERS_MAX
         {
@@ -147,30 +159,47 @@
             observations,
             options: &self.options,
         };
-        let should_leave =
-            |id: &KeeperId| self.leave_requests.contains_key(id) || view.is_silent(*id);
-        let (removed_member, successor) = members
-            .iter()
-            .copied()
-            .filter(should_leave)
-            .filter_map(|id| Some((id, view.successor(id, members)?)))
-            .next()?;
+        let removed = self.next_to_remove(members, &view)?;
         let rest: Vec<KeeperId> = members
             .iter()
             .copied()
-            .filter(|id| *id != removed_member)
+            .filter(|id| *id != removed)
             .collect();
         let responsive = rest.iter().filter(|id| view.is_responsive(**id)).count();
-        let allowed = rest.len() >= self.options.min_members() && responsive > rest.len() / 2;
-        allowed.then_some(MembershipChange {
+        (responsive >= majority(rest.len())).then(|| MembershipChange {
             members: rest,
-            reason: Reason::Replaced {
-                removed_member,
-                silent_for: view.silent_for(removed_member),
-                successor,
-            },
+            reason: self.removal_reason(&view, removed),
         })
     }
+
+    fn drop_old_requests(&mut self, now: Millis, members: &[KeeperId]) {
+        let valid = |at: Millis| now.saturating_since(at) < self.options.request_ttl;
+        self.join_requests
+            .retain(|id, at| !members.contains(id) && valid(*at));
+        self.leave_requests
+            .retain(|id, at| members.contains(id) && valid(*at));
+    }
+
+    fn next_to_remove(&self, members: &[KeeperId], view: &GroupView<'_>) -> Option<KeeperId> {
+        let requested = |id: &KeeperId| self.leave_requests.contains_key(id);
+        let mut departing = members.to_vec();
+        departing.retain(|id| requested(id) || view.is_silent(*id));
+        if !self.options.can_shrink(members.len(), departing.len()) {
+            departing.retain(|id| requested(id) && self.options.can_leave(members.len()));
+        }
+        let last_contact = |id: &KeeperId| view.last_contact(*id);
+        departing.into_iter().min_by_key(last_contact)
+    }
+
+    fn removal_reason(&self, view: &GroupView<'_>, member: KeeperId) -> Reason {
+        if self.leave_requests.contains_key(&member) {
+            return Reason::LeaveRequested(member);
+        }
+        Reason::Silent {
+            member,
+            silent_for: view.silent_for(member),
+        }
+    }
 }
 
 /// `GroupView` evaluates the primary's observations at one point in time.
@@ -204,19 +233,9 @@
         last_answer.map(|at| self.now.saturating_since(at))
     }
 
-    // `None` if no other responsive member is in the data centre of `id`, `Some(None)` if its data
-    // centre is unknown and the group is large enough without it.
-    fn successor(&self, id: KeeperId, members: &[KeeperId]) -> Option<Option<KeeperId>> {
-        let data_centre_of = |id: KeeperId| {
-            self.observations
-                .get(&id)
-                .and_then(|o| o.data_centre.as_ref())
-        };
-        let Some(own) = data_centre_of(id) else {
-            return (members.len() > self.options.min_members()).then_some(None);
-        };
-        let mut others = members.iter().copied().filter(|other| *other != id);
-        let successor = others.find(|o| data_centre_of(*o) == Some(own) && self.is_responsive(*o));
-        successor.map(Some)
+    // The time of the last answer, or of the first poll of a member that never answered.
+    fn last_contact(&self, id: KeeperId) -> Millis {
+        let observation = self.observations.get(&id);
+        observation.map_or(self.now, |o| o.last_answer.unwrap_or(o.polled_since))
     }
 }
