keeper, replica: a group of nine replaces a member that is gone

What callers would see: with nine keepers, each one that is replaced stays a member and its successor stays out; after five of them the configuration can't be read or changed any more. Cause: the primary admitted no tenth member, and removed a silent one only once its successor was a member or the majority got smaller. With four tolerated losses the group needs nine members, so that it could not shrink either. Change: a full group gives up a silent member for a keeper that asks to join. A group that needs as many as the largest size grows by one; the replica takes changes up to 16 members, and creates groups of up to nine as before. Before: a_full_group_removes_a_silent_member_for_a_new_one and a_group_that_needs_nine_members_grows_to_replace_one fail (no change is planned), and so does a_group_of_nine_grows_to_replace_a_member (`Refused`). After: they pass, with all others of the two crates. Not shown with processes.

--- a/crates/shallothill-keeper/src/membership_planner.rs
+++ b/crates/shallothill-keeper/src/membership_planner.rs
@@ -7,7 +7,7 @@
 use shallothill_core::ids::KeeperId;
 use shallothill_core::time::Millis;
 
-/// `MEMBERS_MAX` is the largest number of members.
+/// `MEMBERS_MAX` is the largest number of members, unless the tolerated losses need as many.
 const MEMBERS_MAX: usize = 9;
 
 /// `MembershipOptions` configures when members are added and removed.
@@ -44,6 +44,11 @@
         2 * self.tolerated_losses + 1
     }
 
+    // A group that needs all of its members has to grow by one to replace one.
+    fn max_members(&self) -> usize {
+        MEMBERS_MAX.max(self.min_members() + 1)
+    }
+
     /// `can_leave` tells whether a group of `members` members is large enough without one of them.
     pub fn can_leave(&self, members: usize) -> bool {
         members > self.min_members()
@@ -134,9 +139,10 @@
 
     /// `next_change` returns the next change, or `None` when the members stay as they are.
     ///
-    /// Pending joins come first. A member is removed only when it requested to leave, or is silent
-    /// and the majority gets smaller without it; a majority of the remaining members is responsive,
-    /// and they are at least `min_members`. In which data centre a replacement is does not matter:
+    /// Pending joins come first, up to the largest size. A member is removed only when it requested
+    /// to leave, or is silent and either the majority gets smaller without it or another keeper
+    /// waits for its place; a majority of the remaining members is responsive, and they are at least
+    /// `min_members`. In which data centre a replacement is does not matter:
     /// nothing else tells a member that is gone for good from one that returns, and the second one
     /// joins again. Of several, the one that has been silent for longest is removed first.
     pub fn next_change(
@@ -147,7 +153,7 @@
     ) -> Option<MembershipChange> {
         self.drop_old_requests(now, members);
         if let Some(id) = self.join_requests.keys().next()
-            && members.len() < MEMBERS_MAX
+            && members.len() < self.options.max_members()
         {
             return Some(MembershipChange {
                 members: members.iter().copied().chain([*id]).collect(),
@@ -185,7 +191,10 @@
         let mut departing = members.to_vec();
         departing.retain(|id| requested(id) || view.is_silent(*id));
         if !self.options.can_shrink(members.len(), departing.len()) {
-            departing.retain(|id| requested(id) && self.options.can_leave(members.len()));
+            // A join that is still pending here finds the group full.
+            let place_wanted = !self.join_requests.is_empty();
+            let can_leave = self.options.can_leave(members.len());
+            departing.retain(|id| can_leave && (place_wanted || requested(id)));
         }
         let last_contact = |id: &KeeperId| view.last_contact(*id);
         departing.into_iter().min_by_key(last_contact)
--- a/crates/shallothill-keeper/tests/roster.rs
+++ b/crates/shallothill-keeper/tests/roster.rs
@@ -286,6 +286,47 @@
     assert_eq!(next, Some(MembershipChange { members, reason }));
 }
 
+/// Guards against a group of the largest size that no successor can join, because the member that
+/// is gone takes its place: 5 is gone, 10 asks to join.
+#[test]
+fn a_full_group_removes_a_silent_member_for_a_new_one() {
+    let mut planner = planner();
+    let group = [1, 2, 3, 4, 5, 6, 7, 8, 9];
+    let observations = observations(&group.map(|id| (id, if id == 5 { 50 } else { 100 })));
+    let without_request = planner.next_change(at(100), &members(&group), &observations);
+    planner.request_join(at(100), KeeperId(10));
+
+    let removed = planner.next_change(at(100), &members(&group), &observations);
+    let eight = [1, 2, 3, 4, 6, 7, 8, 9];
+    let joined = planner.next_change(at(100), &members(&eight), &observations);
+
+    assert_eq!(without_request, None);
+    assert_eq!(removed.map(|c| c.members), Some(members(&eight)));
+    let with_new = members(&[1, 2, 3, 4, 6, 7, 8, 9, 10]);
+    assert_eq!(joined.map(|c| c.members), Some(with_new));
+}
+
+/// Guards against a group that needs the largest size for its tolerated losses and cannot replace a
+/// member, because it can neither grow nor shrink.
+#[test]
+fn a_group_that_needs_nine_members_grows_to_replace_one() {
+    let mut planner = MembershipPlanner::new(MembershipOptions {
+        tolerated_losses: 4,
+        ..MembershipOptions::default()
+    });
+    let group = [1, 2, 3, 4, 5, 6, 7, 8, 9];
+    let grown = [1, 2, 3, 4, 5, 6, 7, 8, 9, 10];
+    let observations = observations(&grown.map(|id| (id, if id == 5 { 50 } else { 100 })));
+    planner.request_join(at(100), KeeperId(10));
+
+    let joined = planner.next_change(at(100), &members(&group), &observations);
+    let removed = planner.next_change(at(100), &members(&grown), &observations);
+
+    assert_eq!(joined.map(|c| c.members), Some(members(&grown)));
+    let rest = members(&[1, 2, 3, 4, 6, 7, 8, 9, 10]);
+    assert_eq!(removed.map(|c| c.members), Some(rest));
+}
+
 /// Guards against a new primary that waits for the heartbeat timeout although the lost member has
 /// left polls unanswered for longer.
 #[test]
--- a/crates/shallothill-replica/src/membership.rs
+++ b/crates/shallothill-replica/src/membership.rs
@@ -47,7 +47,7 @@
             .collect();
         let removed = current.iter().filter(|k| !members.contains(k)).count();
         let size = members.len();
-        if added.len() + removed != 1 || size == 0 || size > options::MAX_MEMBERS {
+        if added.len() + removed != 1 || size == 0 || size > options::MAX_GROWN_MEMBERS {
             self.reply(id, ProposeResult::Refused);
             return;
         }
--- a/crates/shallothill-replica/src/options.rs
+++ b/crates/shallothill-replica/src/options.rs
@@ -4,9 +4,13 @@
 
 use shallothill_core::ids::KeeperId;
 
-/// `MAX_MEMBERS` is the largest size of a group.
+/// `MAX_MEMBERS` is the largest size of a group that the settings list.
 pub(crate) const MAX_MEMBERS: usize = 9;
 
+/// `MAX_GROWN_MEMBERS` is the largest size to which a group may grow. A group that can spare no
+/// member has to grow before it replaces one.
+pub(crate) const MAX_GROWN_MEMBERS: usize = 16;
+
 /// `ElectionRule` selects how the primary of a new view is chosen.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum ElectionRule {
--- a/crates/shallothill-replica/tests/rules.rs
+++ b/crates/shallothill-replica/tests/rules.rs
@@ -207,6 +207,26 @@
     assert!(bus.violations.is_empty(), "{:?}", bus.violations);
 }
 
+/// Guards against a group of the largest listed size in which no member can be replaced.
+#[test]
+fn a_group_of_nine_grows_to_replace_a_member() {
+    let mut bus = Bus::new_group(10, 9, bus::options(10));
+    bus.propose_until_accepted(5000).expect("accepted");
+    let primary = bus.primary().expect("a primary");
+    let ten: Vec<KeeperId> = (1..=10).map(k).collect();
+    bus.add_host(k(10), (1..=9).map(k).collect(), false);
+
+    let added = bus.change_members(primary, ten.clone());
+    bus.run(5000);
+
+    let result = bus.results.get(&added);
+    assert!(
+        matches!(result, Some(ProposeResult::Committed(_))),
+        "{result:?}"
+    );
+    assert_eq!(bus.members(), ten);
+}
+
 /// Guards against a new member that goes down while it is added, and so blocks every other change
 /// of members for 30 s.
 #[test]
