keeper, platform: the checks of replacements stand once, plainer words in the planner

Change: both pairs share their checks, which are those of the stricter one of each pair; doc comments of the planner are shorter.

--- a/crates/shallothill-keeper/src/membership_planner.rs
+++ b/crates/shallothill-keeper/src/membership_planner.rs
@@ -15,12 +15,13 @@
 pub struct MembershipOptions {
     /// Number of keepers that may be lost with their disks at the same time.
     pub tolerated_losses: usize,
-    /// Time without an answer after which a member counts as silent, if the primary's heartbeats were
-    /// among what it did not answer. A member that was removed although it was only cut off joins again; a lost one lowers the
-    /// number of losses that the group survives until it is removed.
+    /// Time without an answer after which a member counts as silent, if the primary has sent it
+    /// heartbeats for `first_heartbeats`. A member that was removed although it was only cut off
+    /// joins again; a lost one lowers the number of losses that the group survives until it is
+    /// removed.
     pub heartbeat_timeout: Duration,
-    /// Time from the first heartbeat of a new primary after which its heartbeats are unanswered. It
-    /// takes several of them, and less than a member may be silent, most of which the election took.
+    /// Time for which a new primary sends heartbeats before it counts members as silent. It is
+    /// shorter than `heartbeat_timeout`, as a lost member was silent during the election as well.
     pub first_heartbeats: Duration,
     /// Time without an answer to polls after which a member counts as silent. A primary that was
     /// just elected has sent polls for longer than heartbeats.
@@ -143,12 +144,13 @@
 
     /// `next_change` returns the next change, or `None` when the members stay as they are.
     ///
-    /// Pending joins come first, up to the largest size. A member is removed only when it requested
-    /// to leave, or is silent and either the majority gets smaller without it or another keeper
-    /// waits for its place; a majority of the remaining members is responsive, and they are at least
-    /// `min_members`. In which data centre a replacement is does not matter:
-    /// nothing else tells a member that is gone for good from one that returns, and the second one
-    /// joins again. Of several, the one that has been silent for longest is removed first.
+    /// Pending joins come first, up to the largest size. A member is removed if it requested to
+    /// leave, or if it is silent and the majority gets smaller without it or another keeper waits
+    /// for its place. At least `min_members` remain, a majority of them responsive. Of several, the
+    /// one that has been silent for longest goes first.
+    ///
+    /// A silent member may be gone for good or return, and its replacement may be in any data
+    /// centre; the primary cannot tell. A member that returns joins again.
     pub fn next_change(
         &mut self,
         now: Millis,
@@ -234,11 +236,7 @@
         let Some(observation) = self.observations.get(&id) else {
             return false;
         };
-        let contact = observation
-            .last_answer
-            .unwrap_or_default()
-            .max(observation.polled_since);
-        let silence = self.now.saturating_since(contact);
+        let silence = self.now.saturating_since(self.last_contact(id));
         let heartbeats = self.now.saturating_since(observation.heartbeats_since);
         let heartbeats_unanswered = heartbeats >= self.options.first_heartbeats
             && silence >= self.options.heartbeat_timeout;
@@ -250,9 +248,11 @@
         last_answer.map(|at| self.now.saturating_since(at))
     }
 
-    // The time of the last answer, or of the first poll of a member that never answered.
+    // The time of the last answer, or of the first poll of a member that has not answered since.
     fn last_contact(&self, id: KeeperId) -> Millis {
         let observation = self.observations.get(&id);
-        observation.map_or(self.now, |o| o.last_answer.unwrap_or(o.polled_since))
+        observation.map_or(self.now, |o| {
+            o.last_answer.unwrap_or_default().max(o.polled_since)
+        })
     }
 }
