--- a/crates/shallothill-keeper/tests/replacements.rs
+++ b/crates/shallothill-keeper/tests/replacements.rs
@@ -34,7 +34,8 @@
 /// Longest time until the first answer of a new member.
 const FIRST_ANSWER_MS: u64 = 1000;
 
-/// Seeds with which the primary is lost, and the next one before it removed the first.
+/// Seeds with which a primary is lost soon after its election, when it should have removed the
+/// member that was lost before the election.
 const SLOW_REMOVAL_SEEDS: [u64; 2] = [1775, 3795];
 
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
