config: a split keeps each part as it was written

Cause: the text of a configuration wrote a split as a mapping from service to weight. A mapping holds one weight a service, so the last part replaced the others, and it has no order. The text is what keepers store, what nodes act on and what the id of a change is made from, so the loss was read back, in force, and two splits had one id. The check for a service that stands twice reads the text and so came too late.

Ruled out: the translation from and to the platform's document (the model holds the list of parts; the text of it already lacks the first), and the choice at the node (it divides by the parts that it has).

Change: a split may be a list of parts, which keeps its order and may name a service several times. The parts are bounded by 2,000.

--- a/crates/shallothill-config/src/lib.rs
+++ b/crates/shallothill-config/src/lib.rs
@@ -15,6 +15,7 @@
 mod route;
 mod scalars;
 mod service;
+mod split;
 mod to_text;
 
 pub use diff::{Change, diff};
--- a/crates/shallothill-config/src/limits.rs
+++ b/crates/shallothill-config/src/limits.rs
@@ -9,6 +9,8 @@
 pub const SERVICES_MAX: usize = 2_000;
 /// `ROUTES_MAX` bounds the routes; the system is sized for 7,500.
 pub const ROUTES_MAX: usize = 10_000;
+/// `SPLIT_PARTS_MAX` bounds the parts of a split, which a node goes through for each request.
+pub const SPLIT_PARTS_MAX: usize = 2_000;
 /// `CALLERS_MAX` bounds the callers; the system is sized for 61,000.
 pub const CALLERS_MAX: usize = 100_000;
 /// `KEYS_MAX` bounds the keys of one caller; rotating a key needs two at a time.
--- a/crates/shallothill-config/src/route.rs
+++ b/crates/shallothill-config/src/route.rs
@@ -2,15 +2,16 @@
 
 use std::time::Duration;
 
-use shallothill_core::config::{BodyMode, Route, Share, Target};
+use shallothill_core::config::{BodyMode, Route, Target};
 use shallothill_core::ids::ServiceName;
 
 use crate::faults::Faults;
 use crate::fields;
 use crate::fields::Fields;
 use crate::limits;
-use crate::node::{Entry, Node, Value};
+use crate::node::{Entry, Value};
 use crate::scalars;
+use crate::split;
 
 const FIELDS: [&str; 16] = [
     "service",
@@ -93,8 +94,7 @@
         faults.push(service.at, fields.path_of("service"), message);
         return None;
     }
-    let shares = shares(&entry.node, &field, faults)?;
-    let target = Target::Split(shares);
+    let target = Target::Split(split::parse(&entry.node, &field, faults)?);
     if target.total_weight() == 0 {
         let message = "the weights add up to 0; raise one of them";
         faults.push(entry.node.at, &field, message);
@@ -103,27 +103,6 @@
     Some(target)
 }
 
-fn shares(node: &Node, field: &str, faults: &mut Faults) -> Option<Vec<Share>> {
-    let entries = fields::mapping(node, field, faults)?;
-    let faults_before = faults.count();
-    let mut shares: Vec<Share> = Vec::new();
-    for entry in entries {
-        let field = fields::join(field, &entry.key);
-        let service = ServiceName::try_new(&entry.key);
-        match (service, scalars::number(0, u32::MAX)(&entry.node.value)) {
-            (Ok(service), Ok(_)) if shares.iter().any(|s| s.service == service) => {
-                faults.push(entry.at, field, "the service stands twice; remove one");
-            }
-            (Ok(service), Ok(weight)) => shares.push(Share { service, weight }),
-            (Err(e), _) => faults.push(entry.at, field, e.to_string()),
-            (_, Err(message)) => faults.push(entry.node.at, field, message),
-        }
-    }
-    // The order of the shares has no meaning; sorting makes equal splits compare as equal.
-    shares.sort_by(|a, b| a.service.cmp(&b.service));
-    (faults.count() == faults_before).then_some(shares)
-}
-
 fn host(value: &Value) -> Result<String, String> {
     let host = scalars::text(value)?;
     let accepted = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '.' | '_' | ':');
--- a/crates/shallothill-config/src/to_text.rs
+++ b/crates/shallothill-config/src/to_text.rs
@@ -9,6 +9,7 @@
 
 use crate::diff;
 use crate::service::ANNOUNCED;
+use crate::split;
 
 /// `to_text` returns a text that [`crate::parse`] turns back into `cfg`. Equal configurations have
 /// equal texts, with one field a line, so that patches between versions stay small.
@@ -86,10 +87,7 @@
 fn route(r: &Route) -> Value {
     let (service, split) = match &r.target {
         Target::Service(service) => (json!(service), Value::Null),
-        Target::Split(shares) => {
-            let weights = shares.iter().map(|s| (s.service.as_str(), json!(s.weight)));
-            (Value::Null, mapping(weights))
-        }
+        Target::Split(shares) => (Value::Null, split::to_json(shares)),
     };
     let methods = if r.methods.is_empty() {
         json!("any")
--- a/crates/shallothill-config/tests/write.rs
+++ b/crates/shallothill-config/tests/write.rs
@@ -1,7 +1,8 @@
 //! Serialization of configurations, and the fields for hosts, splits and announced slots.
 
-use shallothill_config::{parse, to_text};
-use shallothill_core::config::{BodyMode, Config, OncePer, Target};
+use shallothill_config::{limits, parse, to_text};
+use shallothill_core::config::{BodyMode, Config, OncePer, Share, Target};
+use shallothill_core::ids::ServiceName;
 
 const VALID: &str = "\
 regions: [north, south]
@@ -124,3 +125,92 @@
         assert!(found.contains(message), "{new}: {found}");
     }
 }
+
+fn share(service: &str, weight: u32) -> Share {
+    Share {
+        service: ServiceName::try_new(service).unwrap(),
+        weight,
+    }
+}
+
+/// Returns the valid configuration with its split replaced by `shares`.
+fn with_split(shares: &[Share]) -> Config {
+    let mut cfg = valid();
+    let route = cfg.routes.values_mut().next().unwrap();
+    route.target = Target::Split(shares.to_vec());
+    cfg
+}
+
+/// Guards against a split that loses a part where a service has several, and against two splits with
+/// one text, which would be taken for one change.
+#[test]
+fn a_split_keeps_each_part_of_a_service() {
+    let doubled = [
+        share("queries", 60),
+        share("desk", 30),
+        share("queries", 10),
+    ];
+    let ordered = [
+        share("desk", 30),
+        share("queries", 60),
+        share("queries", 10),
+    ];
+    let remaining = [share("desk", 30), share("queries", 10)];
+    let (doubled, ordered) = (with_split(&doubled), with_split(&ordered));
+    let remaining = with_split(&remaining);
+
+    for cfg in [&doubled, &ordered, &remaining] {
+        assert_eq!(parse(&to_text(cfg)).as_ref(), Ok(cfg));
+    }
+
+    assert_ne!(to_text(&doubled), to_text(&remaining));
+    assert_ne!(to_text(&doubled), to_text(&ordered));
+    let target = &doubled.routes.values().next().unwrap().target;
+    let chosen = (0..100).filter_map(|point| target.choose(point));
+    assert_eq!(chosen.filter(|s| s.as_str() == "queries").count(), 70);
+}
+
+/// Guards against a list of parts that is refused, and against one whose faults are missed or reported
+/// at the wrong place.
+#[test]
+fn a_split_may_be_a_list_of_parts() {
+    const MAPPING: &str = "{queries: 90, desk: 10}";
+    const PART: &str = "{service: queries, weight: 60}";
+    let list = format!("[{PART}, {{service: desk, weight: 30}}, {{service: queries, weight: 10}}]");
+    let expected = with_split(&[
+        share("queries", 60),
+        share("desk", 30),
+        share("queries", 10),
+    ]);
+
+    let parsed = parse(&VALID.replacen(MAPPING, &list, 1));
+
+    assert_eq!(parsed, Ok(expected));
+    let cases = [
+        (
+            "{service: queries}",
+            "answer.split.1.weight: this field is missing",
+        ),
+        (
+            "{service: queries, weight: 1, weight: 2}",
+            "answer.split.1.weight: repeated",
+        ),
+        (
+            "{service: queries, weight: 1, zone: a}",
+            "answer.split.1.zone: unknown field",
+        ),
+        (
+            "{service: queries, weight: -1}",
+            "answer.split.1.weight: -1 is out of range",
+        ),
+        ("{service: nobody, weight: 1}", "no service `nobody`"),
+        ("queries", "answer.split.1: expected a mapping"),
+    ];
+    for (second, message) in cases {
+        let found = fault(MAPPING, &format!("[{PART}, {second}]"));
+        assert!(found.contains(message), "{second}: {found}");
+    }
+    let many = vec![PART; limits::SPLIT_PARTS_MAX + 1].join(", ");
+    let found = fault(MAPPING, &format!("[{many}]"));
+    assert!(found.contains("above the limit"), "{found}");
+}
