config: a route keeps the form in which it was written

Operators saw: a host "Shop.Example" reads back as "shop.example", a route without a priority as one with 0, and one without `public`, or with it in a document without tenants, as false or without it. Two such configurations of one version had one id, so the second was acknowledged as the first.

Cause: the parser filled in defaults and lowered the host while it read the text, so the model, from which documents are read back and texts written, had only the result. A default that was filled in and a value that was written are one thing there.

Change: a route keeps its host as written, and a rank or `public` that was left out stays left out. `Route::effective` applies the defaults and the lower case where a configuration is split into sections, so nodes get the same bytes as before. Hosts are compared in any letter case for two routes with one path.

A tenant's document that writes `public` false has another text than with the release before, so a change sent again across the upgrade is answered 412, once.

--- a/crates/shallothill-bench/src/scenarios/scale.rs
+++ b/crates/shallothill-bench/src/scenarios/scale.rs
@@ -181,13 +181,13 @@
         idempotent: true,
         once_per: OncePer::Key,
         class: Class::Shop,
-        rank: 0,
+        rank: Some(0),
         deadline: Duration::from_secs(10),
         objective: None,
         attempts: None,
         max_body_bytes: 65_536,
         body: BodyMode::Buffered,
-        public: false,
+        public: Some(false),
     })
 }
 
--- a/crates/shallothill-config/src/checks.rs
+++ b/crates/shallothill-config/src/checks.rs
@@ -88,7 +88,7 @@
 }
 
 fn report_duplicate_routes(routes: &[Entry], cfg: &Config, faults: &mut Faults) {
-    let mut seen: BTreeMap<(Option<&str>, &str, &str), &str> = BTreeMap::new();
+    let mut seen: BTreeMap<(Option<String>, &str, &str), &str> = BTreeMap::new();
     for entry in routes {
         // Routes are visited in the order of the text, so the fault is at the later one.
         let name = RouteName::try_new(&entry.key).ok();
@@ -96,8 +96,9 @@
         let Some((name, route)) = found else { continue };
         let any = route.methods.is_empty().then_some(ANY_METHOD);
         let methods = route.methods.iter().map(String::as_str).chain(any);
+        let host = route.host.as_ref().map(|h| h.to_ascii_lowercase());
         for method in methods {
-            let key = (route.host.as_deref(), route.path.as_str(), method);
+            let key = (host.clone(), route.path.as_str(), method);
             match seen.get(&key) {
                 Some(first) if *first != name.as_str() => {
                     let at = position(routes, name.as_str(), "path", None);
--- a/crates/shallothill-config/src/diff.rs
+++ b/crates/shallothill-config/src/diff.rs
@@ -166,7 +166,7 @@
         ("idempotent", Some(r.idempotent.to_string())),
         ("once_per", Some(format!("{:?}", r.once_per).to_lowercase())),
         ("class", Some(r.class.to_string())),
-        ("rank", Some(r.rank.to_string())),
+        ("rank", r.rank.map(|n| n.to_string())),
         ("deadline", Some(duration(r.deadline))),
         ("objective", r.objective.map(duration)),
         ("attempts", r.attempts.map(|n| n.to_string())),
@@ -175,7 +175,7 @@
             "body",
             (r.body == BodyMode::Streamed).then(|| String::from("streamed")),
         ),
-        ("public", r.public.then(|| String::from("true"))),
+        ("public", r.public.map(|p| p.to_string())),
     ]
 }
 
--- a/crates/shallothill-config/src/route.rs
+++ b/crates/shallothill-config/src/route.rs
@@ -73,13 +73,13 @@
         idempotent: idempotent?,
         once_per: once_per?.unwrap_or_default(),
         class: class?,
-        rank: rank?.unwrap_or(0),
+        rank: rank?,
         deadline: deadline?,
         objective: objective?,
         attempts: attempts?,
         max_body_bytes: max_body_bytes?.unwrap_or(BODY_DEFAULT_BYTES),
         body: body?.unwrap_or_default(),
-        public: public?.unwrap_or(false),
+        public: public?,
     })
 }
 
@@ -112,7 +112,7 @@
             "`{host}` is no host; write 1 to {max} letters, digits, `-`, `.`, `_` or `:`"
         ));
     }
-    Ok(host.to_ascii_lowercase())
+    Ok(host.to_owned())
 }
 
 fn check_objective(
@@ -195,7 +195,10 @@
         return Err(format!("`{path}` is no path; start it with `/`"));
     }
     if path.len() > 1 && path.ends_with('/') {
-        let short = path.trim_end_matches('/');
+        let short = match path.trim_end_matches('/') {
+            "" => "/",
+            short => short,
+        };
         return Err(format!(
             "the path ends with `/`; write `{short}`, which includes `{path}`"
         ));
--- a/crates/shallothill-config/src/to_text.rs
+++ b/crates/shallothill-config/src/to_text.rs
@@ -114,7 +114,7 @@
         "attempts": r.attempts,
         "max_body_bytes": r.max_body_bytes,
         "body": (r.body == BodyMode::Streamed).then_some(r.body),
-        "public": r.public.then_some(true),
+        "public": r.public,
     }))
 }
 
--- a/crates/shallothill-core/src/config/route.rs
+++ b/crates/shallothill-core/src/config/route.rs
@@ -12,8 +12,8 @@
 pub struct Route {
     /// The service, or the services, that the requests go to.
     pub target: Target,
-    /// The requested host, in lower case; `None` matches any host for which no other route is
-    /// found.
+    /// The requested host, which matches in any letter case; `None` matches any host for which no
+    /// other route is found.
     pub host: Option<String>,
     /// The accepted HTTP methods, in upper case; an empty list accepts all.
     pub methods: Vec<String>,
@@ -27,8 +27,8 @@
     pub once_per: OncePer,
     /// The class of requests whose caller has none; `Internal` for requests between services.
     pub class: Class,
-    /// The priority within the class; 0 is served first.
-    pub rank: u8,
+    /// The priority within the class; 0 is served first, and `None` is 0.
+    pub rank: Option<u8>,
     /// The deadline of a request that does not carry a shorter one.
     pub deadline: Duration,
     /// The target latency, if the operator set one; a later response is of less use to the caller.
@@ -41,7 +41,19 @@
     /// Whether request bodies are large and may be passed on as they arrive.
     #[serde(default)]
     pub body: BodyMode,
-    /// Whether requests need no key where the configuration requires keys.
+    /// Whether requests need no key where the configuration requires keys; `None` is false.
     #[serde(default)]
-    pub public: bool,
+    pub public: Option<bool>,
+}
+
+impl Route {
+    /// `effective` returns the route as nodes act on it: with its defaults and the host in lower case.
+    pub fn effective(&self) -> Self {
+        Self {
+            host: self.host.as_ref().map(|h| h.to_ascii_lowercase()),
+            rank: Some(self.rank.unwrap_or_default()),
+            public: Some(self.public.unwrap_or_default()),
+            ..self.clone()
+        }
+    }
 }
--- a/crates/shallothill-core/src/sections.rs
+++ b/crates/shallothill-core/src/sections.rs
@@ -68,12 +68,13 @@
     ContentHash::of(&rmp_serde::to_vec(manifest).unwrap_or_default())
 }
 
-/// `split` returns the sections of a configuration; empty buckets have no section.
+/// `split` returns the sections of a configuration, with its routes as nodes act on them; empty
+/// buckets have no section.
 pub fn split(cfg: &Config) -> Vec<Section> {
     let mut routes: BTreeMap<u8, BTreeMap<RouteName, Route>> = BTreeMap::new();
     for (name, route) in &cfg.routes {
         let bucket = routes.entry(bucket(name.as_str())).or_default();
-        bucket.insert(name.clone(), route.clone());
+        bucket.insert(name.clone(), route.effective());
     }
     let mut callers: BTreeMap<u8, BTreeMap<CallerName, Caller>> = BTreeMap::new();
     for (name, caller) in &cfg.callers {
@@ -107,7 +108,8 @@
         .collect()
 }
 
-/// `join` rebuilds a configuration from all of its sections; it reverses [`split`].
+/// `join` rebuilds a configuration from all of its sections; it reverses [`split`], but for the form
+/// in which routes were written.
 pub fn join<'a>(sections: impl IntoIterator<Item = &'a Section>) -> Config {
     let mut cfg = Config::default();
     for section in sections {
--- a/crates/shallothill-node/src/entry/caller.rs
+++ b/crates/shallothill-node/src/entry/caller.rs
@@ -61,14 +61,14 @@
         if let Some(key) = key.filter(|_| current)
             && let Some((name, caller)) = cfg.caller_of_key(key)
         {
-            let checked = self.deps.currency.is_some() && !route.public;
+            let checked = self.deps.currency.is_some() && route.public != Some(true);
             return Ok(IdentifiedCaller {
                 name: Some((name.clone(), Proof::Key)),
                 settings: Some(caller),
                 checked_key: ApiKey::try_new(key).ok().filter(|_| checked),
             });
         }
-        if route.public {
+        if route.public == Some(true) {
             return Ok(IdentifiedCaller::default());
         }
         if !current {
--- a/crates/shallothill-node/src/entry/priority.rs
+++ b/crates/shallothill-node/src/entry/priority.rs
@@ -34,13 +34,15 @@
             Some(_) => None,
             None => self.parent_of(map),
         };
-        let own_rank = caller.settings.and_then(|c| c.rank).unwrap_or(route.rank);
+        let own_rank = caller.settings.and_then(|c| c.rank).or(route.rank);
         RequestPriority {
             class: match &parent {
                 Some(parent) => parent.class,
                 None => request_class(map, route, caller.settings),
             },
-            rank: parent.as_ref().map_or(own_rank, |p| p.rank),
+            rank: parent
+                .as_ref()
+                .map_or(own_rank.unwrap_or_default(), |p| p.rank),
             parent,
         }
     }
