config: numbers that would be rounded are rejected

Operators saw: a quota of 0.0004 requests a second is acknowledged and read back as 0, which is no limit; 12.3456 as 12.346. In our own YAML the text kept the number, while 0.0004 set no limit and a disposition of 0.2504 was 0.25 for the nodes.

Cause: rates and dispositions are held in thousandths, and their parsers rounded.

Change: a number with more than three decimals is rejected, with the form to write. Texts that an earlier release has accepted are still read as that release read them, by `parse_accepted`, so that an upgrade of the keepers leaves them in force.

--- a/crates/shallothill-cli/src/commands/submit.rs
+++ b/crates/shallothill-cli/src/commands/submit.rs
@@ -115,7 +115,7 @@
 
 fn print_conflict(cfg: &Config, current: ConfigVersion, current_text: &str, out: &Output) {
     // Version 0 has an empty text, which does not parse and means the empty configuration.
-    let current_cfg = shallothill_config::parse(current_text).unwrap_or_default();
+    let current_cfg = shallothill_config::parse_accepted(current_text).unwrap_or_default();
     let changes = shallothill_config::diff(&current_cfg, cfg);
     let changes: Vec<String> = changes.iter().map(ToString::to_string).collect();
     let text = format!(
--- a/crates/shallothill-config/src/lib.rs
+++ b/crates/shallothill-config/src/lib.rs
@@ -20,6 +20,6 @@
 
 pub use diff::{Change, diff};
 pub use errors::{Error, Result};
-pub use parse::parse;
+pub use parse::{parse, parse_accepted};
 pub use patch::{Edit, TextPatch};
 pub use to_text::to_text;
--- a/crates/shallothill-config/src/node.rs
+++ b/crates/shallothill-config/src/node.rs
@@ -73,6 +73,27 @@
     pub(crate) value: Value,
 }
 
+impl Node {
+    /// `with_rounded_numbers` rounds the numbers with a fraction to three decimals.
+    pub(crate) fn with_rounded_numbers(self) -> Self {
+        let value = match self.value {
+            Value::Float(x) => Value::Float((x * 1000.0).round() / 1000.0),
+            Value::List(items) => {
+                Value::List(items.into_iter().map(Self::with_rounded_numbers).collect())
+            }
+            Value::Mapping(entries) => {
+                let rounded = entries.into_iter().map(|e| Entry {
+                    node: e.node.with_rounded_numbers(),
+                    ..e
+                });
+                Value::Mapping(rounded.collect())
+            }
+            other => other,
+        };
+        Self { value, ..self }
+    }
+}
+
 /// `parse_yaml` parses one YAML document and fails with the first syntax error.
 pub(crate) fn parse_yaml(text: &str) -> Result<Node, Fault> {
     let options = serde_saphyr::options! {
--- a/crates/shallothill-config/src/parse.rs
+++ b/crates/shallothill-config/src/parse.rs
@@ -11,7 +11,7 @@
 use crate::fields::Fields;
 use crate::limits;
 use crate::node;
-use crate::node::{Entry, Position};
+use crate::node::{Entry, Node, Position};
 use crate::scalars;
 use crate::{caller, caller_limits, route, service};
 
@@ -29,6 +29,16 @@
 /// Fails with all faults in the order of the text, at most [`limits::FAULTS_MAX`] and one more
 /// that gives the number of the rest. A text that is not YAML or is too large has a single fault.
 pub fn parse(text: &str) -> Result<Config, Vec<Fault>> {
+    parse_with(text, |document| document)
+}
+
+/// `parse_accepted` is [`parse`] for a text that was accepted before, maybe by an earlier release,
+/// which rounded numbers to three decimals.
+pub fn parse_accepted(text: &str) -> Result<Config, Vec<Fault>> {
+    parse_with(text, Node::with_rounded_numbers)
+}
+
+fn parse_with(text: &str, prepare: fn(Node) -> Node) -> Result<Config, Vec<Fault>> {
     let mut faults = Faults::default();
     if text.len() > limits::TEXT_MAX_BYTES {
         let message = format!(
@@ -39,7 +49,7 @@
         faults.push(Position::default(), "text", message);
         return Err(faults.into_sorted());
     }
-    let document = node::parse_yaml(text).map_err(|fault| vec![fault])?;
+    let document = prepare(node::parse_yaml(text).map_err(|fault| vec![fault])?);
     let start = Position { line: 1, column: 1 };
     let fields = Fields::parse(&document, start, String::new(), &FIELDS, &mut faults);
     let cfg = fields.and_then(|fields| parse_document(&fields, &mut faults));
--- a/crates/shallothill-config/src/scalars.rs
+++ b/crates/shallothill-config/src/scalars.rs
@@ -119,7 +119,8 @@
 
 /// `disposition` parses `quick`, `cautious` or a number from 0 to 1.
 pub(crate) fn disposition(value: &Value) -> Result<Disposition, String> {
-    const FORM: &str = "write `quick`, `cautious` or a number from 0.0 to 1.0";
+    const FORM: &str =
+        "write `quick`, `cautious` or a number from 0.0 to 1.0 with up to three decimals";
     let weight = match value {
         Value::Text(name) if name == "quick" => return Ok(Disposition::QUICK),
         Value::Text(name) if name == "cautious" => return Ok(Disposition::CAUTIOUS),
@@ -134,23 +135,18 @@
             ));
         }
     };
-    if !(0.0..=1.0).contains(&weight) {
-        return Err(format!("{weight} is out of range; {FORM}"));
-    }
-    Ok(Disposition::from_thousandths(
-        (weight * 1000.0).round() as u16
-    ))
+    Disposition::from_fraction(weight).ok_or_else(|| format!("{weight} cannot be kept; {FORM}"))
 }
 
 /// `request_rate` parses requests per second, with up to three decimals.
 pub(crate) fn request_rate(value: &Value) -> Result<RequestRate, String> {
-    const FORM: &str = "write requests per second, such as `50` or `0.5`, up to 4 million";
+    const FORM: &str = "write requests per second, such as `50` or `0.125`, up to 4 million with up to three decimals";
     let rate = match value {
         Value::Integer(n) => *n as f64,
         Value::Float(x) => *x,
         other => return Err(format!("expected a number, found {}; {FORM}", other.kind())),
     };
-    RequestRate::from_per_second(rate).ok_or_else(|| format!("{rate} is out of range; {FORM}"))
+    RequestRate::from_per_second(rate).ok_or_else(|| format!("{rate} cannot be kept; {FORM}"))
 }
 
 /// `name` parses a name with `try_new`, the checked constructor of its type.
--- a/crates/shallothill-config/tests/read.rs
+++ b/crates/shallothill-config/tests/read.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use shallothill_config::{diff, limits, parse};
+use shallothill_config::{diff, limits, parse, parse_accepted};
 use shallothill_core::config::{Disposition, Fault, Floor};
 
 const VALID: &str = "\
@@ -232,6 +232,36 @@
     }
 }
 
+/// Guards against numbers that are rounded without a word, by which a small quota became none, and
+/// against a text in force that a newer release cannot read.
+#[test]
+fn numbers_with_more_than_three_decimals_are_rejected() {
+    let quota = |rate: &str| format!("{{class: shop, quota: {{requests_per_s: {rate}}}}}");
+    let with_quota =
+        |rate: &str| VALID.replacen("{class: shop, requests_per_s: 50}", &quota(rate), 1);
+    let with_disposition =
+        |x: &str| VALID.replacen("disposition: 0.25", &format!("disposition: {x}"), 1);
+
+    for x in ["0.2504", "0.0004", "0.9999999"] {
+        for text in [with_quota(x), with_disposition(x)] {
+            assert_ne!(text, VALID);
+            let found = faults(&text);
+            assert_eq!(found.len(), 1, "{x}: {found:?}");
+            assert!(
+                found[0].message.contains("up to three decimals"),
+                "{found:?}"
+            );
+        }
+    }
+    let accepted = parse_accepted(&with_disposition("0.2504"));
+    assert_eq!(accepted, parse(VALID));
+    for n in 0..=1000 {
+        let x = (f64::from(n) / 1000.0).to_string();
+        assert_eq!(faults(&with_quota(&x)), []);
+        assert_eq!(faults(&with_disposition(&x)), []);
+    }
+}
+
 /// Guards against a dependency cycle that is accepted, or reported without its services.
 #[test]
 fn dependency_cycles_are_reported_with_their_services() {
--- a/crates/shallothill-core/src/config/disposition.rs
+++ b/crates/shallothill-core/src/config/disposition.rs
@@ -19,6 +19,14 @@
         Self(n.min(1000))
     }
 
+    /// `from_fraction` returns the disposition for a number from 0 to 1; `None` for one that is out of
+    /// range or has more than three decimals.
+    pub fn from_fraction(x: f64) -> Option<Self> {
+        let in_range = (0.0..=1.0).contains(&x);
+        let rounded = in_range.then(|| Self((x * 1000.0).round() as u16));
+        rounded.filter(|d| d.interpolate(0.0, 1.0) == x)
+    }
+
     /// `interpolate` returns the value between `quick` and `cautious` in proportion to the
     /// disposition.
     pub fn interpolate(self, quick: f64, cautious: f64) -> f64 {
--- a/crates/shallothill-core/src/config/quota.rs
+++ b/crates/shallothill-core/src/config/quota.rs
@@ -20,12 +20,13 @@
         self.0
     }
 
-    /// `from_per_second` rounds to a thousandth; `None` for a number that is negative, not finite or
-    /// above 4 million.
+    /// `from_per_second` returns `None` for a number that has more than three decimals, is negative,
+    /// not finite or above 4 million.
     pub fn from_per_second(rate: f64) -> Option<Self> {
         let thousandths = (rate * 1000.0).round();
         let in_range = (0.0..=f64::from(u32::MAX)).contains(&thousandths);
-        in_range.then_some(Self(thousandths as u32))
+        let rounded = in_range.then_some(Self(thousandths as u32));
+        rounded.filter(|r| r.per_second() == rate)
     }
 
     /// `per_second` returns the requests per second.
--- a/crates/shallothill-keeper/src/publisher.rs
+++ b/crates/shallothill-keeper/src/publisher.rs
@@ -101,7 +101,7 @@
     let next = task::spawn_blocking(move || {
         let config = match checked {
             Some((hash, config)) if hash == ContentHash::of(text.as_bytes()) => config,
-            _ => Arc::new(shallothill_config::parse(&text).ok()?),
+            _ => Arc::new(shallothill_config::parse_accepted(&text).ok()?),
         };
         // A restored snapshot contains the history up to its version.
         if sections.last_version() == Some(version) {
