platform: a document is acknowledged only if it will be read back as sent

What the two faults of documents before had in common: nothing compared what an operator sent with what would be read back, so each step between the two could lose something without a word.

Change: a call is translated by `Submission`, apart from the server. It decodes the document into `Contents`, writes the text, parses that text, and compares each row with the one that will be read back from the result. The first one that differs is refused by name. The text is parsed once, as before: the log gets the parsed configuration with it (`submit_checked`), and parsing and writing left the thread that serves the calls.

The change id stays a hash of the text. As each accepted document is read back from its text, two contents have two texts.

The tests of documents and parsers call `Submission` in place of its parts; the parsers' test asks in addition that each refusal has a reason.

--- a/crates/shallothill-keeper/src/submit.rs
+++ b/crates/shallothill-keeper/src/submit.rs
@@ -6,7 +6,7 @@
 
 use shallothill_config::TextPatch;
 use shallothill_config::limits::TEXT_MAX_BYTES;
-use shallothill_core::config::Fault;
+use shallothill_core::config::{Config, Fault};
 use shallothill_core::hash::ContentHash;
 use shallothill_core::ids::KeeperId;
 use shallothill_core::version::ConfigVersion;
@@ -52,8 +52,24 @@
     if forward && let Err(reply) = check_text(keeper, &req).await {
         return reply;
     }
+    propose(keeper, &req, forward).await
+}
+
+/// `submit_checked` is [`submit`] for a text that the caller has parsed into `cfg`.
+pub async fn submit_checked(keeper: &Arc<Keeper>, req: SubmitRequest, cfg: Config) -> SubmitReply {
+    if let Some(fault) = limit_fault(&req) {
+        return SubmitReply::Invalid {
+            faults: vec![fault],
+        };
+    }
+    let text_hash = ContentHash::of(req.text.as_bytes());
+    *lock(&keeper.checked_config) = Some((text_hash, Arc::new(cfg)));
+    propose(keeper, &req, true).await
+}
+
+async fn propose(keeper: &Arc<Keeper>, req: &SubmitRequest, forward: bool) -> SubmitReply {
     for _ in 0..FORWARD_ATTEMPTS {
-        if let Some(reply) = submit_once(keeper, &req, forward).await {
+        if let Some(reply) = submit_once(keeper, req, forward).await {
             return reply;
         }
     }
