node: the limits of the configuration hold for callers

Callers saw: a connection that was idle for 10 s is closed, although the configuration says 15 s and callers use idle connections for up to four fifths of that. Operators saw `limits` acknowledged and read back, while nodes acted on bounds of their own: 16 KiB of headers, 10 s for them, 60 s idle; body_bytes in our own YAML bounded nothing.

Cause: nodes never read `limits`. The 10 s came from the library, which counts the time for a head from the end of the request before it, so the time for headers ended idle connections too (shown: with 300 ms for headers and 5 s idle, a connection is closed 302 ms after its answer).

Change: a caller's connection takes its times from the configuration in force, at each check, so that a change holds for open connections. The time for a head counts from its first byte, in the pipeline, which follows the heads; the library's own timer only ends heads that the pipeline gave up on. Larger headers get 431, larger bodies 413: a section's routes have the smaller of both body limits.

Tests: idle_connections_last_as_long_as_the_configuration_says and callers_are_held_to_the_limits_of_the_configuration failed before.

--- a/crates/shallothill-config/tests/write.rs
+++ b/crates/shallothill-config/tests/write.rs
@@ -63,7 +63,7 @@
     let route = cfg.routes.values().next().unwrap();
 
     assert_eq!(route.host.as_deref(), Some("Desk.Example"));
-    assert_eq!(route.effective().host.as_deref(), Some("desk.example"));
+    assert_eq!(route.effective(None).host.as_deref(), Some("desk.example"));
     assert_eq!(route.target.total_weight(), 100);
     assert_eq!(route.once_per, OncePer::Attempt);
     assert_eq!(route.body, BodyMode::Streamed);
--- a/crates/shallothill-core/src/config/route.rs
+++ b/crates/shallothill-core/src/config/route.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::class::Class;
-use crate::config::{BodyMode, OncePer, Target};
+use crate::config::{BodyMode, Limits, OncePer, Target};
 
 /// `Route` maps requests to services by host, method and path prefix.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -47,9 +47,12 @@
 }
 
 impl Route {
-    /// `effective` returns the route as nodes act on it: with its defaults and the host in lower case.
-    pub fn effective(&self) -> Self {
+    /// `effective` returns the route as nodes act on it: with its defaults, the host in lower case and
+    /// bodies within `limits`.
+    pub fn effective(&self, limits: Option<&Limits>) -> Self {
+        let max_body_bytes = limits.map_or(u64::MAX, |l| l.body_bytes);
         Self {
+            max_body_bytes: self.max_body_bytes.min(max_body_bytes),
             host: self.host.as_ref().map(|h| h.to_ascii_lowercase()),
             rank: Some(self.rank.unwrap_or_default()),
             public: Some(self.public.unwrap_or_default()),
--- a/crates/shallothill-core/src/sections.rs
+++ b/crates/shallothill-core/src/sections.rs
@@ -74,7 +74,7 @@
     let mut routes: BTreeMap<u8, BTreeMap<RouteName, Route>> = BTreeMap::new();
     for (name, route) in &cfg.routes {
         let bucket = routes.entry(bucket(name.as_str())).or_default();
-        bucket.insert(name.clone(), route.effective());
+        bucket.insert(name.clone(), route.effective(cfg.limits.as_ref()));
     }
     let mut callers: BTreeMap<u8, BTreeMap<CallerName, Caller>> = BTreeMap::new();
     for (name, caller) in &cfg.callers {
--- a/crates/shallothill-node/src/config/snapshot.rs
+++ b/crates/shallothill-node/src/config/snapshot.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 
-use shallothill_core::config::{ApiKey, Caller, Route, Service};
+use shallothill_core::config::{ApiKey, Caller, Limits, Route, Service};
 use shallothill_core::hash::ContentHash;
 use shallothill_core::ids::{CallerName, Region, RouteName, ServiceName};
 use shallothill_core::sections;
@@ -28,6 +28,7 @@
     services: HashMap<ServiceName, Arc<Service>>,
     routes: Arc<RouteTable>,
     regions: Vec<Region>,
+    limits: Option<Limits>,
     require_keys: bool,
     keys: Arc<HashMap<ApiKey, CallerName>>,
 }
@@ -61,6 +62,7 @@
         };
         let mut services = HashMap::new();
         let mut regions = Vec::new();
+        let mut limits = None;
         let mut require_keys = false;
         for section in sections.values() {
             match section.as_ref() {
@@ -72,7 +74,10 @@
                     let service = unchanged.map_or_else(|| Arc::new(*service.clone()), Arc::clone);
                     services.insert(name.clone(), service);
                 }
-                Section::Fleet(list, _) => regions.clone_from(list),
+                Section::Fleet(list, fleet_limits) => {
+                    regions.clone_from(list);
+                    limits = *fleet_limits;
+                }
                 Section::Access(required) => require_keys = *required,
                 Section::Routes(..) | Section::Callers(..) => {}
             }
@@ -86,6 +91,7 @@
             services,
             routes,
             regions,
+            limits,
             require_keys,
             keys,
         }
@@ -140,6 +146,11 @@
         &self.regions
     }
 
+    /// `limits` returns the limits for all callers, if the configuration sets them.
+    pub fn limits(&self) -> Option<Limits> {
+        self.limits
+    }
+
     /// `require_keys` tells whether requests need the key of a caller, except on public routes.
     pub fn require_keys(&self) -> bool {
         self.require_keys
--- a/crates/shallothill-node/src/entry/handler.rs
+++ b/crates/shallothill-node/src/entry/handler.rs
@@ -5,6 +5,7 @@
 use hyper::header::{self, HeaderName, HeaderValue};
 use hyper::http::request;
 use hyper::{Request, Response};
+use shallothill_core::config::Limits;
 use shallothill_core::headers;
 use shallothill_runtime::memory::Reservation;
 use tokio::time::Instant;
@@ -111,6 +112,10 @@
         let found = cfg.routes().find(method, host, parts.uri.path());
         !self.draining() && matches!(found, RouteLookup::Found(named) if named.route.idempotent)
     }
+
+    fn limits(&self) -> Option<Limits> {
+        self.deps.store.load().limits()
+    }
 }
 
 impl Entry {
--- a/crates/shallothill-node/src/entry/prepare.rs
+++ b/crates/shallothill-node/src/entry/prepare.rs
@@ -26,7 +26,7 @@
 
 use crate::attempt::{Call, RequestHead};
 use crate::body::Body;
-use crate::config::{NamedRoute, RouteLookup};
+use crate::config::{ConfigSnapshot, NamedRoute, RouteLookup};
 use crate::entry::credit::CreditToken;
 use crate::entry::{Entry, fingerprint};
 use crate::gate::{
@@ -83,7 +83,7 @@
             return Err(NOT_READY.into());
         }
         let (mut parts, incoming) = req.into_parts();
-        self.check_parts(&parts)?;
+        self.check_parts(&parts, &cfg)?;
         let host = requested_host(&parts);
         let host_text = host.as_ref().and_then(|h| h.to_str().ok());
         let method = parts.method.as_str();
@@ -142,10 +142,11 @@
         })
     }
 
-    fn check_parts(&self, parts: &request::Parts) -> Result<(), Refusal> {
+    fn check_parts(&self, parts: &request::Parts, cfg: &ConfigSnapshot) -> Result<(), Refusal> {
         let path_bytes = parts.uri.path_and_query().map_or(0, |p| p.as_str().len());
-        if header_filter::encoded_size(&parts.headers) + path_bytes > self.deps.bounds.header_bytes
-        {
+        let bound = self.deps.bounds.header_bytes as u64;
+        let limit = cfg.limits().map_or(bound, |l| l.header_bytes.min(bound));
+        if (header_filter::encoded_size(&parts.headers) + path_bytes) as u64 > limit {
             return Err(HEADERS_TOO_LARGE);
         }
         // A backend server might resolve the path to another route than the one chosen here, and
--- a/crates/shallothill-node/src/lib.rs
+++ b/crates/shallothill-node/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod attempt;
 pub mod body;
 pub mod config;
+mod connection_limits;
 pub mod control;
 pub mod counters;
 pub mod crashes;
--- a/crates/shallothill-node/src/listener.rs
+++ b/crates/shallothill-node/src/listener.rs
@@ -17,6 +17,7 @@
 use hyper::{Request, Response};
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use hyper_util::server::conn::auto;
+use shallothill_core::config::Limits;
 use shallothill_runtime::memory::{Holder, InputMeter, MemoryAccount};
 use shallothill_runtime::timer::Timer;
 use tokio::io::AsyncWriteExt;
@@ -28,6 +29,7 @@
 use tracing::debug;
 
 use crate::body::Body;
+use crate::connection_limits::ConnectionLimits;
 use crate::counters::Counters;
 use crate::pipeline::{Pipeline, PipelinedStream};
 use crate::settings::Bounds;
@@ -70,6 +72,11 @@
         let _ = parts;
         false
     }
+
+    /// `limits` returns the limits that the configuration in force sets for these requests.
+    fn limits(&self) -> Option<Limits> {
+        None
+    }
 }
 
 /// `Listener` accepts the connections of one address.
@@ -77,7 +84,7 @@
 pub struct Listener {
     /// The largest number of open connections; further ones get a 503 response and are closed.
     pub connections: usize,
-    /// The limits on headers, streams and idle time.
+    /// The limits on headers and streams, and on times where the configuration sets none.
     pub bounds: Bounds,
     /// The clock for idle times.
     pub timer: Timer,
@@ -160,13 +167,17 @@
         header_bytes.max(8192)
     }
 
-    fn builder(&self) -> auto::Builder<TokioExecutor> {
+    fn limits(&self, handler: &impl RequestHandler) -> ConnectionLimits {
+        ConnectionLimits::new(handler.limits(), &self.bounds)
+    }
+
+    fn builder(&self, limits: ConnectionLimits) -> auto::Builder<TokioExecutor> {
         let mut builder = auto::Builder::new(TokioExecutor::new());
         let header_bytes = self.read_bytes();
         builder
             .http1()
             .timer(TokioTimer::new())
-            .header_read_timeout(self.bounds.header_timeout())
+            .header_read_timeout(self.head_wait(limits))
             .max_headers(MAX_HEADERS)
             .max_buf_size(header_bytes);
         builder
@@ -182,6 +193,13 @@
         builder
     }
 
+    // The HTTP library counts the time for a head from the end of the request before it, so its limit
+    // holds the idle time too. It ends heads that the pipeline does not follow.
+    fn head_wait(&self, limits: ConnectionLimits) -> Duration {
+        let idle = limits.idle_timeout.max(self.bounds.idle_timeout());
+        idle.saturating_add(limits.header_timeout)
+    }
+
     async fn serve<A: RequestHandler>(&self, stream: TcpStream, holder: Holder, handler: Arc<A>) {
         let activity = Arc::new(ConnectionActivity::default());
         activity
@@ -190,7 +208,9 @@
         let request_activity = Arc::clone(&activity);
         let timer = self.timer.clone();
         let meter = InputMeter::new(holder, self.read_bytes());
-        let pipeline = Arc::new(Pipeline::new(handler, meter));
+        let limits = self.limits(&*handler);
+        let limits_handler = Arc::clone(&handler);
+        let pipeline = Arc::new(Pipeline::new(handler, meter, self.timer.clone()));
         let socket = SharedStream::new(stream);
         let stream = PipelinedStream::new(socket.clone(), Arc::clone(&pipeline));
         let waiting = Arc::clone(&pipeline);
@@ -206,28 +226,32 @@
                 Ok::<_, Infallible>(pipeline.handle(req).await)
             }
         });
-        let builder = self.builder();
+        let builder = self.builder(limits);
         let connection = builder.serve_connection(TokioIo::new(stream), service);
         tokio::pin!(connection);
-        let idle = self.wait_idle(&activity);
-        tokio::pin!(idle);
+        let end = self.end_without_response(&waiting, &socket, &*limits_handler);
+        tokio::pin!(end);
+        let closing = async {
+            tokio::select! {
+                () = self.stopped(&waiting) => {}
+                () = self.wait_idle(&activity, &*limits_handler) => {}
+            }
+        };
         let result = tokio::select! {
             result = connection.as_mut() => result,
-            () = waiting.abandoned(&socket) => {
-                debug!("listener: a caller left with requests waiting");
+            reason = end.as_mut() => {
+                debug!("listener: {reason}");
                 return;
             }
-            () = waiting.ended() => {
-                debug!("listener: a connection without progress is closed");
-                return;
-            }
-            () = self.stopped(&waiting) => {
-                connection.as_mut().graceful_shutdown();
-                connection.await
-            }
-            () = idle => {
+            () = closing => {
                 connection.as_mut().graceful_shutdown();
-                connection.await
+                tokio::select! {
+                    result = connection.as_mut() => result,
+                    reason = end.as_mut() => {
+                        debug!("listener: {reason}");
+                        return;
+                    }
+                }
             }
         };
         if let Err(e) = result {
@@ -238,6 +262,33 @@
         }
     }
 
+    // Returns the reason once the connection is to be closed at once.
+    async fn end_without_response<A: RequestHandler>(
+        &self,
+        pipeline: &Pipeline<A>,
+        socket: &SharedStream,
+        handler: &A,
+    ) -> &'static str {
+        tokio::select! {
+            () = pipeline.abandoned(socket) => "a caller left with requests waiting",
+            () = pipeline.ended() => "a connection without progress is closed",
+            () = self.head_overdue(pipeline, handler) => "the headers of a request came too slowly",
+        }
+    }
+
+    async fn head_overdue<A: RequestHandler>(&self, pipeline: &Pipeline<A>, handler: &A) {
+        loop {
+            let began = pipeline.head_began().await;
+            let limit = self.limits(handler).header_timeout;
+            let age = self.timer.now().saturating_since(began);
+            if age >= limit {
+                return;
+            }
+            // The timer fails only when the process ends.
+            let _ = self.timer.after(limit - age).await;
+        }
+    }
+
     // Returns once the connection is to be closed after its current request. Requests that were
     // passed on before their turn come first, as their responses would be lost.
     async fn stopped<A: RequestHandler>(&self, pipeline: &Pipeline<A>) {
@@ -247,9 +298,9 @@
 
     // Returns once no request has run for the idle timeout, so that the connection is closed. This
     // also covers connections that never send a request.
-    async fn wait_idle(&self, activity: &ConnectionActivity) {
-        let limit = self.bounds.idle_timeout();
+    async fn wait_idle(&self, activity: &ConnectionActivity, handler: &impl RequestHandler) {
         loop {
+            let limit = self.limits(handler).idle_timeout;
             let last = activity.last_end_ms.load(Ordering::Relaxed);
             let idle = self
                 .timer
--- a/crates/shallothill-node/src/pipeline.rs
+++ b/crates/shallothill-node/src/pipeline.rs
@@ -16,7 +16,9 @@
 use hyper::header;
 use hyper::http::request;
 use hyper::{Request, Response};
+use shallothill_core::time::Millis;
 use shallothill_runtime::memory::{InputMeter, Reservation};
+use shallothill_runtime::timer::Timer;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::sync::{Notify, oneshot};
 use tokio::task::{AbortHandle, coop};
@@ -77,11 +79,16 @@
     turn: Notify,
     /// Counts what was read and not passed to the handler yet.
     meter: InputMeter,
+    timer: Timer,
+    /// When the first byte of an incomplete head was read, while no request runs.
+    partial_head: Mutex<Option<Millis>>,
+    /// Notified when `partial_head` is set.
+    head_began: Notify,
 }
 
 impl<A: RequestHandler> Pipeline<A> {
     /// `new` handles the requests of a connection with `handler`.
-    pub fn new(handler: Arc<A>, meter: InputMeter) -> Self {
+    pub fn new(handler: Arc<A>, meter: InputMeter, timer: Timer) -> Self {
         Self {
             handler,
             begun: AtomicU64::new(0),
@@ -91,6 +98,9 @@
             early: Mutex::default(),
             turn: Notify::new(),
             meter,
+            timer,
+            partial_head: Mutex::default(),
+            head_began: Notify::new(),
         }
     }
 
@@ -144,6 +154,38 @@
         self.meter.holder().ended().await;
     }
 
+    /// `head_began` returns when the first byte of the next head was read, once it is incomplete and no
+    /// request runs.
+    pub async fn head_began(&self) -> Millis {
+        loop {
+            let began = self.head_began.notified();
+            if let Some(at) = *self.partial_head() {
+                return at;
+            }
+            began.await;
+        }
+    }
+
+    // Records whether a part of the next head was read. The time of a head that was read behind another
+    // request begins when it is read on.
+    fn record_partial_head(&self, partial: bool) {
+        let begun = self.begun.load(Ordering::Relaxed);
+        let answered = self.answered.load(Ordering::Relaxed);
+        let idle = begun == answered && begun == self.read.load(Ordering::Relaxed);
+        let mut began = self.partial_head();
+        if !partial || !idle {
+            *began = None;
+        } else if began.is_none() {
+            *began = Some(self.timer.now());
+            self.head_began.notify_waiters();
+        }
+    }
+
+    fn partial_head(&self) -> MutexGuard<'_, Option<Millis>> {
+        let locked = self.partial_head.lock();
+        locked.unwrap_or_else(PoisonError::into_inner)
+    }
+
     // Records that nothing is kept of what was read, if no request waits behind the one at `index`.
     fn record_consumed(&self, index: u64) {
         if index + 1 >= self.read.load(Ordering::Relaxed) {
@@ -270,6 +312,7 @@
             self.pipeline.start_early(index, parts);
         }
         self.pipeline.record_read(reader.found_count());
+        self.pipeline.record_partial_head(reader.kept_bytes() > 0);
         self.reader = reader;
         polled
     }
--- a/crates/shallothill-node/tests/callers.rs
+++ b/crates/shallothill-node/tests/callers.rs
@@ -4,6 +4,7 @@
 
 use std::time::Duration;
 
+use shallothill_core::config::Limits;
 use shallothill_node::settings::Bounds;
 use shallothill_testing::behaviour::Behaviour;
 use shallothill_testing::http::Client;
@@ -140,3 +141,111 @@
     let reply = get(&Client::default(), node.caller_address(), "/stock", "next").await;
     assert_eq!(reply.status, 200);
 }
+
+/// Reads what is sent within `limit`; `None` if the node closed the connection.
+async fn read_within(stream: &mut TcpStream, limit: Duration) -> Option<String> {
+    let mut buf = vec![0; 4096];
+    match time::timeout(limit, stream.read(&mut buf)).await {
+        Err(_) => Some(String::new()),
+        Ok(Ok(n)) if n > 0 => Some(String::from_utf8_lossy(&buf[..n]).into_owned()),
+        Ok(_) => None,
+    }
+}
+
+/// Sends one request and returns whether it is answered.
+async fn is_answered(stream: &mut TcpStream, head: &str) -> bool {
+    if stream.write_all(head.as_bytes()).await.is_err() {
+        return false;
+    }
+    let read = read_within(stream, MAX_WAIT).await;
+    read.is_some_and(|text| text.starts_with("HTTP/1.1 200"))
+}
+
+const HEAD: &str = "GET /stock/x HTTP/1.1\r\nhost: a\r\nx-shallothill-deadline-ms: 2000\r\n";
+
+/// Starts a node whose configuration sets limits that differ from the bounds of the process.
+async fn start_with_limits(
+    limits: Limits,
+    bounds: Bounds,
+) -> (
+    Keepers,
+    cluster::RunningNode,
+    shallothill_testing::standin::Standin,
+) {
+    let mut cfg = cluster::config();
+    cfg.limits = Some(limits);
+    let keepers = Keepers::start(cluster::REGION, cfg).await;
+    let node = cluster::RunningNode::start("n1", &keepers.addresses, bounds).await;
+    let standin = cluster::start_standin(&node, "e1", Behaviour::default()).await;
+    node.wait_ready(1).await;
+    (keepers, node, standin)
+}
+
+fn limits() -> Limits {
+    Limits {
+        header_bytes: 16 * 1024,
+        body_bytes: 1024 * 1024,
+        header_timeout: Duration::from_secs(10),
+        idle_timeout: Duration::from_secs(60),
+    }
+}
+
+/// Guards against a kept connection that the node closes before the idle time of the configuration,
+/// as callers use it until then, and against one that it keeps after it.
+#[tokio::test]
+async fn idle_connections_last_as_long_as_the_configuration_says() {
+    let limits = Limits {
+        header_timeout: Duration::from_millis(200),
+        idle_timeout: Duration::from_millis(1500),
+        ..limits()
+    };
+    let bounds = Bounds {
+        header_timeout_ms: 200,
+        ..Bounds::default()
+    };
+    let (_keepers, node, _standin) = start_with_limits(limits, bounds).await;
+    let mut stream = TcpStream::connect(node.caller_address()).await.unwrap();
+    assert!(is_answered(&mut stream, &format!("{HEAD}\r\n")).await);
+
+    let before = read_within(&mut stream, Duration::from_millis(1000)).await;
+    let used_again = is_answered(&mut stream, &format!("{HEAD}\r\n")).await;
+    let after = read_within(&mut stream, Duration::from_secs(4)).await;
+
+    assert_eq!(before.as_deref(), Some(""));
+    assert!(used_again);
+    assert_eq!(after, None);
+}
+
+/// Guards against headers that may take longer, or be larger, and bodies that may be larger than the
+/// configuration says.
+#[tokio::test]
+async fn callers_are_held_to_the_limits_of_the_configuration() {
+    let limits = Limits {
+        header_bytes: 500,
+        body_bytes: 10,
+        header_timeout: Duration::from_millis(300),
+        ..limits()
+    };
+    let (_keepers, node, standin) = start_with_limits(limits, Bounds::default()).await;
+    let connect = || async { TcpStream::connect(node.caller_address()).await.unwrap() };
+    let mut fits = connect().await;
+    let mut slow = connect().await;
+    let started = time::Instant::now();
+
+    slow.write_all(HEAD.as_bytes()).await.unwrap();
+    let end = read_within(&mut slow, MAX_WAIT).await;
+    let took = started.elapsed();
+    let padding = "a".repeat(600);
+    let large = format!("{HEAD}x-a: {padding}\r\nconnection: close\r\n\r\n");
+    let large = send_raw(node.caller_address(), &[large.as_bytes()], Duration::ZERO).await;
+    let body = "PUT /stock/items HTTP/1.1\r\nhost: a\r\nx-shallothill-deadline-ms: 2000\r\n\
+        connection: close\r\ncontent-length: 11\r\n\r\n01234567890";
+    let body = send_raw(node.caller_address(), &[body.as_bytes()], Duration::ZERO).await;
+
+    assert_eq!(end, None);
+    assert!(took < Duration::from_secs(3), "{took:?}");
+    assert!(large.starts_with("HTTP/1.1 431"), "{large}");
+    assert!(body.starts_with("HTTP/1.1 413"), "{body}");
+    assert!(standin.record().is_empty());
+    assert!(is_answered(&mut fits, &format!("{HEAD}\r\n")).await);
+}
