listener: one select waits for the end of a connection

The reasons to end a connection stood in two selects, as added the second for a connection that is closing. Tests of callers, pipelining and untrusted input pass.

--- a/crates/shallothill-node/src/listener.rs
+++ b/crates/shallothill-node/src/listener.rs
@@ -230,27 +230,24 @@
         let connection = builder.serve_connection(TokioIo::new(stream), service);
         tokio::pin!(connection);
         let end = self.end_without_response(&waiting, &socket, &*limits_handler);
-        tokio::pin!(end);
         let closing = async {
             tokio::select! {
                 () = self.stopped(&waiting) => {}
                 () = self.wait_idle(&activity, &*limits_handler) => {}
             }
         };
-        let result = tokio::select! {
-            result = connection.as_mut() => result,
-            reason = end.as_mut() => {
-                debug!("listener: {reason}");
-                return;
-            }
-            () = closing => {
-                connection.as_mut().graceful_shutdown();
-                tokio::select! {
-                    result = connection.as_mut() => result,
-                    reason = end.as_mut() => {
-                        debug!("listener: {reason}");
-                        return;
-                    }
+        tokio::pin!(end, closing);
+        let mut is_closing = false;
+        let result = loop {
+            tokio::select! {
+                result = connection.as_mut() => break result,
+                reason = end.as_mut() => {
+                    debug!("listener: {reason}");
+                    return;
+                }
+                () = closing.as_mut(), if !is_closing => {
+                    is_closing = true;
+                    connection.as_mut().graceful_shutdown();
                 }
             }
         };
