--- a/crates/shallothill-node/tests/callers.rs
+++ b/crates/shallothill-node/tests/callers.rs
@@ -5,9 +5,11 @@
 use std::time::Duration;
 
 use shallothill_core::config::Limits;
+use shallothill_core::version::ConfigVersion;
 use shallothill_node::settings::Bounds;
 use shallothill_testing::behaviour::Behaviour;
 use shallothill_testing::http::Client;
+use shallothill_testing::process;
 use support::keepers::Keepers;
 use support::{MAX_WAIT, cluster, get};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -249,3 +251,35 @@
     assert!(standin.record().is_empty());
     assert!(is_answered(&mut fits, &format!("{HEAD}\r\n")).await);
 }
+
+/// Guards against an open connection that is held to the limits of the configuration before.
+#[tokio::test]
+async fn changed_limits_hold_for_open_connections() {
+    let old = Limits {
+        idle_timeout: Duration::from_secs(3),
+        ..limits()
+    };
+    let new = Limits {
+        header_timeout: Duration::from_millis(300),
+        idle_timeout: Duration::from_secs(30),
+        ..limits()
+    };
+    let (keepers, node, _standin) = start_with_limits(old, Bounds::default()).await;
+    let mut stream = TcpStream::connect(node.caller_address()).await.unwrap();
+    assert!(is_answered(&mut stream, &format!("{HEAD}\r\n")).await);
+    let mut cfg = cluster::config();
+    cfg.limits = Some(new);
+
+    keepers.shared.set_config(2, cfg);
+    let in_force = || async { node.node.store().version() == ConfigVersion(2) };
+    let in_force = process::wait_until("version 2 is in force", MAX_WAIT, in_force);
+    in_force.await.unwrap();
+    let idle = read_within(&mut stream, Duration::from_secs(4)).await;
+    let used_again = is_answered(&mut stream, &format!("{HEAD}\r\n")).await;
+    let _ = stream.write_all(HEAD.as_bytes()).await;
+    let slow_head = read_within(&mut stream, Duration::from_secs(3)).await;
+
+    assert_eq!(idle.as_deref(), Some(""));
+    assert!(used_again);
+    assert_eq!(slow_head, None);
+}
