--- a/crates/shallothill-node/src/announce.rs
+++ b/crates/shallothill-node/src/announce.rs
@@ -92,7 +92,8 @@
     400,
     "malformed",
     "send JSON: {\"address\": \"ip:port\", \"state\": \"ready|cold|draining\", \"slots\": n}, \
-     with a port and n above 0, a start that is not in the future and a sequence that rises by one",
+     with a port and n above 0, a start that is not in the future, and not absent once a process of \
+     this name has left, and a sequence that rises by one",
 );
 const NOT_STORED: Refusal = Refusal::not_run(
     "not-stored",
--- a/crates/shallothill-node/src/gate/announcement.rs
+++ b/crates/shallothill-node/src/gate/announcement.rs
@@ -1,22 +1,20 @@
 //! The announcement by which a backend server registers at the gate of its host.
 
 use std::net::SocketAddr;
-use std::time::Duration;
 
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Deserializer};
 use shallothill_core::time::UnixMillis;
 use snafu::Snafu;
 
-/// `MAX_CLOCK_SKEW` is how far in the future an announced start time may lie, since the clocks of
-/// the host and of the backend server may differ.
-const MAX_CLOCK_SKEW: Duration = Duration::from_secs(60);
+use crate::gate::StartTime;
+use crate::gate::start_time::AnnouncementOrder;
 
 /// `MAX_SEQUENCE_STEP` allows backend servers to derive sequence numbers from a clock in
 /// milliseconds.
 const MAX_SEQUENCE_STEP: u64 = 1_000_000;
 
 /// `Announced` is the serving state in an announcement.
-#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq)]
 #[serde(rename_all = "lowercase")]
 pub enum Announced {
     /// The backend server accepts its full share of requests.
@@ -28,7 +26,7 @@
 }
 
 /// `Announcement` is the body of `PUT /announce/{service}/{endpoint}`.
-#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq)]
 #[serde(deny_unknown_fields)]
 pub struct Announcement {
     /// The address that the backend server listens on.
@@ -37,11 +35,11 @@
     pub state: Announced,
     /// The number of requests that the backend server runs concurrently.
     pub slots: u16,
-    /// The start time in milliseconds since 1970, or 0 when unknown. It identifies an incarnation
-    /// of the backend server. Of two backend servers at one address, the one that started later is
-    /// the current one.
-    #[serde(default)]
-    pub started_ms: u64,
+    /// The start of the process, if it is stated; in JSON `started_ms`, absent or 0 if not. It
+    /// identifies an incarnation of the backend server. Of two backend servers at one address, the
+    /// one that started later is the current one.
+    #[serde(default, deserialize_with = "start_if_stated", rename = "started_ms")]
+    pub start: Option<StartTime>,
     /// Orders the announcements of one incarnation; 0 when unknown.
     #[serde(default)]
     pub sequence: u64,
@@ -56,6 +54,12 @@
     /// The address has port 0, on which nothing can listen.
     #[snafu(display("the port is 0; send the address that the backend server listens on"))]
     NoPort,
+    /// A departure of the backend server is recorded, and without a start time nothing tells whether
+    /// the process that departed has sent the announcement.
+    #[snafu(display(
+        "a process of this name has left, and no start is stated; send the start of the process"
+    ))]
+    UnknownStart,
     /// The start time is in the future; accepting it would make all announcements with a correct
     /// start time look outdated.
     #[snafu(display(
@@ -79,34 +83,35 @@
         if self.address.port() == 0 {
             return Err(AnnouncementError::NoPort);
         }
-        if !is_plausible_start(self.started_ms, now) {
+        if self.start.is_some_and(|start| !start.is_plausible(now)) {
             return Err(AnnouncementError::FutureStart);
         }
         Ok(())
     }
 
-    /// `validate_order` compares with the order key of the previous announcement of the same
-    /// backend server.
+    /// `validate_order` compares with the previous announcement of the same backend server.
     ///
     /// Fails when the sequence number increases by more than is plausible within one incarnation.
-    pub(crate) fn validate_order(&self, previous: (u64, u64)) -> Result<(), AnnouncementError> {
-        let (started_ms, sequence) = previous;
-        let step = self.sequence.saturating_sub(sequence);
-        if started_ms == self.started_ms && step > MAX_SEQUENCE_STEP {
+    pub(crate) fn validate_order(
+        &self,
+        previous: AnnouncementOrder,
+    ) -> Result<(), AnnouncementError> {
+        let step = self.sequence.saturating_sub(previous.sequence);
+        if previous.start == self.start && step > MAX_SEQUENCE_STEP {
             return Err(AnnouncementError::SequenceJump);
         }
         Ok(())
     }
 
-    /// `order_key` returns the start time and the sequence number; of two announcements of one
-    /// backend server, the one with the larger key is newer.
-    pub fn order_key(&self) -> (u64, u64) {
-        (self.started_ms, self.sequence)
+    /// `order` returns the order of the announcement among those of its backend server.
+    pub(crate) fn order(&self) -> AnnouncementOrder {
+        AnnouncementOrder {
+            start: self.start,
+            sequence: self.sequence,
+        }
     }
 }
 
-/// `is_plausible_start` tells whether a process that runs now can have started at `started_ms`.
-pub(super) fn is_plausible_start(started_ms: u64, now: UnixMillis) -> bool {
-    let ahead = u64::try_from(MAX_CLOCK_SKEW.as_millis()).unwrap_or(u64::MAX);
-    started_ms <= now.0.saturating_add(ahead)
+fn start_if_stated<'de, D: Deserializer<'de>>(d: D) -> Result<Option<StartTime>, D::Error> {
+    u64::deserialize(d).map(StartTime::new)
 }
--- a/crates/shallothill-node/src/gate/departed.rs
+++ b/crates/shallothill-node/src/gate/departed.rs
@@ -5,6 +5,8 @@
 use shallothill_core::ids::{EndpointName, ServiceName};
 use shallothill_directory::Departure;
 
+use crate::gate::{Announcement, StartTime};
+
 /// `MAX_DEPARTED` bounds the number of recorded departures; a host has only few backend servers.
 const MAX_DEPARTED: usize = 256;
 
@@ -12,15 +14,19 @@
 /// announcement, expired while draining or had departed before the node was restarted.
 #[derive(Debug, Default)]
 pub(crate) struct DepartedEndpoints {
-    last_outdated: BTreeMap<(ServiceName, EndpointName), (u64, u64)>,
+    last_outdated: BTreeMap<(ServiceName, EndpointName), (StartTime, u64)>,
     oldest_first: VecDeque<(ServiceName, EndpointName)>,
 }
 
 impl DepartedEndpoints {
-    /// `insert` records a departure; all earlier announcements are outdated too.
+    /// `insert` records a departure; all earlier announcements are outdated too. One that does not
+    /// tell which process departed is ignored.
     pub(crate) fn insert(&mut self, departure: &Departure) {
+        let Some(start) = StartTime::new(departure.started_ms) else {
+            return;
+        };
         let key = (departure.service.clone(), departure.name.clone());
-        let order = (departure.started_ms, departure.sequence);
+        let order = (start, departure.sequence);
         match self.last_outdated.get_mut(&key) {
             Some(last) => *last = order.max(*last),
             None => {
@@ -35,10 +41,17 @@
         }
     }
 
-    /// `is_outdated` tells whether an announcement with the order key `order` precedes a recorded
-    /// departure. A start time of 0, for unknown, never does.
-    pub(crate) fn is_outdated(&self, key: &(ServiceName, EndpointName), order: (u64, u64)) -> bool {
-        let last = self.last_outdated.get(key);
-        order.0 > 0 && last.is_some_and(|last| order <= *last)
+    /// `contains` tells whether a departure of the backend server is recorded.
+    pub(crate) fn contains(&self, key: &(ServiceName, EndpointName)) -> bool {
+        self.last_outdated.contains_key(key)
+    }
+
+    /// `is_outdated` tells whether an announcement precedes a recorded departure, or may precede it
+    /// since it does not state the start of its process.
+    pub(crate) fn is_outdated(&self, key: &(ServiceName, EndpointName), a: &Announcement) -> bool {
+        let Some(last) = self.last_outdated.get(key) else {
+            return false;
+        };
+        a.start.is_none_or(|start| (start, a.sequence) <= *last)
     }
 }
--- a/crates/shallothill-node/src/gate/departures.rs
+++ b/crates/shallothill-node/src/gate/departures.rs
@@ -11,7 +11,7 @@
 use tracing::{info, warn};
 
 use crate::control;
-use crate::gate::{Announcement, Gate, announcement};
+use crate::gate::{Announcement, Gate, StartTime};
 
 /// `DepartureNotStored` is why the withdrawal of an announcement is not confirmed.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Snafu)]
@@ -23,8 +23,8 @@
 impl Gate {
     /// `withdraw_announcement` removes a backend server at its own request and stores its departure
     /// at the keepers, so that a late announcement does not register it again after a restart of
-    /// the node. `started_ms` is the start of its process in milliseconds since 1970, if it is
-    /// known; a withdrawal of an earlier process than the registered one removes nothing.
+    /// the node. `stated` is the start of its process, if the request states it; a withdrawal of an
+    /// earlier process than the registered one removes nothing.
     ///
     /// Fails if too few keepers have stored the departure; the backend server is removed
     /// nevertheless.
@@ -32,28 +32,29 @@
         &self,
         service: &ServiceName,
         name: &EndpointName,
-        started_ms: Option<u64>,
+        stated: Option<StartTime>,
     ) -> Result<(), DepartureNotStored> {
+        let now = clock::now();
         let key = (service.clone(), name.clone());
         let registered = self.endpoints.load().get(&key).cloned();
-        let registered_ms = registered.as_ref().map(|e| e.lock().order_key.0);
-        let now = clock::now();
-        let started_ms = started_ms
-            .filter(|ms| announcement::is_plausible_start(*ms, now))
-            .or(registered_ms)
-            .unwrap_or(now.0);
-        let departure = final_departure(&key, started_ms);
-        self.departed().insert(&departure);
+        let registered_start = registered.as_ref().map(|e| e.lock().order.start);
+        let start = stated
+            .filter(|start| start.is_plausible(now))
+            .or(registered_start.unwrap_or_else(|| StartTime::new(now.0)));
+        let departure = start.map(|start| final_departure(&key, start));
+        if let Some(departure) = &departure {
+            self.departed().insert(departure);
+        }
         if let Some(endpoint) = registered
-            && registered_ms.is_some_and(|ms| ms <= started_ms)
+            && registered_start.is_some_and(|registered| registered <= start)
         {
             info!("gate: {} has withdrawn its announcement", endpoint.id);
             self.remove_endpoint(key, &endpoint);
         }
-        if started_ms == 0 {
+        let Some(departure) = departure else {
             // Its announcements cannot be told from those of later processes.
             return Ok(());
-        }
+        };
         let keepers = &self.deps.keepers;
         if control::record_departure(keepers, &self.deps.node, departure).await {
             return Ok(());
@@ -86,9 +87,12 @@
         key: &(ServiceName, EndpointName),
         a: &Announcement,
     ) {
+        let Some(start) = a.start else {
+            return;
+        };
         let departure = Departure {
             sequence: a.sequence,
-            ..final_departure(key, a.started_ms)
+            ..final_departure(key, start)
         };
         let gate = Arc::clone(self);
         self.deps.tasks.spawn(async move {
@@ -98,15 +102,15 @@
     }
 }
 
-/// `final_departure` makes all announcements of the process that started at `started_ms` outdated.
+/// `final_departure` makes all announcements of the process that started at `start` outdated.
 pub(super) fn final_departure(
     (service, name): &(ServiceName, EndpointName),
-    started_ms: u64,
+    start: StartTime,
 ) -> Departure {
     Departure {
         service: service.clone(),
         name: name.clone(),
-        started_ms,
+        started_ms: start.as_millis(),
         sequence: u64::MAX,
     }
 }
--- a/crates/shallothill-node/src/gate/endpoint.rs
+++ b/crates/shallothill-node/src/gate/endpoint.rs
@@ -30,6 +30,7 @@
 use crate::gate::queued_request;
 use crate::gate::queued_request::QueuedRequest;
 use crate::gate::slot::Slot;
+use crate::gate::start_time::AnnouncementOrder;
 use crate::refusal::Refusal;
 use crate::reply_by::ReplyBy;
 
@@ -48,8 +49,8 @@
     pub(crate) up: bool,
     pub(crate) expires_at: Millis,
     pub(crate) announced_slots: u16,
-    /// The order key of the last announcement.
-    pub(crate) order_key: (u64, u64),
+    /// The order of the last announcement.
+    pub(crate) order: AnnouncementOrder,
     pub(crate) waiters: HashMap<Ticket, oneshot::Sender<Result<(), admit::Refusal>>>,
     running: HashMap<Ticket, Fingerprint>,
 }
@@ -64,7 +65,7 @@
     pub(crate) gray: GrayOptions,
     pub(crate) expires_at: Millis,
     pub(crate) announced_slots: u16,
-    pub(crate) order_key: (u64, u64),
+    pub(crate) order: AnnouncementOrder,
 }
 
 /// `Endpoint` is one incarnation of a backend server, from its first announcement to its departure
@@ -97,7 +98,7 @@
                 up: true,
                 expires_at: init.expires_at,
                 announced_slots: init.announced_slots,
-                order_key: init.order_key,
+                order: init.order,
                 waiters: HashMap::new(),
                 running: HashMap::new(),
             }),
--- a/crates/shallothill-node/src/gate/lifecycle.rs
+++ b/crates/shallothill-node/src/gate/lifecycle.rs
@@ -197,7 +197,7 @@
             gray,
             expires_at: self.deps.timer.now() + self.deps.bounds.announce_lease(),
             announced_slots: a.slots,
-            order_key: a.order_key(),
+            order: a.order(),
         };
         let max_idle = usize::from(a.slots.clamp(1, MAX_IDLE_CONNECTIONS));
         let pool = ConnectionPool::new(a.address, self.deps.bounds.connect_timeout(), max_idle);
--- a/crates/shallothill-node/src/gate/mod.rs
+++ b/crates/shallothill-node/src/gate/mod.rs
@@ -17,6 +17,7 @@
 mod registration;
 mod response_check;
 mod slot;
+mod start_time;
 mod watchdog;
 
 use std::collections::BTreeMap;
@@ -61,6 +62,7 @@
 pub use parent_requests::ParentRequest;
 pub(crate) use parent_requests::{CallShortage, ParentRequests};
 pub use slot::RunningRequest;
+pub use start_time::StartTime;
 
 /// `Endpoints` maps service and name of each registered backend server to its endpoint.
 pub type Endpoints = BTreeMap<(ServiceName, EndpointName), Arc<Endpoint>>;
--- a/crates/shallothill-node/src/gate/registration.rs
+++ b/crates/shallothill-node/src/gate/registration.rs
@@ -25,14 +25,26 @@
     ) -> Result<(), AnnouncementError> {
         let key = (service.clone(), name.clone());
         let current = self.endpoints.load().get(&key).cloned();
-        let order_key = current.as_ref().map(|e| e.lock().order_key);
+        let previous = current.as_ref().map(|e| e.lock().order);
         a.validate(clock::now())
-            .and_then(|()| order_key.map_or(Ok(()), |order_key| a.validate_order(order_key)))
+            .and_then(|()| previous.map_or(Ok(()), |previous| a.validate_order(previous)))
+            .and_then(|()| self.validate_start(&key, &a))
             .inspect_err(|e| warn!("gate: an announcement of {service}/{name} is refused: {e}"))?;
         self.apply_announcement(&key, current, a);
         Ok(())
     }
 
+    fn validate_start(
+        &self,
+        key: &(ServiceName, EndpointName),
+        a: &Announcement,
+    ) -> Result<(), AnnouncementError> {
+        if a.start.is_none() && self.departed().contains(key) {
+            return Err(AnnouncementError::UnknownStart);
+        }
+        Ok(())
+    }
+
     fn apply_announcement(
         self: &Arc<Self>,
         key: &(ServiceName, EndpointName),
@@ -58,10 +70,10 @@
         {
             let mut inner = endpoint.lock();
             let draining = inner.gate.state() == ServingState::Draining;
-            let same_incarnation = inner.order_key.0 == a.started_ms;
+            let same_incarnation = inner.order.start == a.start;
             if inner.up && same_incarnation && (!draining || a.state == Announced::Draining) {
                 inner.expires_at = expires_at;
-                inner.order_key = a.order_key();
+                inner.order = a.order();
                 if inner.announced_slots != a.slots {
                     inner.announced_slots = a.slots;
                     let (gate, ..) = self.service_options(service, a.slots);
@@ -102,15 +114,15 @@
 
     // Announcements may arrive late, after a newer one or after their sender has departed.
     fn is_stale(&self, key: &(ServiceName, EndpointName), a: &Announcement) -> bool {
-        if self.departed().is_outdated(key, a.order_key()) {
+        if self.departed().is_outdated(key, a) {
             return true;
         }
         let newer = |(other, e): (&(ServiceName, EndpointName), &Arc<Endpoint>)| {
-            let current = e.lock().order_key;
+            let current = e.lock().order;
             if other == key {
-                current > a.order_key()
+                current > a.order()
             } else {
-                e.pool.address() == a.address && a.started_ms > 0 && current.0 > a.started_ms
+                e.pool.address() == a.address && a.start.is_some() && current.start > a.start
             }
         };
         self.endpoints.load().iter().any(newer)
@@ -120,9 +132,9 @@
     // Announcements of the previous one are outdated as long as the new one is registered.
     fn remove_predecessors(&self, key: &(ServiceName, EndpointName), a: &Announcement) {
         let earlier = |(other, e): (&(ServiceName, EndpointName), &Arc<Endpoint>)| {
-            let current = e.lock().order_key.0;
+            let current = e.lock().order.start;
             let same_address = other != key && e.pool.address() == a.address;
-            (same_address && current > 0 && current < a.started_ms)
+            (same_address && current.is_some() && current < a.start)
                 .then(|| (other.clone(), Arc::clone(e)))
         };
         let predecessors: Vec<_> = self.endpoints.load().iter().filter_map(earlier).collect();
@@ -152,9 +164,9 @@
                 "gate: {} did not renew its announcement in time and is removed",
                 endpoint.id
             );
-            if draining {
-                let started_ms = endpoint.lock().order_key.0;
-                self.departed().insert(&final_departure(key, started_ms));
+            let start = endpoint.lock().order.start;
+            if draining && let Some(start) = start {
+                self.departed().insert(&final_departure(key, start));
             }
             self.remove_endpoint(key.clone(), endpoint);
         }
--- a/crates/shallothill-node/tests/announcements.rs
+++ b/crates/shallothill-node/tests/announcements.rs
@@ -10,7 +10,7 @@
 use serde_json::{Value, json};
 use shallothill_core::health::ServingState;
 use shallothill_core::ids::{EndpointName, ServiceName};
-use shallothill_node::gate::{Announced, Announcement};
+use shallothill_node::gate::{Announced, Announcement, StartTime};
 use shallothill_node::settings::Bounds;
 use shallothill_testing::http::Client;
 use shallothill_testing::process;
@@ -49,7 +49,7 @@
         let service = ServiceName::try_new("courier").unwrap();
         let name = EndpointName::try_new(name).unwrap();
         let gate = self.node.node.gate();
-        let withdrawn = gate.withdraw_announcement(&service, &name, Some(started_ms));
+        let withdrawn = gate.withdraw_announcement(&service, &name, StartTime::new(started_ms));
         withdrawn.await.unwrap();
     }
 
@@ -77,7 +77,7 @@
         address: SocketAddr::from(([127, 0, 0, 1], 9)),
         state: Announced::Ready,
         slots: 5,
-        started_ms,
+        start: StartTime::new(started_ms),
         sequence,
     }
 }
@@ -185,6 +185,22 @@
     assert!(gate.state("e1").is_some());
 }
 
+/// Guards against an announcement without a start that brings back a backend server that has left.
+#[tokio::test]
+async fn only_a_later_start_ends_a_departure() {
+    let gate = GateFixture::start(10_000).await;
+    let start = now_ms();
+    gate.announce("e1", ready(start, 1));
+    gate.withdraw("e1", start).await;
+
+    gate.announce("e1", ready(0, 2));
+    let without_start = gate.state("e1");
+    gate.announce("e1", ready(start + 1, 1));
+
+    assert_eq!(without_start, None);
+    assert!(gate.state("e1").is_some());
+}
+
 /// Guards against a backend server that can never register again after an announcement under
 /// another name at its address.
 #[tokio::test]
