--- a/crates/shallothill-node/src/gate/departed.rs
+++ b/crates/shallothill-node/src/gate/departed.rs
@@ -5,13 +5,13 @@
 use shallothill_core::ids::{EndpointName, ServiceName};
 use shallothill_directory::Departure;
 
-use crate::gate::{Announcement, StartTime};
+use crate::gate::{Announced, Announcement, StartTime};
 
 /// `MAX_DEPARTED` bounds the number of recorded departures; a host has only few backend servers.
 const MAX_DEPARTED: usize = 256;
 
-/// `DepartedEndpoints` holds the last outdated announcement of each backend server that withdrew its
-/// announcement, expired while draining or had departed before the node was restarted.
+/// `DepartedEndpoints` holds the last outdated announcement of each backend server that drains,
+/// withdrew its announcement, expired while draining or had departed before the node was restarted.
 #[derive(Debug, Default)]
 pub(crate) struct DepartedEndpoints {
     last_outdated: BTreeMap<(ServiceName, EndpointName), (StartTime, u64)>,
@@ -46,12 +46,15 @@
         self.last_outdated.contains_key(key)
     }
 
-    /// `is_outdated` tells whether an announcement precedes a recorded departure, or may precede it
-    /// since it does not state the start of its process.
+    /// `is_outdated` tells whether an announcement comes from a process whose departure is recorded,
+    /// or may come from it since it states no start. A process that drains may say so again.
     pub(crate) fn is_outdated(&self, key: &(ServiceName, EndpointName), a: &Announcement) -> bool {
-        let Some(last) = self.last_outdated.get(key) else {
+        let Some((last_start, last_sequence)) = self.last_outdated.get(key) else {
             return false;
         };
-        a.start.is_none_or(|start| (start, a.sequence) <= *last)
+        a.start.is_none_or(|start| {
+            let drains_on = start == *last_start && a.state == Announced::Draining;
+            start <= *last_start && !(drains_on && a.sequence > *last_sequence)
+        })
     }
 }
--- a/crates/shallothill-node/src/gate/departures.rs
+++ b/crates/shallothill-node/src/gate/departures.rs
@@ -80,9 +80,10 @@
         restored.is_ok()
     }
 
-    /// `store_drain` stores that announcements up to `a` are outdated. Nobody waits for it: until it
-    /// is stored, a drain is announced again within the lease.
-    pub(super) fn store_drain(
+    /// `record_drain` makes all announcements of the process that has sent `a` outdated, but for later
+    /// ones that it drains. Nobody waits until the keepers have stored it: until then, a drain is
+    /// announced again within the lease.
+    pub(super) fn record_drain(
         self: &Arc<Self>,
         key: &(ServiceName, EndpointName),
         a: &Announcement,
@@ -94,6 +95,7 @@
             sequence: a.sequence,
             ..final_departure(key, start)
         };
+        self.departed().insert(&departure);
         let gate = Arc::clone(self);
         self.deps.tasks.spawn(async move {
             let keepers = &gate.deps.keepers;
--- a/crates/shallothill-node/src/gate/registration.rs
+++ b/crates/shallothill-node/src/gate/registration.rs
@@ -59,7 +59,7 @@
         if self.closed.load(Ordering::Relaxed) {
             // The next process of the node must know of this drain, which is acknowledged.
             if a.state == Announced::Draining {
-                self.store_drain(key, &a);
+                self.record_drain(key, &a);
             }
             return;
         }
@@ -73,7 +73,7 @@
             let same_incarnation = inner.order.start == a.start;
             if inner.up && same_incarnation && (!draining || a.state == Announced::Draining) {
                 inner.expires_at = expires_at;
-                inner.order = a.order();
+                inner.order = inner.order.max(a.order());
                 if inner.announced_slots != a.slots {
                     inner.announced_slots = a.slots;
                     let (gate, ..) = self.service_options(service, a.slots);
@@ -83,7 +83,7 @@
                 if a.state == Announced::Draining && !draining {
                     info!("gate: {} is draining", endpoint.id);
                     endpoint.drain();
-                    self.store_drain(key, &a);
+                    self.record_drain(key, &a);
                     self.deps.changed.notify_one();
                 }
                 return;
@@ -93,7 +93,7 @@
         info!("gate: {} is announced at {}", endpoint.id, a.address);
         if a.state == Announced::Draining {
             endpoint.drain();
-            self.store_drain(key, &a);
+            self.record_drain(key, &a);
         }
         if let Some(previous) = current {
             previous.drain();
@@ -120,7 +120,9 @@
         let newer = |(other, e): (&(ServiceName, EndpointName), &Arc<Endpoint>)| {
             let current = e.lock().order;
             if other == key {
-                current > a.order()
+                // A drain is final, so it counts also if it arrives late.
+                let drains = a.state == Announced::Draining && a.start.is_some();
+                current > a.order() && !(drains && current.start == a.start)
             } else {
                 e.pool.address() == a.address && a.start.is_some() && current.start > a.start
             }
--- a/crates/shallothill-node/tests/announcements.rs
+++ b/crates/shallothill-node/tests/announcements.rs
@@ -147,6 +147,23 @@
     assert_eq!(gate.state("e1"), None);
 }
 
+/// Guards against a drain that was acknowledged and is undone by a later announcement of the same process,
+/// as another writer may send it, and against a server that stays out after it was started again.
+#[tokio::test]
+async fn only_a_later_start_ends_a_drain() {
+    let gate = GateFixture::start(10_000).await;
+    let start = now_ms();
+    gate.announce("e1", ready(start, 1));
+    gate.announce("e1", draining(start, 2));
+
+    gate.announce("e1", ready(start, 3));
+    let same_process = gate.state("e1");
+    gate.announce("e1", ready(start + 1, 1));
+
+    assert_eq!(same_process, Some(ServingState::Draining));
+    assert_ne!(gate.state("e1"), Some(ServingState::Draining));
+}
+
 /// Guards against a departure that is confirmed although the keepers do not have it, so that a
 /// restart of the node would undo it, and against requests to a server whose departure is not
 /// confirmed.
