--- a/crates/shallothill-node/src/announce.rs
+++ b/crates/shallothill-node/src/announce.rs
@@ -9,8 +9,7 @@
 use tokio::time;
 
 use crate::body::Body;
-use crate::gate;
-use crate::gate::{Announcement, Gate};
+use crate::gate::{Announcement, Gate, WithdrawalError};
 use crate::listener::RequestHandler;
 use crate::refusal::Refusal;
 use crate::unread_body::UnreadBody;
@@ -41,7 +40,8 @@
             let withdrawn = self.gate.withdraw_announcement(&service, &name, None);
             return match withdrawn.await {
                 Ok(()) => no_content(),
-                Err(gate::DepartureNotStored) => NOT_STORED.response(),
+                Err(WithdrawalError::NotStored) => NOT_STORED.response(),
+                Err(WithdrawalError::FutureStart) => MALFORMED.response(),
             };
         }
         if req.method() != Method::PUT {
--- a/crates/shallothill-node/src/gate/departures.rs
+++ b/crates/shallothill-node/src/gate/departures.rs
@@ -13,12 +13,21 @@
 use crate::control;
 use crate::gate::{Announcement, Gate, StartTime};
 
-/// `DepartureNotStored` is why the withdrawal of an announcement is not confirmed.
+/// `WithdrawalError` is why the withdrawal of an announcement is not confirmed.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Snafu)]
-#[snafu(display(
-    "the backend server gets no more requests, but too few keepers have stored that; send it again"
-))]
-pub struct DepartureNotStored;
+pub enum WithdrawalError {
+    /// The stated start lies in the future; nothing has changed.
+    #[snafu(display(
+        "the start lies in the future; set the clocks of the host and the backend server"
+    ))]
+    FutureStart,
+    /// The backend server is removed, but too few keepers have stored that.
+    #[snafu(display(
+        "the backend server gets no more requests, but too few keepers have stored that; send it \
+         again"
+    ))]
+    NotStored,
+}
 
 impl Gate {
     /// `withdraw_announcement` removes a backend server at its own request and stores its departure
@@ -26,21 +35,22 @@
     /// the node. `stated` is the start of its process, if the request states it; a withdrawal of an
     /// earlier process than the registered one removes nothing.
     ///
-    /// Fails if too few keepers have stored the departure; the backend server is removed
-    /// nevertheless.
+    /// Fails, and changes nothing, if the stated start lies in the future. Fails if too few keepers
+    /// have stored the departure; the backend server is removed nevertheless.
     pub async fn withdraw_announcement(
         &self,
         service: &ServiceName,
         name: &EndpointName,
         stated: Option<StartTime>,
-    ) -> Result<(), DepartureNotStored> {
+    ) -> Result<(), WithdrawalError> {
         let now = clock::now();
+        if stated.is_some_and(|start| !start.is_plausible(now)) {
+            return Err(WithdrawalError::FutureStart);
+        }
         let key = (service.clone(), name.clone());
         let registered = self.endpoints.load().get(&key).cloned();
         let registered_start = registered.as_ref().map(|e| e.lock().order.start);
-        let start = stated
-            .filter(|start| start.is_plausible(now))
-            .or(registered_start.unwrap_or_else(|| StartTime::new(now.0)));
+        let start = stated.or(registered_start.unwrap_or_else(|| StartTime::new(now.0)));
         let departure = start.map(|start| final_departure(&key, start));
         if let Some(departure) = &departure {
             self.departed().insert(departure);
@@ -60,7 +70,7 @@
             return Ok(());
         }
         warn!("gate: the departure of {service}/{name} is not stored; it is not confirmed");
-        Err(DepartureNotStored)
+        Err(WithdrawalError::NotStored)
     }
 
     /// `restore_departures` makes the announcements of `departures` outdated, which the node
--- a/crates/shallothill-node/src/gate/mod.rs
+++ b/crates/shallothill-node/src/gate/mod.rs
@@ -53,7 +53,7 @@
 pub use announcement::{Announced, Announcement, AnnouncementError};
 pub(crate) use attempt_limits::RETRY_BUDGET_REASON;
 pub(crate) use connection_pool::{Connection, ConnectionPool, SendError};
-pub use departures::DepartureNotStored;
+pub use departures::WithdrawalError;
 pub use endpoint::Endpoint;
 pub(crate) use exchange::{
     BODY_INCOMPLETE, BODY_TOO_LARGE, BODY_TOO_SLOW, MEMORY_SHORT, MEMORY_WAIT,
