--- a/crates/shallothill-node/src/announce.rs
+++ b/crates/shallothill-node/src/announce.rs
@@ -6,6 +6,7 @@
 use http_body_util::{BodyExt, Limited};
 use hyper::{Method, Request, Response, StatusCode};
 use shallothill_core::ids::{EndpointName, ServiceName};
+use shallothill_runtime::json;
 use tokio::time;
 
 use crate::body::Body;
@@ -55,7 +56,7 @@
         let announcement: Option<Announcement> = body
             .ok()
             .and_then(Result::ok)
-            .and_then(|b| serde_json::from_slice(&b.to_bytes()).ok());
+            .and_then(|b| json::parse_object(&b.to_bytes()).ok());
         let result = announcement.map(|a| self.gate.announce(&service, &name, a));
         match result {
             Some(Ok(())) => no_content(),
--- a/crates/shallothill-node/tests/announcements.rs
+++ b/crates/shallothill-node/tests/announcements.rs
@@ -256,6 +256,7 @@
     let invalid = [
         "[".repeat(2000),
         "{\"a\":".repeat(600),
+        json!(["127.0.0.1:9000", "ready", 5, 1, 1]).to_string(),
         announcement_with("address", json!("127.0.0.1:70000")),
         announcement_with("address", json!("127.0.0.1:0")),
         announcement_with("slots", json!(70_000)),
--- a/crates/shallothill-runtime/src/lib.rs
+++ b/crates/shallothill-runtime/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod admin;
 pub mod clock;
 pub mod errors;
+pub mod json;
 pub mod logs;
 pub mod memory;
 pub mod metrics;
