--- a/crates/shallothill-node/src/attempt.rs
+++ b/crates/shallothill-node/src/attempt.rs
@@ -124,7 +124,7 @@
         _ => return None,
     };
     // Nodes of earlier versions don't send it.
-    let state_valid_ms = parts.next().and_then(|p| p.parse().ok()).unwrap_or(0);
+    let state_valid_ms = parts.next().map_or(Some(0), |p| p.parse().ok())?;
     Some(ReportedLoad {
         in_flight,
         slots,
--- a/crates/shallothill-node/src/header_filter.rs
+++ b/crates/shallothill-node/src/header_filter.rs
@@ -30,6 +30,19 @@
     map.remove("proxy-connection");
 }
 
+/// `optional_value` reads a header that may be absent with `parse`; `None` if it is there and cannot
+/// be read, so that what is unreadable is never taken for what is absent.
+pub fn optional_value<T>(
+    map: &HeaderMap,
+    name: &str,
+    parse: impl FnOnce(&str) -> Option<T>,
+) -> Option<Option<T>> {
+    if !map.contains_key(name) {
+        return Some(None);
+    }
+    single_value(map, name).and_then(parse).map(Some)
+}
+
 /// `strip_shallothill_headers` removes all headers with the `x-shallothill-` prefix.
 pub fn strip_shallothill_headers(map: &mut HeaderMap) {
     let prefixed: Vec<HeaderName> = map
--- a/crates/shallothill-node/src/peer/codec.rs
+++ b/crates/shallothill-node/src/peer/codec.rs
@@ -26,6 +26,7 @@
 use crate::body::Body;
 use crate::gate::CallShortage;
 use crate::header_filter;
+use crate::header_filter::optional_value;
 use crate::peer::{AttemptId, question};
 use crate::reply_by::ReplyBy;
 use crate::unread_body::UnreadBody;
@@ -127,7 +128,7 @@
 }
 
 /// `read_attempt` parses an attempt that a peer sent to `node`, and the configuration version of
-/// the peer; `None` if it is malformed. `route_rules` returns what the configuration of
+/// the peer; `None` if a header is missing or cannot be read. `route_rules` returns what the configuration of
 /// `node` says of a route.
 pub fn read_attempt(
     req: Request<UnreadBody>,
@@ -141,7 +142,7 @@
     let service = ServiceName::try_new(text(headers::SERVICE)?).ok()?;
     let route = RouteName::try_new(text(headers::ROUTE)?).ok()?;
     let name = EndpointName::try_new(text(headers::ENDPOINT)?).ok()?;
-    let caller = text(headers::CALLER).and_then(|c| CallerName::try_new(c).ok());
+    let caller = optional_value(map, headers::CALLER, |c| CallerName::try_new(c).ok())?;
     let class: Class = text(headers::CLASS)?.parse().ok()?;
     let left = Duration::from_millis(number(headers::DEADLINE_MS)?);
     let attempt_number = u8::try_from(number(headers::ATTEMPT)?).ok()?;
@@ -151,12 +152,11 @@
     let repeated = text(headers::REPEATED).is_some();
     let caution = Caution::from_name(text(headers::CAUTION).unwrap_or_default());
     let rules = route_rules(&route);
-    let idempotent = rules.idempotent && text(headers::IDEMPOTENT) != Some("false");
-    let once_per = match text(headers::ONCE_PER) {
-        Some("attempt") => OncePer::Attempt,
-        _ => OncePer::Key,
-    };
-    let rank = number(headers::RANK).and_then(|n| u8::try_from(n).ok());
+    let idempotent = optional_value(map, headers::IDEMPOTENT, |v| v.parse::<bool>().ok())?;
+    let idempotent = rules.idempotent && idempotent.unwrap_or(true);
+    let per_attempt = |v: &str| (v == "attempt").then_some(OncePer::Attempt);
+    let once_per = optional_value(map, headers::ONCE_PER, per_attempt)?.unwrap_or(OncePer::Key);
+    let rank = optional_value(map, headers::RANK, |v| v.parse::<u8>().ok())?;
     let key = text(headers::IDEMPOTENCY_KEY)
         .filter(|_| !idempotent)
         .and_then(|k| IdempotencyKey::try_parse(k).ok());
@@ -167,12 +167,12 @@
     let root = || PathAndQuery::from_static("/");
     let arrived = Instant::now();
     let deadline = arrived.checked_add(left)?;
-    let objective =
-        number(headers::OBJECTIVE_MS).and_then(|ms| arrived.checked_add(Duration::from_millis(ms)));
-    let call = number(headers::SPENT_MS).map(|ms| Call {
-        spent: Duration::from_millis(ms),
-        repeated,
-    });
+    let millis = |v: &str| v.parse().ok().map(Duration::from_millis);
+    let until = |v: &str| arrived.checked_add(millis(v)?);
+    let objective = optional_value(map, headers::OBJECTIVE_MS, until)?;
+    let reply_by = optional_value(map, headers::REPLY_BY_MS, until)?;
+    let spent = optional_value(map, headers::SPENT_MS, millis)?;
+    let call = spent.map(|spent| Call { spent, repeated });
     let head = RequestHead {
         method: parts.method,
         path: parts.uri.path_and_query().cloned().unwrap_or_else(root),
@@ -206,7 +206,7 @@
         trial,
         repeated,
         caution,
-        reply_by: question::read_reply_by(map).map_or_else(ReplyBy::default, ReplyBy::at),
+        reply_by: reply_by.map_or_else(ReplyBy::default, ReplyBy::at),
         body: Body::stream(Bytes::new(), incoming, rules.max_body_bytes).with_deadline(deadline),
     };
     Some((attempt, version))
--- a/crates/shallothill-node/src/peer/question.rs
+++ b/crates/shallothill-node/src/peer/question.rs
@@ -48,7 +48,8 @@
 pub fn read_question(map: &HeaderMap) -> Option<Question> {
     Some(Question {
         id: read_id(map)?,
-        sent_to: number(map, headers::SENT_TO).map(ProcessId),
+        sent_to: header_filter::optional_value(map, headers::SENT_TO, |v| v.parse().ok())?
+            .map(ProcessId),
     })
 }
 
--- a/crates/shallothill-node/src/peer/server.rs
+++ b/crates/shallothill-node/src/peer/server.rs
@@ -110,7 +110,7 @@
                     None => self.gate.run(attempt, false).await,
                 }
             }
-            None => MALFORMED.reply_from_gate(),
+            None => MALFORMED_ATTEMPT.reply_from_gate(),
         };
         self.write_reply(reply)
     }
@@ -170,6 +170,11 @@
     "malformed",
     "the message between nodes is malformed; run the same version on all nodes",
 );
+// Not the caller's fault, so another node is tried.
+const MALFORMED_ATTEMPT: Refusal = Refusal::not_run(
+    "malformed",
+    "the attempt between nodes is malformed; run the same version on all nodes",
+);
 const UNKNOWN_PATH: Refusal = Refusal::invalid(
     404,
     "unknown-path",
--- a/crates/shallothill-node/tests/untrusted_input.rs
+++ b/crates/shallothill-node/tests/untrusted_input.rs
@@ -6,6 +6,7 @@
 use shallothill_core::config::BodyMode;
 use shallothill_core::headers;
 use shallothill_core::ids::NodeName;
+use shallothill_node::attempt;
 use shallothill_node::peer;
 use shallothill_node::peer::RouteRules;
 use shallothill_node::request_reader::RequestReader;
@@ -26,30 +27,31 @@
     "99999999999999999999",
 ];
 
+const USUAL_HEADERS: [(&str, &str); 15] = [
+    (headers::SERVICE, "s"),
+    (headers::ROUTE, "r"),
+    (headers::ENDPOINT, "e"),
+    (headers::CLASS, "shop"),
+    (headers::DEADLINE_MS, "1000"),
+    (headers::OBJECTIVE_MS, "500"),
+    (headers::REPLY_BY_MS, "800"),
+    (headers::ATTEMPT, "1"),
+    (headers::ATTEMPT_NUMBER, "1"),
+    (headers::PROCESS, "1"),
+    (headers::CONFIG_VERSION, "1"),
+    (headers::FINGERPRINT, "1"),
+    (headers::RANK, "1"),
+    (headers::CAUTION, "avoid"),
+    (
+        headers::IDEMPOTENCY_KEY,
+        "0190163d-8694-739b-aea5-966c26f8ad91",
+    ),
+];
+
 /// The headers of an attempt, some of them replaced, doubled or left out.
 fn attempt_headers(u: &mut Unstructured<'_>) -> Result<HeaderMap> {
-    let usual = [
-        (headers::SERVICE, "s"),
-        (headers::ROUTE, "r"),
-        (headers::ENDPOINT, "e"),
-        (headers::CLASS, "shop"),
-        (headers::DEADLINE_MS, "1000"),
-        (headers::OBJECTIVE_MS, "500"),
-        (headers::REPLY_BY_MS, "800"),
-        (headers::ATTEMPT, "1"),
-        (headers::ATTEMPT_NUMBER, "1"),
-        (headers::PROCESS, "1"),
-        (headers::CONFIG_VERSION, "1"),
-        (headers::FINGERPRINT, "1"),
-        (headers::RANK, "1"),
-        (headers::CAUTION, "avoid"),
-        (
-            headers::IDEMPOTENCY_KEY,
-            "0190163d-8694-739b-aea5-966c26f8ad91",
-        ),
-    ];
     let mut map = HeaderMap::new();
-    for (name, value) in usual {
+    for (name, value) in USUAL_HEADERS {
         let name = HeaderName::from_static(name);
         let value = match u.int_in_range(0..=9)? {
             0 => continue,
@@ -95,6 +97,48 @@
     }
 }
 
+/// Guards against an attempt with a header that cannot be read, and that runs as if the header were absent:
+/// with the highest rank, without a deadline for the reply, or as a request that may run twice.
+#[test]
+fn attempts_with_an_unreadable_header_are_malformed() {
+    let node = NodeName::try_new("n").unwrap();
+    let rules = RouteRules {
+        max_body_bytes: 1024,
+        idempotent: true,
+        body_mode: BodyMode::Buffered,
+    };
+    let runtime = tokio::runtime::Runtime::new().unwrap();
+    let _in_runtime = runtime.enter();
+    let is_read = |odd: Option<(&'static str, &'static str)>| {
+        let mut req = Request::new(UnreadBody::empty());
+        *req.version_mut() = Version::HTTP_2;
+        for (name, value) in USUAL_HEADERS {
+            req.headers_mut()
+                .insert(name, HeaderValue::from_static(value));
+        }
+        if let Some((name, value)) = odd {
+            req.headers_mut()
+                .insert(name, HeaderValue::from_static(value));
+        }
+        peer::read_attempt(req, &node, |_| rules).is_some()
+    };
+    let optional = [
+        headers::CALLER,
+        headers::IDEMPOTENT,
+        headers::ONCE_PER,
+        headers::RANK,
+        headers::OBJECTIVE_MS,
+        headers::REPLY_BY_MS,
+        headers::SPENT_MS,
+    ];
+
+    let with_unreadable = optional.map(|name| is_read(Some((name, "a b"))));
+
+    assert!(is_read(None));
+    assert_eq!(with_unreadable, [false; 7]);
+    assert_eq!(attempt::parse_load_header("1/5/0/ready/soon"), None);
+}
+
 const PIECES: [&[u8]; 12] = [
     b"GET /a HTTP/1.1\r\n",
     b"POST /b?x=1 HTTP/1.1\r\n",
