--- a/crates/shallothill-node/src/neighbours.rs
+++ b/crates/shallothill-node/src/neighbours.rs
@@ -34,7 +34,7 @@
 
 /// `Notice` is the content of a datagram: the load and the state of a backend server.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-struct Notice {
+pub struct Notice {
     service: ServiceName,
     /// The hash of the backend server's id.
     endpoint: u64,
@@ -42,16 +42,17 @@
     slots: u16,
     queued: u16,
     state: ServingState,
-    #[serde(default)]
+    /// The time for which the state is valid, in milliseconds; 0 if that is not known.
     state_valid_ms: u16,
-    /// Whether a trial is wanted from the receiver, if the state asks for one. Earlier versions
-    /// ask all receivers.
-    #[serde(default = "invited_by_default")]
+    /// Whether a trial is wanted from the receiver, if the state asks for one.
     invited: bool,
 }
 
-fn invited_by_default() -> bool {
-    true
+impl Notice {
+    /// `from_datagram` decodes a notice; `None` if a field is missing or cannot be read.
+    pub fn from_datagram(datagram: &[u8]) -> Option<Self> {
+        rmp_serde::from_slice(datagram).ok()
+    }
 }
 
 /// `NeighbourExchange` exchanges notices with other nodes.
@@ -103,7 +104,7 @@
     }
 
     fn apply_datagram(&self, datagram: &[u8]) {
-        let Ok(notice) = rmp_serde::from_slice::<Notice>(datagram) else {
+        let Some(notice) = Notice::from_datagram(datagram) else {
             debug!("neighbours: a malformed datagram is ignored");
             return;
         };
--- a/crates/shallothill-node/tests/untrusted_input.rs
+++ b/crates/shallothill-node/tests/untrusted_input.rs
@@ -7,6 +7,7 @@
 use shallothill_core::headers;
 use shallothill_core::ids::NodeName;
 use shallothill_node::attempt;
+use shallothill_node::neighbours::Notice;
 use shallothill_node::peer;
 use shallothill_node::peer::RouteRules;
 use shallothill_node::request_reader::RequestReader;
@@ -139,6 +140,20 @@
     assert_eq!(attempt::parse_load_header("1/5/0/ready/soon"), None);
 }
 
+/// Guards against a datagram of another node that lacks fields and changes what is known of a server.
+#[test]
+fn notices_without_all_fields_change_nothing() {
+    let complete = (
+        "courier", 7_u64, 1_u16, 5_u16, 0_u16, "demoted", 900_u16, true,
+    );
+    let (service, endpoint, in_flight, slots, queued, state, valid_ms, _) = complete;
+    let without_last = (service, endpoint, in_flight, slots, queued, state, valid_ms);
+    let read = |bytes: Vec<u8>| Notice::from_datagram(&bytes).is_some();
+
+    assert!(read(rmp_serde::to_vec(&complete).unwrap()));
+    assert!(!read(rmp_serde::to_vec(&without_last).unwrap()));
+}
+
 const PIECES: [&[u8]; 12] = [
     b"GET /a HTTP/1.1\r\n",
     b"POST /b?x=1 HTTP/1.1\r\n",
