--- a/crates/shallothill-directory/src/directory.rs
+++ b/crates/shallothill-directory/src/directory.rs
@@ -55,17 +55,19 @@
     ///
     /// A node that was removed for its silence may return with the report that it sent last.
     pub fn apply_report(&mut self, now: Millis, report: NodeReport) -> bool {
+        !self.is_outdated(&report) && self.store_report(now, report, self.me, Liveness::Reporting)
+    }
+
+    /// `is_outdated` tells whether the node has sent a later report, or has left after this one.
+    pub fn is_outdated(&self, report: &NodeReport) -> bool {
         let order = report.order();
         let is_late =
             |t: &Tombstone| order < t.order || order == t.order && t.timed_out_via.is_none();
         if self.tombstones.get(&report.node).is_some_and(is_late) {
-            return false;
+            return true;
         }
         let current = self.nodes.get(&report.node).map(|n| n.entry.report.order());
-        if current.is_some_and(|current| order < current) {
-            return false;
-        }
-        self.store_report(now, report, self.me, Liveness::Reporting)
+        current.is_some_and(|current| order < current)
     }
 
     /// `apply_leave` removes a node that announces its departure; `order` is that of its final
--- a/crates/shallothill-keeper/src/node_registry.rs
+++ b/crates/shallothill-keeper/src/node_registry.rs
@@ -37,9 +37,13 @@
         }
     }
 
-    /// `report` applies a node's report and returns the summaries of the services in it.
+    /// `report` applies a node's report and returns the summaries of the services in it. Of a report
+    /// that is outdated, only the crash notices count, which have an age.
     pub fn report(&mut self, now: Millis, req: ReportRequest) -> Vec<ServiceSummary> {
         self.add_crashes(now, req.crashes);
+        if self.directory.is_outdated(&req.report) {
+            return self.loads.summaries(&req.loads);
+        }
         let node = req.report.node.clone();
         if req.leaving {
             self.versions.remove(&node);
