--- a/crates/shallothill-node/src/peer/codec.rs
+++ b/crates/shallothill-node/src/peer/codec.rs
@@ -128,8 +128,8 @@
 }
 
 /// `read_attempt` parses an attempt that a peer sent to `node`, and the configuration version of
-/// the peer; `None` if a header is missing or cannot be read. `route_rules` returns what the configuration of
-/// `node` says of a route.
+/// the peer; `None` if a header is missing or cannot be read. `route_rules` returns what the
+/// configuration of `node` says of a route.
 pub fn read_attempt(
     req: Request<UnreadBody>,
     node: &NodeName,
--- a/crates/shallothill-node/tests/untrusted_input.rs
+++ b/crates/shallothill-node/tests/untrusted_input.rs
@@ -28,6 +28,12 @@
     "99999999999999999999",
 ];
 
+const RULES: RouteRules = RouteRules {
+    max_body_bytes: 1024,
+    idempotent: true,
+    body_mode: BodyMode::Buffered,
+};
+
 const USUAL_HEADERS: [(&str, &str); 15] = [
     (headers::SERVICE, "s"),
     (headers::ROUTE, "r"),
@@ -76,11 +82,6 @@
 #[test]
 fn generated_headers_between_nodes_cause_no_panic() {
     let node = NodeName::try_new("n").unwrap();
-    let rules = RouteRules {
-        max_body_bytes: 1024,
-        idempotent: true,
-        body_mode: BodyMode::Buffered,
-    };
     let runtime = tokio::runtime::Runtime::new().unwrap();
     let _in_runtime = runtime.enter();
     for seed in seeds() {
@@ -91,7 +92,7 @@
             let mut req = Request::new(UnreadBody::empty());
             *req.version_mut() = Version::HTTP_2;
             *req.headers_mut() = map;
-            let _ = peer::read_attempt(req, &node, |_| rules);
+            let _ = peer::read_attempt(req, &node, |_| RULES);
             Ok(())
         })
         .seed(seed);
@@ -103,25 +104,16 @@
 #[test]
 fn attempts_with_an_unreadable_header_are_malformed() {
     let node = NodeName::try_new("n").unwrap();
-    let rules = RouteRules {
-        max_body_bytes: 1024,
-        idempotent: true,
-        body_mode: BodyMode::Buffered,
-    };
     let runtime = tokio::runtime::Runtime::new().unwrap();
     let _in_runtime = runtime.enter();
-    let is_read = |odd: Option<(&'static str, &'static str)>| {
+    let is_read = |odd: &[(&'static str, &'static str)]| {
         let mut req = Request::new(UnreadBody::empty());
         *req.version_mut() = Version::HTTP_2;
-        for (name, value) in USUAL_HEADERS {
-            req.headers_mut()
-                .insert(name, HeaderValue::from_static(value));
-        }
-        if let Some((name, value)) = odd {
+        for (name, value) in USUAL_HEADERS.iter().chain(odd) {
             req.headers_mut()
-                .insert(name, HeaderValue::from_static(value));
+                .insert(*name, HeaderValue::from_static(value));
         }
-        peer::read_attempt(req, &node, |_| rules).is_some()
+        peer::read_attempt(req, &node, |_| RULES).is_some()
     };
     let optional = [
         headers::CALLER,
@@ -133,9 +125,9 @@
         headers::SPENT_MS,
     ];
 
-    let with_unreadable = optional.map(|name| is_read(Some((name, "a b"))));
+    let with_unreadable = optional.map(|name| is_read(&[(name, "a b")]));
 
-    assert!(is_read(None));
+    assert!(is_read(&[]));
     assert_eq!(with_unreadable, [false; 7]);
     assert_eq!(attempt::parse_load_header("1/5/0/ready/soon"), None);
 }
