--- a/crates/shallothill-node/src/entry/run_state.rs
+++ b/crates/shallothill-node/src/entry/run_state.rs
@@ -75,7 +75,7 @@
         {
             self.attempts.reconsider(EndpointKey::of(&last.endpoint));
         }
-        let by = self.refused_by(reply);
+        let by = self.refused_by(now, reply);
         self.attempts.on_refusal(now, by, &self.options)
     }
 
@@ -165,10 +165,14 @@
     }
 
     // Returns who refused an attempt that did not reach the backend server.
-    fn refused_by(&self, reply: &AttemptReply) -> RefusedBy {
+    fn refused_by(&self, now: Millis, reply: &AttemptReply) -> RefusedBy {
         if reply.refused_for(gate::RETRY_BUDGET_REASON) {
             return RefusedBy::RetryBudget;
         }
+        if reply.refused_for(gate::NO_QUORUM_REASON) {
+            let after = now.saturating_since(self.sent_at);
+            return RefusedBy::Ledger { after };
+        }
         match self.last_attempt {
             Some(LastAttempt {
                 tier: Tier::OtherRegion,
--- a/crates/shallothill-node/src/gate/claimed_request.rs
+++ b/crates/shallothill-node/src/gate/claimed_request.rs
@@ -35,6 +35,10 @@
 /// "may have run".
 const RESPONSE_GRACE: Duration = Duration::from_secs(10);
 
+/// `NO_QUORUM_REASON` is the reason for refusing a request whose key no majority of the keepers has
+/// granted.
+pub(crate) const NO_QUORUM_REASON: &str = "no-quorum";
+
 /// `DispatchJob` is what the background task of a claimed request needs.
 #[derive(Debug)]
 struct DispatchJob {
@@ -278,6 +282,6 @@
     "the key was created in the future; check the clock of the caller",
 );
 const NO_LEDGER_QUORUM: Refusal = Refusal::not_run(
-    "no-quorum",
+    NO_QUORUM_REASON,
     "the keepers of the key's home region cannot be reached; send the request again",
 );
--- a/crates/shallothill-node/src/gate/mod.rs
+++ b/crates/shallothill-node/src/gate/mod.rs
@@ -52,6 +52,7 @@
 
 pub use announcement::{Announced, Announcement, AnnouncementError};
 pub(crate) use attempt_limits::RETRY_BUDGET_REASON;
+pub(crate) use claimed_request::NO_QUORUM_REASON;
 pub(crate) use connection_pool::{Connection, ConnectionPool, SendError};
 pub use departures::WithdrawalError;
 pub use endpoint::Endpoint;
--- a/crates/shallothill-policy/src/retry/attempts.rs
+++ b/crates/shallothill-policy/src/retry/attempts.rs
@@ -34,6 +34,12 @@
     OtherRegion,
     /// A gate whose share of the service's retries is used up.
     RetryBudget,
+    /// A gate that got no majority of the keepers for the claim on the request's key, `after` this
+    /// time. Other gates ask the same keepers.
+    Ledger {
+        /// The time from the start of the attempt to its refusal.
+        after: Duration,
+    },
 }
 
 /// `CALL_REFUSALS_AT_ONCE` is the number of gates that a call of a running request asks without a
@@ -181,7 +187,8 @@
         }
         if self.call {
             self.mark_last_refused();
-            return match self.call_pause(now, options) {
+            let pause = self.call_pause(now, options);
+            return match pause.filter(|_| self.leaves_time(now, by)) {
                 Some(Duration::ZERO) => NextStep::Retry,
                 Some(pause) => NextStep::RetryAfter(pause),
                 None => NextStep::Return(self.outcome),
@@ -190,6 +197,7 @@
         // An attempt that may have run is repeated only if the request is idempotent.
         let allowed = self.outcome.allows_retry(self.idempotent);
         let below_limits = self.refused <= MAX_REFUSALS
+            && self.leaves_time(now, by)
             && self.refused_by_other_region < OTHER_REGION_REFUSAL_LIMIT
             && self.refused_by_budget < BUDGET_REFUSAL_LIMIT;
         if allowed && below_limits && self.may_send(now, options) {
@@ -274,6 +282,15 @@
         self.sent.saturating_sub(self.refused)
     }
 
+    // Tells whether a refusal like `by` would again come before the deadline. The request has not
+    // run; after an attempt that ends too late nobody could say so.
+    fn leaves_time(&self, now: Millis, by: RefusedBy) -> bool {
+        match by {
+            RefusedBy::Ledger { after } => now + after < self.deadline,
+            RefusedBy::OwnRegion | RefusedBy::OtherRegion | RefusedBy::RetryBudget => true,
+        }
+    }
+
     fn may_send(&self, now: Millis, options: &RetryOptions) -> bool {
         let max_sent = if self.call {
             MAX_CALL_ATTEMPTS
--- a/crates/shallothill-policy/tests/retry.rs
+++ b/crates/shallothill-policy/tests/retry.rs
@@ -226,6 +226,27 @@
     unreachable!()
 }
 
+/// Guards against a request that no gate could claim and that is sent once more shortly before its
+/// deadline: a certain "not run" became "unknown" when that attempt was late.
+#[test]
+fn a_claim_that_took_more_than_the_time_left_is_not_tried_again() {
+    let (options, budget) = (options(), RetryBudget::default());
+    let after_refusal = |mut attempts: Attempts, now: u64, after: u64| {
+        let after = Duration::from_millis(after);
+        attempts.record_start(EndpointKey(1), &options, &budget);
+        attempts.on_refusal(Millis(now), RefusedBy::Ledger { after }, &options)
+    };
+    let once = || Attempts::new(false, Millis(3000));
+    let call = || Attempts::for_call(false, Millis(3000));
+    let given_up = NextStep::Return(Outcome::RefusedNotRun);
+
+    assert_eq!(after_refusal(once(), 1250, 1250), NextStep::Retry);
+    assert_eq!(after_refusal(once(), 2510, 1250), given_up);
+    assert_eq!(after_refusal(once(), 2510, 10), NextStep::Retry);
+    assert_eq!(after_refusal(call(), 1250, 1250), NextStep::Retry);
+    assert_eq!(after_refusal(call(), 2510, 1250), given_up);
+}
+
 /// Guards against overloads in which each request visits gates of other regions, over links that
 /// are billed by volume, or asks for retries that the service does not have.
 #[test]
