--- a/crates/shallothill-directory/src/departure.rs
+++ b/crates/shallothill-directory/src/departure.rs
@@ -7,9 +7,9 @@
 use shallothill_core::ids::{EndpointName, NodeName, ServiceName};
 use shallothill_core::time::Millis;
 
-/// `RETENTION` is the time for which a departure is kept, far longer than an announcement can be
+/// `DEPARTURE_RETENTION` is the time for which a departure is kept, far longer than an announcement can be
 /// delayed on its way to the node on the same host.
-const RETENTION: Duration = Duration::from_secs(120);
+pub const DEPARTURE_RETENTION: Duration = Duration::from_secs(120);
 
 /// `MAX_PER_NODE` bounds the departures of one node; the oldest are dropped first.
 const MAX_PER_NODE: usize = 64;
@@ -68,7 +68,7 @@
     /// `expire` drops the departures that were recorded more than two minutes ago.
     pub fn expire(&mut self, now: Millis) {
         self.by_node.retain(|_, recorded| {
-            recorded.retain(|r| now.saturating_since(r.at) < RETENTION);
+            recorded.retain(|r| now.saturating_since(r.at) < DEPARTURE_RETENTION);
             !recorded.is_empty()
         });
     }
--- a/crates/shallothill-directory/src/lib.rs
+++ b/crates/shallothill-directory/src/lib.rs
@@ -18,7 +18,7 @@
 
 pub use cursor::Cursor;
 pub use delta::{Delta, DirectoryChange};
-pub use departure::{Departure, DepartureTable};
+pub use departure::{DEPARTURE_RETENTION, Departure, DepartureTable};
 pub use directory::Directory;
 pub use endpoint_load::EndpointLoad;
 pub use endpoint_status::EndpointStatus;
--- a/crates/shallothill-node/src/announce.rs
+++ b/crates/shallothill-node/src/announce.rs
@@ -10,7 +10,7 @@
 use tokio::time;
 
 use crate::body::Body;
-use crate::gate::{Announcement, Gate, WithdrawalError};
+use crate::gate::{Announcement, AnnouncementError, Gate, WithdrawalError};
 use crate::listener::RequestHandler;
 use crate::refusal::Refusal;
 use crate::unread_body::UnreadBody;
@@ -21,10 +21,6 @@
 /// `BODY_TIMEOUT` is the time in which the body of an announcement arrives.
 const BODY_TIMEOUT: Duration = Duration::from_secs(5);
 
-/// `MAX_RESTORE_WAIT` is the time for which an announcement waits at the start of the node until the
-/// earlier departures are known. Backend servers wait about a second for the acknowledgement.
-pub const MAX_RESTORE_WAIT: Duration = Duration::from_millis(800);
-
 /// `AnnounceServer` answers `PUT` and `DELETE /announce/{service}/{endpoint}`.
 #[derive(Debug)]
 pub struct AnnounceServer {
@@ -48,19 +44,22 @@
         if req.method() != Method::PUT {
             return METHOD_NOT_ALLOWED.response();
         }
-        if !self.gate.wait_restored(MAX_RESTORE_WAIT).await {
-            return STARTING.response();
-        }
         let body = Limited::new(req.into_body(), MAX_BODY_BYTES).collect();
         let body = time::timeout(BODY_TIMEOUT, body).await;
         let announcement: Option<Announcement> = body
             .ok()
             .and_then(Result::ok)
             .and_then(|b| json::parse_object(&b.to_bytes()).ok());
-        let result = announcement.map(|a| self.gate.announce(&service, &name, a));
-        match result {
-            Some(Ok(())) => no_content(),
-            Some(Err(_)) | None => MALFORMED.response(),
+        let Some(announcement) = announcement else {
+            return MALFORMED.response();
+        };
+        let announced = self
+            .gate
+            .announce_after_restore(&service, &name, announcement);
+        match announced.await {
+            Ok(()) => no_content(),
+            Err(AnnouncementError::DeparturesUnknown) => STARTING.response(),
+            Err(_) => MALFORMED.response(),
         }
     }
 }
--- a/crates/shallothill-node/src/gate/announcement.rs
+++ b/crates/shallothill-node/src/gate/announcement.rs
@@ -60,6 +60,10 @@
         "a process of this name has left, and no start is stated; send the start of the process"
     ))]
     UnknownStart,
+    /// The node does not know which backend servers had left before it started, and the announcement
+    /// may come from one of them.
+    #[snafu(display("the node does not know yet which backend servers have left; announce again"))]
+    DeparturesUnknown,
     /// The start time is in the future; accepting it would make all announcements with a correct
     /// start time look outdated.
     #[snafu(display(
--- a/crates/shallothill-node/src/gate/departed.rs
+++ b/crates/shallothill-node/src/gate/departed.rs
@@ -46,6 +46,17 @@
         self.last_outdated.contains_key(key)
     }
 
+    /// `has_left` tells whether a process that started at `start` is one whose departure for good is
+    /// recorded, or may be it since its start is not known.
+    pub(crate) fn has_left(
+        &self,
+        key: &(ServiceName, EndpointName),
+        start: Option<StartTime>,
+    ) -> bool {
+        let last = self.last_outdated.get(key);
+        last.is_some_and(|(last_start, _)| start <= Some(*last_start))
+    }
+
     /// `is_outdated` tells whether an announcement comes from a process whose departure is recorded,
     /// or may come from it since it states no start. A process that drains may say so again.
     pub(crate) fn is_outdated(&self, key: &(ServiceName, EndpointName), a: &Announcement) -> bool {
--- a/crates/shallothill-node/src/gate/departures.rs
+++ b/crates/shallothill-node/src/gate/departures.rs
@@ -1,8 +1,9 @@
 //! Departures of backend servers that must hold beyond a restart of the node.
 
-use std::sync::Arc;
+use std::sync::{Arc, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use shallothill_core::health::ServingState;
 use shallothill_core::ids::{EndpointName, ServiceName};
 use shallothill_directory::Departure;
 use shallothill_runtime::clock;
@@ -11,7 +12,25 @@
 use tracing::{info, warn};
 
 use crate::control;
-use crate::gate::{Announcement, Gate, StartTime};
+use crate::gate::life_signs::LifeSigns;
+use crate::gate::{Announcement, AnnouncementError, Gate, StartTime};
+
+/// `MAX_RESTORE_WAIT` is the time for which an announcement waits at the start of the node until the
+/// earlier departures are known. Backend servers wait about a second for the acknowledgement.
+const MAX_RESTORE_WAIT: Duration = Duration::from_millis(800);
+
+/// `EarlierDepartures` is what the node knows of the departures that it confirmed before its start.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub(super) enum EarlierDepartures {
+    /// The keepers are being asked; nothing is registered.
+    #[default]
+    Asked,
+    /// No majority of the keepers has answered yet; backend servers that show that they live are
+    /// registered.
+    Unknown,
+    /// The departures are recorded.
+    Known,
+}
 
 /// `WithdrawalError` is why the withdrawal of an announcement is not confirmed.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Snafu)]
@@ -73,21 +92,79 @@
         Err(WithdrawalError::NotStored)
     }
 
+    /// `announce_after_restore` is [`Self::announce`] for announcements that arrive from outside: it
+    /// waits until the departures from before the start of the node are known, at most for
+    /// [`MAX_RESTORE_WAIT`].
+    ///
+    /// Fails with `DeparturesUnknown`, and changes nothing, as long as a backend server that has left
+    /// may have sent the announcement.
+    pub async fn announce_after_restore(
+        self: &Arc<Self>,
+        service: &ServiceName,
+        name: &EndpointName,
+        a: Announcement,
+    ) -> Result<(), AnnouncementError> {
+        let mut rx = self.earlier_departures.subscribe();
+        let earlier = *rx.borrow();
+        if earlier == EarlierDepartures::Known {
+            return self.announce(service, name, a);
+        }
+        let now = self.deps.timer.now();
+        let shows_life = self
+            .life_signs()
+            .record(now, (service.clone(), name.clone()), &a);
+        let known = rx.wait_for(|earlier| match earlier {
+            EarlierDepartures::Asked => false,
+            EarlierDepartures::Unknown => shows_life,
+            EarlierDepartures::Known => true,
+        });
+        if time::timeout(MAX_RESTORE_WAIT, known).await.is_err() {
+            return Err(AnnouncementError::DeparturesUnknown);
+        }
+        let announced = self.announce(service, name, a);
+        // The departures may have become known meanwhile.
+        self.remove_departed();
+        announced
+    }
+
+    /// `register_by_life_signs` registers backend servers that show that they live from now on, until
+    /// [`Self::restore_departures`].
+    pub fn register_by_life_signs(&self) {
+        self.earlier_departures
+            .send_replace(EarlierDepartures::Unknown);
+    }
+
     /// `restore_departures` makes the announcements of `departures` outdated, which the node
-    /// confirmed before it was restarted. Backend servers may be registered from now on.
+    /// confirmed before it was restarted, and removes the backend servers that sent them. All others
+    /// may be registered from now on.
     pub fn restore_departures(&self, departures: &[Departure]) {
         let mut departed = self.departed();
         departures.iter().for_each(|d| departed.insert(d));
         drop(departed);
-        self.restored.send_replace(true);
+        self.earlier_departures
+            .send_replace(EarlierDepartures::Known);
+        self.life_signs().clear();
+        self.remove_departed();
+    }
+
+    // One that drains gets no new requests, and its next announcement would register it again.
+    fn remove_departed(&self) {
+        for (key, endpoint) in self.endpoints.load().iter() {
+            let inner = endpoint.lock();
+            let start = inner.order.start;
+            let draining = inner.gate.state() == ServingState::Draining;
+            drop(inner);
+            if !draining && self.departed().has_left(key, start) {
+                info!("gate: {} had left before the node started", endpoint.id);
+                self.remove_endpoint(key.clone(), endpoint);
+            }
+        }
     }
 
-    /// `wait_restored` waits for [`Self::restore_departures`], at most for `time`; returns whether
-    /// it was called.
-    pub async fn wait_restored(&self, time: Duration) -> bool {
-        let mut rx = self.restored.subscribe();
-        let restored = time::timeout(time, rx.wait_for(|restored| *restored)).await;
-        restored.is_ok()
+    fn life_signs(&self) -> MutexGuard<'_, LifeSigns> {
+        self.life_signs
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
     }
 
     /// `record_drain` makes all announcements of the process that has sent `a` outdated, but for later
--- a/crates/shallothill-node/src/gate/mod.rs
+++ b/crates/shallothill-node/src/gate/mod.rs
@@ -11,6 +11,7 @@
 mod exchange;
 mod head_limit;
 mod ledger_client;
+mod life_signs;
 mod lifecycle;
 mod parent_requests;
 mod queued_request;
@@ -33,6 +34,7 @@
 use shallothill_policy::notices::RecentSenders;
 use shallothill_policy::pick::ReportedLoad;
 use shallothill_policy::retry::RetryWorth;
+use shallothill_runtime::clock;
 use shallothill_runtime::memory::MemoryAccount;
 use shallothill_runtime::timer::Timer;
 use tokio::sync::{Notify, watch};
@@ -46,6 +48,8 @@
 use crate::crashes::CrashTracker;
 use crate::gate::attempt_log::AttemptLog;
 use crate::gate::departed::DepartedEndpoints;
+use crate::gate::departures::EarlierDepartures;
+use crate::gate::life_signs::LifeSigns;
 use crate::interface::HttpInterface;
 use crate::refusal::Refusal;
 use crate::settings::Bounds;
@@ -109,8 +113,10 @@
     departed: Mutex<DepartedEndpoints>,
     /// The other nodes that have sent attempts lately.
     senders: Mutex<RecentSenders>,
-    /// Whether the departures from before a restart are known.
-    restored: watch::Sender<bool>,
+    /// Whether the departures from before the start of the node are known.
+    earlier_departures: watch::Sender<EarlierDepartures>,
+    /// What was announced while they are not known.
+    life_signs: Mutex<LifeSigns>,
     /// Set when the node begins to stop.
     stops_at: OnceLock<Millis>,
     /// Whether the gate takes no more attempts and announcements.
@@ -123,12 +129,14 @@
 impl Gate {
     /// `new` builds a gate without registered backend servers.
     pub fn new(deps: GateDependencies) -> Self {
+        let life_signs = LifeSigns::new(clock::now(), deps.bounds.announce_lease());
         Self {
             deps,
             endpoints: ArcSwap::default(),
             departed: Mutex::default(),
             senders: Mutex::default(),
-            restored: watch::Sender::new(false),
+            earlier_departures: watch::Sender::default(),
+            life_signs: Mutex::new(life_signs),
             stops_at: OnceLock::new(),
             closed: AtomicBool::new(false),
             next_incarnation: std::sync::atomic::AtomicU64::new(0),
--- a/crates/shallothill-node/src/node/mod.rs
+++ b/crates/shallothill-node/src/node/mod.rs
@@ -2,6 +2,7 @@
 
 mod access;
 mod build;
+mod earlier_departures;
 mod lease;
 mod sockets;
 
@@ -11,7 +12,6 @@
 
 use cadence::StatsdClient;
 use shallothill_core::incarnation::Incarnation;
-use shallothill_core::time::Millis;
 use shallothill_runtime::admin::AdminLimits;
 use shallothill_runtime::timer::Timer;
 use shallothill_runtime::{admin, logs, metrics};
@@ -26,7 +26,7 @@
 use crate::config::ConfigStore;
 use crate::control::{
     ConfigFetcher, Discovery, KeeperFailover, KeeperSwitch, Keepers, Reporter, VersionProbe,
-    Watcher, confirmed_version, highest_reported_version, recent_departures,
+    Watcher, confirmed_version, highest_reported_version,
 };
 use crate::counters::{Counters, TOTALS};
 use crate::crashes::CrashTracker;
@@ -309,7 +309,7 @@
                 () = self.end_tasks.cancelled() => return,
             }
         }
-        self.restore_departures(quorum_deadline).await;
+        Arc::clone(&self).restore_departures(quorum_deadline).await;
         while self.store.version() < self.store.highest_known_version() {
             tokio::select! {
                 _ = self.timer.after(VERSION_RETRY_PAUSE / 10) => {}
@@ -320,26 +320,6 @@
         info!("node: serving with configuration {}", self.store.version());
     }
 
-    // Backend servers are registered only after this, so that an announcement from before the start
-    // of this process does not register one that has left.
-    async fn restore_departures(&self, give_up_at: Millis) {
-        loop {
-            let departures = recent_departures(&self.keepers, &self.settings.node).await;
-            if let Some(departures) = departures {
-                info!("node: {} earlier departures are known", departures.len());
-                return self.gate.restore_departures(&departures);
-            }
-            if self.timer.now() >= give_up_at {
-                warn!("node: too few keepers answer; earlier departures are not known");
-                return self.gate.restore_departures(&[]);
-            }
-            tokio::select! {
-                _ = self.timer.after(VERSION_RETRY_PAUSE) => {}
-                () = self.end_tasks.cancelled() => return,
-            }
-        }
-    }
-
     /// `run_until_stopped` waits for the stop, then accepts callers for the lame-duck time and
     /// waits for requests in flight, up to the stop timeout.
     ///
