--- a/crates/shallothill-keeper/src/lib.rs
+++ b/crates/shallothill-keeper/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod credit;
 pub mod data;
 pub mod departure;
+mod departure_recovery;
 pub mod endpoint_departures;
 pub mod errors;
 pub mod fatal;
--- a/crates/shallothill-keeper/src/peer.rs
+++ b/crates/shallothill-keeper/src/peer.rs
@@ -17,6 +17,7 @@
 use shallothill_wire::{channel, transport};
 use tarpc::client;
 
+use crate::endpoint_departures::KnownDepartures;
 use crate::forward::PatchedSubmit;
 use crate::loads::ServiceShards;
 
@@ -132,6 +133,8 @@
     /// `recover` returns a page of records for a ledger member that lost its disk; `None` while the
     /// called one is recovering too.
     async fn recover(req: RecoveryRequest) -> Option<RecoveryReply>;
+    /// `departures` returns the recent departures of the backend servers of all nodes.
+    async fn departures() -> KnownDepartures;
 }
 
 impl channel::Connect for KeeperPeerClient {
--- a/crates/shallothill-keeper/src/peer_server.rs
+++ b/crates/shallothill-keeper/src/peer_server.rs
@@ -13,6 +13,7 @@
 use tarpc::context::Context;
 use tokio::sync::mpsc;
 
+use crate::endpoint_departures::KnownDepartures;
 use crate::forward::PatchedSubmit;
 use crate::keeper::{Keeper, lock};
 use crate::peer::{KeeperPeer, MeetReply, MeetRequest, PeerStatus, SyncReply, SyncRequest};
@@ -154,4 +155,8 @@
     async fn recover(self, _: Context, req: RecoveryRequest) -> Option<RecoveryReply> {
         self.keeper.ledger.recover(req).await
     }
+
+    async fn departures(self, _: Context) -> KnownDepartures {
+        self.keeper.departures.known()
+    }
 }
--- a/crates/shallothill-keeper/src/process.rs
+++ b/crates/shallothill-keeper/src/process.rs
@@ -36,7 +36,10 @@
 use crate::peer_server::PeerServer;
 use crate::peers::Peers;
 use crate::settings::Settings;
-use crate::{confirmations, credit, departure, housekeeping, ledger, metrics, publisher, sync};
+use crate::{
+    confirmations, credit, departure, departure_recovery, housekeeping, ledger, metrics, publisher,
+    sync,
+};
 
 /// `MESSAGE_QUEUE_MAX` bounds the messages of other keepers that wait for the driver of the config
 /// log.
@@ -227,6 +230,7 @@
         }
         tasks.spawn(until_stopped(confirmations::run(keeper()), stop()));
         tasks.spawn(until_stopped(credit::run(keeper()), stop()));
+        tasks.spawn(until_stopped(departure_recovery::run(keeper()), stop()));
         tasks.spawn(until_stopped(housekeeping::run(keeper()), stop()));
         tasks.spawn(until_stopped(
             housekeeping::run_isolation_checks(keeper()),
--- a/crates/shallothill-keeper/tests/restart.rs
+++ b/crates/shallothill-keeper/tests/restart.rs
@@ -266,7 +266,7 @@
     });
 
     assert!(durable);
-    assert_eq!(call.await.unwrap().departures, [departure]);
+    assert_eq!(call.await.unwrap().departures, Some(vec![departure]));
 }
 
 /// Guards against a keeper that goes on acknowledging after its disk has failed.
--- a/crates/shallothill-node/src/control/departures.rs
+++ b/crates/shallothill-node/src/control/departures.rs
@@ -1,7 +1,8 @@
 //! Stores departures of backend servers at the keepers and reads them after a restart.
 //!
 //! A departure counts as stored at a majority of the keepers, and a starting node reads from a
-//! majority, so that at least one keeper has each departure that was confirmed.
+//! majority of keepers that have lost none, so that at least one has each departure that was
+//! confirmed.
 
 use std::future::Future;
 use std::sync::Arc;
@@ -49,7 +50,7 @@
 }
 
 /// `recent_departures` returns the departures of the backend servers of `node`, or `None` if no
-/// majority of the keepers answers.
+/// majority of the keepers answers and knows them.
 pub async fn recent_departures(keepers: &Keepers, node: &NodeName) -> Option<Vec<Departure>> {
     let ask =
         |keeper: Arc<Keeper>| {
@@ -59,7 +60,7 @@
                     c.departures(cx, node).await
                 });
                 let reply = call.await.ok()?;
-                Some((reply.group, Some(reply.departures)))
+                Some((reply.group, reply.departures))
             }
         };
     let answers = call_majority(keepers, ask).await?;
--- a/crates/shallothill-node/tests/support/keepers.rs
+++ b/crates/shallothill-node/tests/support/keepers.rs
@@ -250,7 +250,7 @@
 
     async fn departures(self, _: Context, node: NodeName) -> DeparturesReply {
         DeparturesReply {
-            departures: self.shared.departures.lock().unwrap().of_node(&node),
+            departures: Some(self.shared.departures.lock().unwrap().of_node(&node)),
             group: self.group(),
         }
     }
--- a/crates/shallothill-wire/src/departures.rs
+++ b/crates/shallothill-wire/src/departures.rs
@@ -27,8 +27,9 @@
 /// `DeparturesReply` returns the departures that a keeper has stored for a node.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct DeparturesReply {
-    /// The departures, the oldest first.
-    pub departures: Vec<Departure>,
+    /// The departures, the oldest first; `None` while the keeper may lack some that it stored, as
+    /// after the loss of its disk.
+    pub departures: Option<Vec<Departure>>,
     /// The group of the keeper.
     pub group: KeeperGroup,
 }
