--- a/crates/shallothill-node/src/control/departures.rs
+++ b/crates/shallothill-node/src/control/departures.rs
@@ -101,6 +101,10 @@
         if keepers.uses_discovery() && keepers.add(group.keepers) {
             return Majority::ListGrew;
         }
+        if keepers.uses_discovery() && group.members == 0 {
+            // A keeper that has not read its log yet cannot tell what a majority is.
+            continue;
+        }
         members = members.max(usize::try_from(group.members).unwrap_or(usize::MAX));
         answers.extend(answer);
         let group_size = if members > 0 { members } else { all.len() };
--- a/crates/shallothill-node/tests/earlier_departures.rs
+++ b/crates/shallothill-node/tests/earlier_departures.rs
@@ -107,6 +107,27 @@
     assert_eq!(restarted.registered(), Vec::<String>::new());
 }
 
+/// Guards against a node that knows a single keeper, which has not read its log yet, and takes it for a
+/// majority.
+#[tokio::test]
+async fn a_keeper_without_a_group_is_no_majority() {
+    let keepers = Keepers::start(cluster::REGION, cluster::config()).await;
+    let first = keepers.addresses[0].id;
+    keepers.shared.without_log.lock().unwrap().insert(first);
+    keepers.shared.without_peers.lock().unwrap().insert(first);
+    let node = RunningNode::start_with_seeds("n1", vec![keepers.address(0)]).await;
+    let serves = || async { node.node.entry().serving() };
+    let served = process::wait_until("the node serves", MAX_WAIT, serves);
+    served.await.unwrap();
+
+    let announced = announce(&node, "e1", 1).await;
+    let withdrawn = call(&node, Method::DELETE, "/announce/courier/e1", Bytes::new()).await;
+
+    assert_eq!(node.node.keepers().all().len(), 1);
+    assert_eq!(announced, StatusCode::SERVICE_UNAVAILABLE);
+    assert_eq!(withdrawn, StatusCode::SERVICE_UNAVAILABLE);
+}
+
 /// Guards against a node that starts without a majority of the keepers and registers no backend server,
 /// though some show that they live.
 #[tokio::test]
--- a/crates/shallothill-node/tests/support/keepers.rs
+++ b/crates/shallothill-node/tests/support/keepers.rs
@@ -48,6 +48,8 @@
     pub grants_leases: AtomicBool,
     /// The keepers that report themselves as isolated from the primary.
     pub isolated: Mutex<BTreeSet<KeeperId>>,
+    /// The keepers that have not read their log yet.
+    pub without_log: Mutex<BTreeSet<KeeperId>>,
     /// The keepers that list no other keeper.
     pub without_peers: Mutex<BTreeSet<KeeperId>>,
     /// The number of watches that requested the complete directory.
@@ -102,6 +104,7 @@
             outdated: Mutex::default(),
             grants_leases: AtomicBool::new(false),
             isolated: Mutex::default(),
+            without_log: Mutex::default(),
             without_peers: Mutex::default(),
             initial_watches: AtomicUsize::new(0),
             section_calls: AtomicUsize::new(0),
@@ -189,8 +192,10 @@
 
 impl FakeKeeper {
     fn group(&self) -> KeeperGroup {
+        let read_log = !self.shared.without_log.lock().unwrap().contains(&self.id);
+        let members = self.shared.infos.lock().unwrap().len() as u32;
         KeeperGroup {
-            members: self.shared.infos.lock().unwrap().len() as u32,
+            members: if read_log { members } else { 0 },
             keepers: Vec::new(),
         }
     }
