--- a/crates/shallothill-node/src/gate/departures.rs
+++ b/crates/shallothill-node/src/gate/departures.rs
@@ -155,7 +155,7 @@
             let draining = inner.gate.state() == ServingState::Draining;
             drop(inner);
             if !draining && self.departed().has_left(key, start) {
-                info!("gate: {} had left before the node started", endpoint.id);
+                info!("gate: {} has left and is removed", endpoint.id);
                 self.remove_endpoint(key.clone(), endpoint);
             }
         }
@@ -183,6 +183,8 @@
             ..final_departure(key, start)
         };
         self.departed().insert(&departure);
+        // The name may be registered for another service as well.
+        self.remove_departed();
         let gate = Arc::clone(self);
         self.deps.tasks.spawn(async move {
             let keepers = &gate.deps.keepers;
--- a/crates/shallothill-node/src/gate/mod.rs
+++ b/crates/shallothill-node/src/gate/mod.rs
@@ -130,10 +130,11 @@
     /// `new` builds a gate without registered backend servers.
     pub fn new(deps: GateDependencies) -> Self {
         let life_signs = LifeSigns::new(clock::now(), deps.bounds.announce_lease());
+        let departed = DepartedEndpoints::new(deps.interface.unique_endpoint_names);
         Self {
             deps,
             endpoints: ArcSwap::default(),
-            departed: Mutex::default(),
+            departed: Mutex::new(departed),
             senders: Mutex::default(),
             earlier_departures: watch::Sender::default(),
             life_signs: Mutex::new(life_signs),
--- a/crates/shallothill-node/src/interface.rs
+++ b/crates/shallothill-node/src/interface.rs
@@ -43,6 +43,9 @@
     /// it makes for it, through the node of its host. The calls are recognised by that time, as they
     /// carry nothing else of the request.
     pub calls_share_deadline: bool,
+    /// Whether a backend server's name belongs to it alone among all services of its host, so that
+    /// its departure holds for every service that an announcement names.
+    pub unique_endpoint_names: bool,
 }
 
 impl HttpInterface {
@@ -70,6 +73,7 @@
             max_buffered_response_bytes: None,
             retry_server_errors: false,
             calls_share_deadline: false,
+            unique_endpoint_names: false,
         }
     }
 }
