--- a/crates/shallothill-directory/src/lib.rs
+++ b/crates/shallothill-directory/src/lib.rs
@@ -3,6 +3,7 @@
 mod cursor;
 mod delta;
 mod departure;
+mod departure_reading;
 mod directory;
 mod endpoint_load;
 mod endpoint_status;
@@ -19,6 +20,7 @@
 pub use cursor::Cursor;
 pub use delta::{Delta, DirectoryChange};
 pub use departure::{DEPARTURE_RETENTION, Departure, DepartureTable};
+pub use departure_reading::DepartureReading;
 pub use directory::Directory;
 pub use endpoint_load::EndpointLoad;
 pub use endpoint_status::EndpointStatus;
--- a/crates/shallothill-keeper/src/departure_recovery.rs
+++ b/crates/shallothill-keeper/src/departure_recovery.rs
@@ -7,8 +7,9 @@
 use futures::future;
 use shallothill_core::ids::KeeperId;
 use shallothill_core::time::Millis;
-use shallothill_directory::DEPARTURE_RETENTION;
+use shallothill_directory::{DEPARTURE_RETENTION, DepartureReading};
 use shallothill_replica::MemberState;
+use shallothill_wire::departures::RECORD_TIMEOUT;
 
 use crate::endpoint_departures::KnownDepartures;
 use crate::keeper::Keeper;
@@ -65,11 +66,13 @@
     (replica.member_state == MemberState::Complete).then_some(replica.members)
 }
 
-// Reads the departures of the other members; returns whether none can be missing now. Each was
-// confirmed once a majority had stored it, so the answers of a majority contain it. This keeper
-// counts unless it lost its disk; others that lost theirs do not. The answers of all members contain
-// whatever is left.
+// Reads the departures of the other members; returns whether none can be missing now. A keeper that
+// lost its disk first waits for the end of calls that it may have acknowledged before that, as the
+// others may store their departures only after they have answered it.
 async fn read_all(keeper: &Keeper, members: &[KeeperId]) -> bool {
+    if !keeper.departures.is_complete() && keeper.timer.now() < Millis(0) + RECORD_TIMEOUT {
+        return false;
+    }
     let me = keeper.settings.id;
     let others: Vec<KeeperId> = members.iter().copied().filter(|id| *id != me).collect();
     let calls = others.iter().map(|id| known_at(keeper, *id));
@@ -78,12 +81,15 @@
         .into_iter()
         .flatten()
         .collect();
-    let complete = replies.iter().filter(|r| r.complete).count();
-    let complete = complete + usize::from(keeper.departures.is_complete());
-    let all_answered = replies.len() == others.len();
+    let reading = DepartureReading {
+        members: others.len() + 1,
+        own_complete: keeper.departures.is_complete(),
+        answers: replies.len(),
+        complete_answers: replies.iter().filter(|r| r.complete).count(),
+    };
     let read = replies.into_iter().map(|r| r.by_node).collect();
     keeper.departures.merge(keeper.timer.now(), read).await;
-    all_answered || complete > members.len() / 2
+    reading.is_enough()
 }
 
 async fn known_at(keeper: &Keeper, id: KeeperId) -> Option<KnownDepartures> {
--- a/crates/shallothill-node/src/control/departures.rs
+++ b/crates/shallothill-node/src/control/departures.rs
@@ -11,12 +11,11 @@
 use futures::stream::{FuturesUnordered, StreamExt};
 use shallothill_core::ids::NodeName;
 use shallothill_directory::Departure;
-use shallothill_wire::departures::{KeeperGroup, RecordDeparturesRequest};
+use shallothill_wire::departures::{KeeperGroup, RECORD_TIMEOUT, RecordDeparturesRequest};
 
 use crate::control::{Keeper, Keepers};
 
-/// `CALL_TIMEOUT` is the longest wait for a keeper. A backend server waits about a second for the
-/// confirmation.
+/// `CALL_TIMEOUT` is the longest wait for the departures that a keeper has.
 const CALL_TIMEOUT: Duration = Duration::from_millis(800);
 
 /// `Majority` is the result of calls to all keepers of the list.
@@ -39,7 +38,7 @@
     let record = |keeper: Arc<Keeper>| {
         let req = req.clone();
         async move {
-            let call = keeper.channel().call(CALL_TIMEOUT, |c, cx| async move {
+            let call = keeper.channel().call(RECORD_TIMEOUT, |c, cx| async move {
                 c.record_departures(cx, req).await
             });
             let reply = call.await.ok()?;
--- a/crates/shallothill-wire/src/departures.rs
+++ b/crates/shallothill-wire/src/departures.rs
@@ -1,11 +1,17 @@
 //! Departures of backend servers, which nodes store at the keepers.
 
+use std::time::Duration;
+
 use serde::{Deserialize, Serialize};
 use shallothill_core::ids::NodeName;
 use shallothill_directory::Departure;
 
 use crate::keeper_info::KeeperInfo;
 
+/// `RECORD_TIMEOUT` is the longest wait of a node for a keeper that stores departures. A backend server
+/// waits about a second for the confirmation.
+pub const RECORD_TIMEOUT: Duration = Duration::from_millis(800);
+
 /// `RecordDeparturesRequest` asks a keeper to store departures beyond the life of the node's process.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct RecordDeparturesRequest {
