--- a/crates/shallothill-keeper/src/endpoint_departures.rs
+++ b/crates/shallothill-keeper/src/endpoint_departures.rs
@@ -139,6 +139,7 @@
     }
 }
 
+// Returns what the cell holds. Without one, it may be of an earlier release, which knows less.
 fn read(folder: &DataFolder) -> KnownDepartures {
     let stored = folder
         .read_cell::<KnownDepartures>(CELL)
@@ -148,7 +149,6 @@
         });
     stored.unwrap_or_else(|| KnownDepartures {
         complete: false,
-        // Nothing is missing that the other keepers have, so a damaged cell is ignored.
         by_node: folder
             .read_cell(FORMER_CELL)
             .unwrap_or_default()
--- a/crates/shallothill-keeper/tests/departures.rs
+++ b/crates/shallothill-keeper/tests/departures.rs
@@ -59,6 +59,14 @@
     known.await.unwrap();
 }
 
+/// Starts the first keeper, which must not answer before the second one has started too.
+async fn check_first_keeper_learns(group: &mut Group) {
+    group.start_one(0, false).await;
+    assert_eq!(answer(group, 0).await, None);
+    group.start_one(1, false).await;
+    wait_until_known(group, 0, &[departure()]).await;
+}
+
 /// Guards against a keeper that lost its disk and answers that there are no departures, though it has
 /// stored one, while too few others can tell.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
@@ -69,12 +77,7 @@
     group.stop_one(1).await;
     fs::remove_dir_all(&group.settings[0].data_dir).unwrap();
 
-    group.start_one(0, false).await;
-    let alone = answer(&group, 0).await;
-    group.start_one(1, false).await;
-
-    assert_eq!(alone, None);
-    wait_until_known(&group, 0, &[departure()]).await;
+    check_first_keeper_learns(&mut group).await;
 }
 
 /// Guards against a damaged cell that is taken for one without departures.
@@ -89,12 +92,7 @@
     *bytes.last_mut().unwrap() ^= 1;
     fs::write(&cell, bytes).unwrap();
 
-    group.start_one(0, false).await;
-    let alone = answer(&group, 0).await;
-    group.start_one(1, false).await;
-
-    assert_eq!(alone, None);
-    wait_until_known(&group, 0, &[departure()]).await;
+    check_first_keeper_learns(&mut group).await;
 }
 
 /// Guards against a keeper that never learns of the departures that were stored while it was off, so that
