--- a/crates/shallothill-node/src/node/earlier_departures.rs
+++ b/crates/shallothill-node/src/node/earlier_departures.rs
@@ -16,9 +16,9 @@
 
 impl Node {
     /// `restore_departures` asks the keepers for the departures until `serve_at`, and goes on in the
-    /// background if no majority has answered. Until then only backend servers that show that they
-    /// live are registered, so that an announcement from before the start of this process does not
-    /// register one that has left.
+    /// background if no majority has answered. No backend server is registered before `serve_at`, and
+    /// after it only those that show that they live, so that an announcement from before the start of
+    /// this process does not register one that has left.
     pub(super) async fn restore_departures(self: Arc<Self>, serve_at: Millis) {
         // Departures that were recorded before the start of the node expire until then.
         let expired_at = self.timer.now() + DEPARTURE_RETENTION;
